--- /dev/null
+++ b/src/basilpond/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the router, without I/O, sockets, files, timers or clocks."""
--- /dev/null
+++ b/src/basilpond/core/_records.py
@@ -0,0 +1,188 @@
+"""Typed records of the ``ledger`` and ``config`` streams, and their codec.
+
+Records are msgspec structs, encoded as JSON with a ``type`` tag. Amounts are
+whole budget tokens.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class BudgetSet(msgspec.Struct, tag='budget_set', frozen=True):
+    """Total prepaid budget of an organisation, copied from a manifest.
+
+    The fold ignores it unless `manifest_version` is higher than the last.
+    """
+
+    organisation: str
+    budget_tokens: int
+    manifest_version: int
+
+
+class Grant(msgspec.Struct, tag='grant', frozen=True, omit_defaults=True):
+    """Request for an allotment; granted in full, in part or not at all."""
+
+    allotment: str
+    organisation: str
+    want_tokens: int
+    min_tokens: int
+    holder: str
+    journal_peer: str | None = None
+
+
+class Bill(msgspec.Struct, tag='bill', frozen=True, omit_defaults=True):
+    """Cost of one request that ran.
+
+    `answer` is set for non-idempotent requests only, at most 2,048 bytes.
+    """
+
+    allotment: str
+    seq: int
+    organisation: str
+    request_id: str
+    tokens: int
+    outcome: str
+    body_digest: str
+    endpoint: str
+    keyed: bool = False
+    answer_status: int = 0
+    answer: str | None = None
+
+
+class Transfer(
+    msgspec.Struct, tag='transfer', frozen=True, omit_defaults=True
+):
+    """Unspent tokens that move into a new allotment of another holder."""
+
+    allotment: str
+    seq: int
+    organisation: str
+    tokens: int
+    new_allotment: str
+    holder: str
+    journal_peer: str | None = None
+
+
+class Return(msgspec.Struct, tag='return', frozen=True):
+    """Unspent tokens that go back to the budget."""
+
+    allotment: str
+    seq: int
+    organisation: str
+    tokens: int
+
+
+AllotmentEntry = Bill | Transfer | Return
+
+
+class Close(msgspec.Struct, tag='close', frozen=True, omit_defaults=True):
+    """Last entries and end of an allotment; the rest returns to the budget."""
+
+    allotment: str
+    organisation: str
+    closer: str
+    entries: list[AllotmentEntry] = []
+    forced: bool = False
+
+
+class Claim(msgspec.Struct, tag='claim', frozen=True):
+    """Request for the right to run a non-idempotent request."""
+
+    organisation: str
+    request_id: str
+    body_digest: str
+    holder: str
+
+
+class ClaimAbandon(msgspec.Struct, tag='claim_abandon', frozen=True):
+    """Statement of the claim's holder that it never sent the request."""
+
+    organisation: str
+    request_id: str
+    holder: str
+
+
+class LedgerSnapshot(msgspec.Struct, tag='ledger_snapshot', frozen=True):
+    """Folded ledger after the entry at `offset`."""
+
+    offset: int
+    state: msgspec.Raw
+
+
+LedgerRecord = (
+    BudgetSet
+    | Grant
+    | Bill
+    | Transfer
+    | Return
+    | Close
+    | Claim
+    | ClaimAbandon
+    | LedgerSnapshot
+)
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """Payload of one ledger append; applied once per `(writer, seq)`.
+
+    Parameters
+    ----------
+    writer : str
+        Incarnation id of the router, ``<router_id>~<start time ms>``.
+    seq : int
+        Counts the writer's batches from 1.
+    records : list of LedgerRecord
+    """
+
+    writer: str
+    seq: int
+    records: list[LedgerRecord]
+
+
+class ManifestPublish(msgspec.Struct, tag='manifest_publish', frozen=True):
+    """Manifest from an operator; `publish_id` finds it when read back."""
+
+    publish_id: str
+    replaces_version: int
+    document: msgspec.Raw
+
+
+class ManifestSnapshot(msgspec.Struct, tag='manifest_snapshot', frozen=True):
+    """Accepted manifest, written again before retention drops it."""
+
+    version: int
+    document: msgspec.Raw
+
+
+ConfigRecord = ManifestPublish | ManifestSnapshot
+
+_batch_decoder = msgspec.json.Decoder(Batch)
+_config_decoder = msgspec.json.Decoder(ConfigRecord)
+
+
+def encode(record: msgspec.Struct) -> bytes:
+    """Encode a batch or a record as UTF-8 JSON."""
+    return msgspec.json.encode(record)
+
+
+def decode_batch(payload: bytes | str) -> Batch:
+    """Decode a ledger payload.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the payload is not a batch.
+    """
+    return _batch_decoder.decode(payload)
+
+
+def decode_config(payload: bytes | str) -> ConfigRecord:
+    """Decode a config payload.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+        If the payload is not a config record.
+    """
+    return _config_decoder.decode(payload)
--- /dev/null
+++ b/src/basilpond/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Console scripts."""
--- /dev/null
+++ b/src/basilpond/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers."""
--- /dev/null
+++ b/src/basilpond/settings/__init__.py
@@ -0,0 +1,1 @@
+"""TOML settings and their checks."""
--- /dev/null
+++ b/src/basilpond/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Asyncio tasks; each owns its sockets and its state."""
--- /dev/null
+++ b/src/basilpond/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/basilpond_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, audit, demo and benchmarks; not part of the product."""
