Add fold of the ledger stream

Cause: grants, bills and claims need one decision on every router. Entries on an allotment whose transfer is not in the log wait and spend nothing, so a late entry on a closed and forgotten allotment cannot spend. A transfer that is rejected ends its new allotment at once.

--- /dev/null
+++ b/src/basilpond/core/_allotments.py
@@ -0,0 +1,536 @@
+"""Budgets and allotments: grants, entries, transfers and closes.
+
+Tokens move between three places: free in the budget, unspent in an open
+allotment (outstanding), and spent. A grant moves free tokens to an allotment,
+a bill moves unspent tokens to spent, a transfer moves them to another
+allotment, and a return or close moves them back. Nothing else changes the
+sums, so spent + outstanding exceeds the budget only after an operator has
+lowered it.
+
+An entry whose allotment is unknown waits in a *provisional* allotment for the
+transfer that creates it. It spends nothing before that, so an entry for an
+allotment that was closed and forgotten can never spend.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import sys
+
+import msgspec
+
+from ._claims import KeyedIds
+from ._ledger_results import AllotmentClosed
+from ._ledger_results import AllotmentView
+from ._ledger_results import BudgetApplied
+from ._ledger_results import BudgetView
+from ._ledger_results import CloseRejected
+from ._ledger_results import EntryApplied
+from ._ledger_results import EntryReason
+from ._ledger_results import GrantDecided
+from ._ledger_results import Result
+from ._records import AllotmentEntry
+from ._records import Bill
+from ._records import BudgetSet
+from ._records import Close
+from ._records import Grant
+from ._records import Return
+from ._records import Transfer
+
+
+class Budget(msgspec.Struct, array_like=True, gc=False):
+    """Sums of one organisation.
+
+    `ceiling_tokens` is the most that may be spent and outstanding: the
+    budget, or after a reduction what was committed at that time, until less
+    is.
+    """
+
+    organisation: str
+    budget_tokens: int
+    manifest_version: int
+    spent_tokens: int = 0
+    outstanding_tokens: int = 0
+    ceiling_tokens: int = 0
+
+    def lower_ceiling(self) -> None:
+        """Assert the invariant and follow a reduced budget downwards."""
+        committed = self.spent_tokens + self.outstanding_tokens
+        assert self.outstanding_tokens >= 0 and self.spent_tokens >= 0
+        assert committed <= self.ceiling_tokens, 'budget exceeded'
+        self.ceiling_tokens = max(self.budget_tokens, committed)
+
+
+class Allotment(msgspec.Struct, array_like=True, gc=False):
+    """Tokens that a holder may spend without asking the log.
+
+    Every sequence number up to `last_seq` and those in `later_seqs` have been
+    applied. `rejected` holds the reasons of rejected ones.
+    """
+
+    id: str
+    organisation: str
+    holder: str
+    journal_peer: str | None
+    tokens: int
+    spent_tokens: int = 0
+    last_seq: int = 0
+    later_seqs: set[int] | None = None
+    rejected: dict[int, EntryReason] | None = None
+    closed_ms: int | None = None
+
+    def has_applied(self, seq: int) -> bool:
+        """Tell whether the entry `seq` was applied, accepted or not."""
+        return 0 < seq <= self.last_seq or (
+            self.later_seqs is not None and seq in self.later_seqs
+        )
+
+    def mark_applied(self, seq: int, reason: EntryReason) -> None:
+        """Remember an applied entry in constant space when without gaps."""
+        if reason:
+            self.rejected = self.rejected or {}
+            self.rejected[seq] = reason
+        if seq != self.last_seq + 1:
+            self.later_seqs = self.later_seqs or set()
+            self.later_seqs.add(seq)
+            return
+        self.last_seq = seq
+        while self.later_seqs and self.last_seq + 1 in self.later_seqs:
+            self.last_seq += 1
+            self.later_seqs.remove(self.last_seq)
+        if not self.later_seqs:
+            self.later_seqs = None
+
+    def first_result(self, seq: int) -> EntryApplied:
+        """Return the result of an applied entry again."""
+        reason = (self.rejected or {}).get(seq, '')
+        return EntryApplied(self.id, seq, not reason, reason, repeated=True)
+
+    def view(self) -> AllotmentView:
+        """Return a read-only view."""
+        return AllotmentView(
+            self.id,
+            self.organisation,
+            self.holder,
+            self.journal_peer,
+            self.tokens,
+            self.spent_tokens,
+            self.closed_ms is not None,
+        )
+
+
+class Provisional(msgspec.Struct, array_like=True):
+    """Records on an allotment whose transfer is not yet in the log."""
+
+    id: str
+    since_ms: int
+    records: list[Bill | Transfer | Return | Close]
+
+
+class AllotmentsState(msgspec.Struct, array_like=True):
+    """Budgets and allotments in a snapshot."""
+
+    budgets: list[Budget]
+    open: list[Allotment]
+    closed_by_holder: list[Allotment]
+    closed_by_other: list[Allotment]
+    provisional: list[Provisional]
+
+
+class Allotments:
+    """Budgets, open allotments and what late entries need of closed ones.
+
+    A holder that closes its own allotment sends no later entries, so only
+    copies that are already on their way can follow, and the allotment is
+    forgotten after `closed_by_holder_keep_ms`. When somebody else closes it,
+    the holder may come back after a partition and append its entries, so it
+    is kept for `closed_by_other_keep_ms`. An entry that comes later still
+    waits as provisional and is rejected after `provisional_keep_ms`. The
+    amounts spent do not depend on these times.
+
+    Parameters
+    ----------
+    keyed_ids : KeyedIds
+    closed_by_holder_keep_ms, closed_by_other_keep_ms : int
+    provisional_keep_ms : int
+    """
+
+    __slots__ = (
+        '_budgets',
+        '_by_holder',
+        '_closed_by_holder',
+        '_closed_by_holder_keep_ms',
+        '_closed_by_other',
+        '_closed_by_other_keep_ms',
+        '_keyed_ids',
+        '_open',
+        '_provisional',
+        '_provisional_keep_ms',
+    )
+
+    def __init__(
+        self,
+        keyed_ids: KeyedIds,
+        *,
+        closed_by_holder_keep_ms: int,
+        closed_by_other_keep_ms: int,
+        provisional_keep_ms: int,
+    ) -> None:
+        self._keyed_ids = keyed_ids
+        self._closed_by_holder_keep_ms = closed_by_holder_keep_ms
+        self._closed_by_other_keep_ms = closed_by_other_keep_ms
+        self._provisional_keep_ms = provisional_keep_ms
+        self._budgets: dict[str, Budget] = {}
+        self._open: dict[str, Allotment] = {}
+        self._by_holder: dict[str, dict[str, Allotment]] = {}
+        self._closed_by_holder: dict[str, Allotment] = {}
+        self._closed_by_other: dict[str, Allotment] = {}
+        self._provisional: dict[str, Provisional] = {}
+
+    # Reading
+
+    def budget(self, organisation: str) -> BudgetView | None:
+        """Return the sums of an organisation."""
+        budget = self._budgets.get(organisation)
+        if budget is None:
+            return None
+        return BudgetView(
+            budget.budget_tokens,
+            budget.spent_tokens,
+            budget.outstanding_tokens,
+        )
+
+    def budget_version(self, organisation: str) -> int:
+        """Return the manifest version of a budget, 0 without one."""
+        budget = self._budgets.get(organisation)
+        return 0 if budget is None else budget.manifest_version
+
+    def organisations(self) -> Iterator[str]:
+        """Return the organisations that have a budget."""
+        return iter(tuple(self._budgets))
+
+    def allotment(self, allotment: str) -> AllotmentView | None:
+        """Return an open, provisional or recently closed allotment."""
+        found = self._find(allotment)
+        if found is not None:
+            return found.view()
+        waiting = self._provisional.get(allotment)
+        if waiting is None:
+            return None
+        organisation = waiting.records[0].organisation
+        return AllotmentView(
+            allotment, organisation, '', None, 0, 0, False, provisional=True
+        )
+
+    def allotments_of(self, holder: str) -> Iterator[AllotmentView]:
+        """Return the open allotments of a holder, oldest first."""
+        for allotment in tuple(self._by_holder.get(holder, {}).values()):
+            yield allotment.view()
+
+    def entry_result(self, allotment: str, seq: int) -> EntryApplied | None:
+        """Return the result of an entry that was applied before."""
+        found = self._find(allotment)
+        if found is None or not found.has_applied(seq):
+            return None
+        return found.first_result(seq)
+
+    def is_waiting(self, allotment: str) -> bool:
+        """Tell whether entries wait for the allotment's transfer."""
+        return allotment in self._provisional
+
+    # Folding
+
+    def forget(self, time_ms: int) -> Iterator[Result]:
+        """Forget closed allotments and reject entries that waited too long."""
+        for closed, keep_ms in (
+            (self._closed_by_holder, self._closed_by_holder_keep_ms),
+            (self._closed_by_other, self._closed_by_other_keep_ms),
+        ):
+            while closed:
+                oldest = next(iter(closed.values()))
+                if time_ms - oldest.closed_ms <= keep_ms:
+                    break
+                del closed[oldest.id]
+        while self._provisional:
+            waiting = next(iter(self._provisional.values()))
+            if time_ms - waiting.since_ms <= self._provisional_keep_ms:
+                return
+            del self._provisional[waiting.id]
+            yield from self._reject_records(waiting)
+
+    def apply_budget(self, record: BudgetSet) -> Iterator[Result]:
+        """Set a budget; versions only rise."""
+        budget = self._budgets.get(record.organisation)
+        accepted = record.budget_tokens >= 0 and (
+            budget is None or record.manifest_version > budget.manifest_version
+        )
+        if accepted:
+            if budget is None:
+                budget = Budget(sys.intern(record.organisation), 0, 0)
+                self._budgets[budget.organisation] = budget
+            budget.budget_tokens = record.budget_tokens
+            budget.manifest_version = record.manifest_version
+            budget.ceiling_tokens = max(
+                budget.budget_tokens,
+                budget.spent_tokens + budget.outstanding_tokens,
+            )
+        yield BudgetApplied(
+            record.organisation, record.manifest_version, accepted
+        )
+
+    def apply_grant(self, grant: Grant) -> Iterator[Result]:
+        """Grant what is free, if that is at least the minimum."""
+        yield GrantDecided(
+            grant.allotment, grant.holder, self._grant_tokens(grant)
+        )
+
+    def apply_entry(
+        self, entry: AllotmentEntry, time_ms: int
+    ) -> Iterator[Result]:
+        """Apply an entry once, or keep it until its transfer arrives."""
+        allotment = self._find(entry.allotment)
+        if allotment is None:
+            self._keep_waiting(entry, time_ms)
+            return
+        if allotment.has_applied(entry.seq):
+            yield allotment.first_result(entry.seq)
+            return
+        reason = self._reject_reason(entry, allotment)
+        if reason != 'invalid' and allotment.closed_ms is None:
+            allotment.mark_applied(entry.seq, reason)
+        if not reason:
+            self._move_tokens(entry, allotment, time_ms)
+        yield EntryApplied(entry.allotment, entry.seq, not reason, reason)
+        if isinstance(entry, Transfer) and reason != 'invalid':
+            if reason:
+                self._reject_new_allotment(entry, time_ms)
+            yield from self._settle_provisional(entry, time_ms)
+
+    def apply_close(self, close: Close, time_ms: int) -> Iterator[Result]:
+        """Apply the final entries and return the remainder."""
+        allotment = self._find(close.allotment)
+        if allotment is None:
+            self._keep_waiting(close, time_ms)
+            return
+        reason = self._close_reason(close, allotment)
+        if reason in ('', 'closed'):
+            for entry in close.entries:
+                if entry.allotment == close.allotment:
+                    yield from self.apply_entry(entry, time_ms)
+        if reason:
+            yield CloseRejected(close.allotment, close.closer, reason)
+            return
+        budget = self._budgets[allotment.organisation]
+        budget.outstanding_tokens -= allotment.tokens - allotment.spent_tokens
+        budget.lower_ceiling()
+        self._remove_open(allotment)
+        allotment.closed_ms = time_ms
+        if close.closer == allotment.holder:
+            self._closed_by_holder[allotment.id] = allotment
+        else:
+            self._closed_by_other[allotment.id] = allotment
+        yield AllotmentClosed(close.allotment, close.closer)
+
+    def check_sums(self) -> None:
+        """Assert that the sums equal those of the open allotments."""
+        outstanding = dict.fromkeys(self._budgets, 0)
+        for allotment in self._open.values():
+            unspent = allotment.tokens - allotment.spent_tokens
+            assert unspent >= 0, 'allotment overdrawn'
+            outstanding[allotment.organisation] += unspent
+        for organisation, budget in self._budgets.items():
+            assert budget.outstanding_tokens == outstanding[organisation]
+            budget.lower_ceiling()
+
+    # Snapshots
+
+    def to_state(self) -> AllotmentsState:
+        """Return the state for a snapshot; it shares the live objects."""
+        return AllotmentsState(
+            list(self._budgets.values()),
+            list(self._open.values()),
+            list(self._closed_by_holder.values()),
+            list(self._closed_by_other.values()),
+            list(self._provisional.values()),
+        )
+
+    def load_state(self, state: AllotmentsState) -> None:
+        """Restore the state of a snapshot."""
+        self._budgets = {b.organisation: b for b in state.budgets}
+        for allotment in state.open:
+            self._add_open(allotment)
+        self._closed_by_holder = {a.id: a for a in state.closed_by_holder}
+        self._closed_by_other = {a.id: a for a in state.closed_by_other}
+        self._provisional = {p.id: p for p in state.provisional}
+
+    # Internals
+
+    def _find(self, allotment: str) -> Allotment | None:
+        return (
+            self._open.get(allotment)
+            or self._closed_by_holder.get(allotment)
+            or self._closed_by_other.get(allotment)
+        )
+
+    def _add_open(self, allotment: Allotment) -> None:
+        allotment.organisation = sys.intern(allotment.organisation)
+        allotment.holder = sys.intern(allotment.holder)
+        if allotment.journal_peer is not None:
+            allotment.journal_peer = sys.intern(allotment.journal_peer)
+        self._open[allotment.id] = allotment
+        self._by_holder.setdefault(allotment.holder, {})[allotment.id] = (
+            allotment
+        )
+
+    def _remove_open(self, allotment: Allotment) -> None:
+        del self._open[allotment.id]
+        held = self._by_holder[allotment.holder]
+        del held[allotment.id]
+        if not held:
+            del self._by_holder[allotment.holder]
+
+    def _grant_tokens(self, grant: Grant) -> int:
+        known = self._find(grant.allotment)
+        if known is not None:
+            # A repeated grant has no effect and gets the same answer.
+            same = known.closed_ms is None and known.holder == grant.holder
+            return known.tokens if same else 0
+        budget = self._budgets.get(grant.organisation)
+        if budget is None or grant.allotment in self._provisional:
+            return 0
+        free = (
+            budget.budget_tokens
+            - budget.spent_tokens
+            - budget.outstanding_tokens
+        )
+        tokens = min(grant.want_tokens, free)
+        if tokens < max(1, grant.min_tokens):
+            return 0
+        self._add_open(
+            Allotment(
+                grant.allotment,
+                grant.organisation,
+                grant.holder,
+                grant.journal_peer,
+                tokens,
+            )
+        )
+        budget.outstanding_tokens += tokens
+        budget.lower_ceiling()
+        return tokens
+
+    def _reject_reason(
+        self, entry: AllotmentEntry, allotment: Allotment
+    ) -> EntryReason:
+        if (
+            entry.organisation != allotment.organisation
+            or entry.seq < 1
+            or entry.tokens < 0
+        ):
+            return 'invalid'
+        if allotment.closed_ms is not None:
+            return 'closed'
+        if (
+            isinstance(entry, Bill)
+            and entry.keyed
+            and self._keyed_ids.is_billed(entry.organisation, entry.request_id)
+        ):
+            return 'duplicate_bill'
+        if entry.tokens > allotment.tokens - allotment.spent_tokens:
+            return 'overdrawn'
+        if (
+            isinstance(entry, Transfer)
+            and self._find(entry.new_allotment) is not None
+        ):
+            return 'invalid'
+        return ''
+
+    def _move_tokens(
+        self, entry: AllotmentEntry, allotment: Allotment, time_ms: int
+    ) -> None:
+        budget = self._budgets[allotment.organisation]
+        if isinstance(entry, Bill):
+            allotment.spent_tokens += entry.tokens
+            budget.spent_tokens += entry.tokens
+            budget.outstanding_tokens -= entry.tokens
+            if entry.keyed:
+                self._keyed_ids.record_bill(entry, time_ms)
+        elif isinstance(entry, Transfer):
+            allotment.tokens -= entry.tokens
+            self._add_open(
+                Allotment(
+                    entry.new_allotment,
+                    entry.organisation,
+                    entry.holder,
+                    entry.journal_peer,
+                    entry.tokens,
+                )
+            )
+        else:
+            allotment.tokens -= entry.tokens
+            budget.outstanding_tokens -= entry.tokens
+        assert 0 <= allotment.spent_tokens <= allotment.tokens
+        budget.lower_ceiling()
+
+    def _close_reason(self, close: Close, allotment: Allotment) -> str:
+        if close.organisation != allotment.organisation:
+            return 'invalid'
+        if allotment.closed_ms is not None:
+            return 'closed'
+        allowed = (
+            close.forced
+            or allotment.journal_peer is None
+            or close.closer in (allotment.holder, allotment.journal_peer)
+        )
+        return '' if allowed else 'not_allowed'
+
+    def _keep_waiting(
+        self, record: AllotmentEntry | Close, time_ms: int
+    ) -> None:
+        waiting = self._provisional.get(record.allotment)
+        if waiting is None:
+            self._provisional[record.allotment] = Provisional(
+                record.allotment, time_ms, [record]
+            )
+        elif record not in waiting.records:
+            waiting.records.append(record)
+
+    def _reject_new_allotment(self, transfer: Transfer, time_ms: int) -> None:
+        # Entries on the allotment that never came to be are rejected at once.
+        if self._find(transfer.new_allotment) is None:
+            self._closed_by_other[transfer.new_allotment] = Allotment(
+                transfer.new_allotment,
+                transfer.organisation,
+                transfer.holder,
+                transfer.journal_peer,
+                0,
+                closed_ms=time_ms,
+            )
+
+    def _settle_provisional(
+        self, transfer: Transfer, time_ms: int
+    ) -> Iterator[Result]:
+        """Apply what waited for a transfer, or reject it with the transfer."""
+        waiting = self._provisional.get(transfer.new_allotment)
+        if waiting is None:
+            return
+        del self._provisional[waiting.id]
+        if waiting.id not in self._open:
+            yield from self._reject_records(waiting)
+            return
+        for record in waiting.records:
+            if isinstance(record, Close):
+                yield from self.apply_close(record, time_ms)
+            else:
+                yield from self.apply_entry(record, time_ms)
+
+    def _reject_records(self, waiting: Provisional) -> Iterator[Result]:
+        for record in waiting.records:
+            if not isinstance(record, Close):
+                yield EntryApplied(
+                    record.allotment, record.seq, False, 'closed'
+                )
+                continue
+            for entry in record.entries:
+                yield EntryApplied(entry.allotment, entry.seq, False, 'closed')
+            yield CloseRejected(record.allotment, record.closer, 'closed')
--- /dev/null
+++ b/src/basilpond/core/_ledger.py
@@ -0,0 +1,255 @@
+"""Fold of the ``ledger`` stream: batches, budgets, allotments and claims.
+
+The fold is deterministic: the same entries give the same state and results on
+every router, whether it read all of them or started from a snapshot. Its only
+clock is the log's append time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import sys
+
+import msgspec
+
+from ._allotments import Allotments
+from ._allotments import AllotmentsState
+from ._claims import KeyedIdRow
+from ._claims import KeyedIds
+from ._ledger_results import AllotmentView
+from ._ledger_results import BudgetView
+from ._ledger_results import ClaimView
+from ._ledger_results import EntryApplied
+from ._ledger_results import Result
+from ._records import Batch
+from ._records import Bill
+from ._records import BudgetSet
+from ._records import Claim
+from ._records import ClaimAbandon
+from ._records import Close
+from ._records import Grant
+from ._records import LedgerRecord
+from ._records import Return
+from ._records import Transfer
+
+HOUR_MS = 3_600_000
+
+# Keys are accepted until `deduplication_window_ms` after their issue time,
+# which may be 5 minutes ahead of the log's clock; the rest covers the
+# difference between the routers' clocks.
+KEY_MARGIN_MS = 600_000
+
+# Copies that a journal peer has sent before it learned of the close arrive
+# within the time of a few appends.
+CLOSED_BY_HOLDER_KEEP_MS = 120_000
+
+
+class _Writer(msgspec.Struct, array_like=True, gc=False):
+    id: str
+    last_seq: int
+    time_ms: int
+
+
+class _LedgerState(msgspec.Struct):
+    """Snapshot of a ledger."""
+
+    offset: int
+    time_ms: int
+    writers: list[_Writer]
+    allotments: AllotmentsState
+    keyed_ids: list[KeyedIdRow]
+
+
+# Sets and mappings are sorted, so equal ledgers have equal snapshots.
+_state_encoder = msgspec.json.Encoder(order='deterministic')
+_state_decoder = msgspec.json.Decoder(_LedgerState)
+
+
+class Ledger:
+    """Folded state of the ``ledger`` stream.
+
+    Every router must use the same window, because decisions depend on it.
+
+    Parameters
+    ----------
+    deduplication_window_ms : int
+        Time in which keyed request ids are accepted. Claims and keyed bills
+        are kept for `KEY_MARGIN_MS` longer. Writers, allotments closed by
+        others than their holder, and entries that wait for a transfer are
+        kept for the window.
+
+    Attributes
+    ----------
+    offset : int
+        Offset of the last entry applied, -1 before the first.
+    time_ms : int
+        Highest log time applied.
+    """
+
+    __slots__ = (
+        '_allotments',
+        '_keyed_ids',
+        '_window_ms',
+        '_writers',
+        'offset',
+        'time_ms',
+    )
+
+    def __init__(self, *, deduplication_window_ms: int = 24 * HOUR_MS) -> None:
+        self._window_ms = deduplication_window_ms
+        self._keyed_ids = KeyedIds(deduplication_window_ms + KEY_MARGIN_MS)
+        self._allotments = Allotments(
+            self._keyed_ids,
+            closed_by_holder_keep_ms=CLOSED_BY_HOLDER_KEEP_MS,
+            closed_by_other_keep_ms=deduplication_window_ms,
+            provisional_keep_ms=deduplication_window_ms,
+        )
+        # In the order of their last batch.
+        self._writers: dict[str, _Writer] = {}
+        self.offset = -1
+        self.time_ms = 0
+
+    # Reading
+
+    def budget(self, organisation: str) -> BudgetView | None:
+        """Return the sums of an organisation, None without a budget."""
+        return self._allotments.budget(organisation)
+
+    def budget_version(self, organisation: str) -> int:
+        """Return the manifest version of a budget, 0 without one."""
+        return self._allotments.budget_version(organisation)
+
+    def organisations(self) -> Iterator[str]:
+        """Return the organisations that have a budget."""
+        return self._allotments.organisations()
+
+    def allotment(self, allotment: str) -> AllotmentView | None:
+        """Return an open, provisional or recently closed allotment."""
+        return self._allotments.allotment(allotment)
+
+    def allotments_of(self, holder: str) -> Iterator[AllotmentView]:
+        """Return the open allotments of a holder, oldest first."""
+        return self._allotments.allotments_of(holder)
+
+    def entry_result(self, allotment: str, seq: int) -> EntryApplied | None:
+        """Return the result of an allotment entry that was applied."""
+        return self._allotments.entry_result(allotment, seq)
+
+    def is_waiting(self, allotment: str) -> bool:
+        """Tell whether entries wait for the allotment's transfer."""
+        return self._allotments.is_waiting(allotment)
+
+    def recorded_bill(self, organisation: str, request_id: str) -> Bill | None:
+        """Return the bill that counts for a keyed request id."""
+        return self._keyed_ids.recorded_bill(organisation, request_id)
+
+    def claim(self, organisation: str, request_id: str) -> ClaimView | None:
+        """Return the newest claim on a request id."""
+        return self._keyed_ids.claim(organisation, request_id)
+
+    def writer_seq(self, writer: str) -> int:
+        """Return the last batch of a writer, 0 when it is not known."""
+        found = self._writers.get(writer)
+        return 0 if found is None else found.last_seq
+
+    # Folding
+
+    def apply(
+        self, batch: Batch, offset: int, time_ms: int
+    ) -> Iterator[Result]:
+        """Apply one entry of the stream and return its results.
+
+        Entries at or below `offset` of the state have no effect, nor have
+        batches that were applied before.
+
+        Parameters
+        ----------
+        batch : Batch
+        offset : int
+        time_ms : int
+            Append time of the entry in the log.
+        """
+        if offset <= self.offset:
+            return iter(())
+        self.offset = offset
+        # A step back of the log's clock must not bring anything back.
+        self.time_ms = max(self.time_ms, time_ms)
+        # The state changes here and not while the caller iterates.
+        return iter(list(self._apply_batch(batch)))
+
+    def _apply_batch(self, batch: Batch) -> Iterator[Result]:
+        self._keyed_ids.forget(self.time_ms)
+        yield from self._allotments.forget(self.time_ms)
+        self._forget_writers()
+        if batch.seq <= self.writer_seq(batch.writer):
+            return
+        self._writers.pop(batch.writer, None)
+        writer = _Writer(sys.intern(batch.writer), batch.seq, self.time_ms)
+        self._writers[writer.id] = writer
+        for record in batch.records:
+            yield from self._apply_record(record)
+
+    def _apply_record(self, record: LedgerRecord) -> Iterator[Result]:
+        match record:
+            case Bill() | Transfer() | Return():
+                return self._allotments.apply_entry(record, self.time_ms)
+            case Grant():
+                return self._allotments.apply_grant(record)
+            case Close():
+                return self._allotments.apply_close(record, self.time_ms)
+            case Claim():
+                return self._keyed_ids.apply_claim(record, self.time_ms)
+            case ClaimAbandon():
+                return self._keyed_ids.apply_abandon(record, self.time_ms)
+            case BudgetSet():
+                return self._allotments.apply_budget(record)
+        # A snapshot is the state that this fold has already passed.
+        return iter(())
+
+    def _forget_writers(self) -> None:
+        # A batch that is appended again after its writer was forgotten is
+        # applied again, which changes no sum: entries are applied once by
+        # their own number, grants once by their allotment.
+        while self._writers:
+            oldest = next(iter(self._writers.values()))
+            if self.time_ms - oldest.time_ms <= self._window_ms:
+                return
+            del self._writers[oldest.id]
+
+    def check_sums(self) -> None:
+        """Assert that the sums equal those of the open allotments."""
+        self._allotments.check_sums()
+
+    # Snapshots
+
+    def to_snapshot(self) -> bytes:
+        """Return the complete state as JSON; equal states, equal bytes."""
+        return _state_encoder.encode(
+            _LedgerState(
+                self.offset,
+                self.time_ms,
+                list(self._writers.values()),
+                self._allotments.to_state(),
+                self._keyed_ids.to_rows(),
+            )
+        )
+
+    @classmethod
+    def from_snapshot(
+        cls, data: bytes, *, deduplication_window_ms: int = 24 * HOUR_MS
+    ) -> Ledger:
+        """Restore a ledger.
+
+        Raises
+        ------
+        msgspec.MsgspecError
+            If the data is not a snapshot.
+        """
+        state = _state_decoder.decode(data)
+        ledger = cls(deduplication_window_ms=deduplication_window_ms)
+        ledger.offset = state.offset
+        ledger.time_ms = state.time_ms
+        ledger._writers = {w.id: w for w in state.writers}
+        ledger._allotments.load_state(state.allotments)
+        ledger._keyed_ids.load_rows(state.keyed_ids)
+        return ledger
