--- /dev/null
+++ b/src/basilpond/tasks/_snapshot_parts.py
@@ -0,0 +1,74 @@
+"""Ledger snapshots as log records of limited size.
+
+A snapshot is compressed and split, so that no append exceeds the size limit
+of a batch. All parts carry the offset of the state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import zlib
+
+import msgspec
+
+from ..core._records import LedgerSnapshot
+
+# Base64 in JSON makes this a third larger, which stays below the 256 KiB of a
+# batch.
+PART_BYTES = 180 * 1024
+
+
+class _PartNumber(msgspec.Struct, frozen=True):
+    part: int
+    parts: int
+
+
+class _Part(_PartNumber, frozen=True):
+    data: bytes
+
+
+def split_snapshot(offset: int, state: bytes) -> Iterator[LedgerSnapshot]:
+    """Return the records of a snapshot in order."""
+    # Level 1: the state is JSON with few distinct field names, and a higher
+    # level takes several times as long for a few percent.
+    packed = zlib.compress(state, 1)
+    parts = -(-len(packed) // PART_BYTES)
+    for i in range(parts):
+        data = packed[i * PART_BYTES : (i + 1) * PART_BYTES]
+        part = msgspec.json.encode(_Part(i + 1, parts, data))
+        yield LedgerSnapshot(offset, msgspec.Raw(part))
+
+
+def is_last_part(record: LedgerSnapshot) -> bool:
+    """Tell whether a record completes its snapshot; parts come in order."""
+    try:
+        number = msgspec.json.decode(record.state, type=_PartNumber)
+    except msgspec.MsgspecError:
+        return False
+    return number.part == number.parts
+
+
+class SnapshotParts:
+    """Collects the parts of snapshots, in any order."""
+
+    def __init__(self) -> None:
+        self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
+
+    def add(self, writer: str, record: LedgerSnapshot) -> bytes | None:
+        """Add a part; return the state when it was the last missing one.
+
+        Returns
+        -------
+        bytes or None
+            None also for a part that cannot be decoded.
+        """
+        try:
+            part = msgspec.json.decode(record.state, type=_Part)
+            found = self._parts.setdefault((writer, record.offset), {})
+            found[part.part] = part.data
+            if len(found) < part.parts:
+                return None
+            del self._parts[writer, record.offset]
+            return zlib.decompress(b''.join(found[i] for i in sorted(found)))
+        except (msgspec.MsgspecError, zlib.error):
+            return None
--- a/src/basilpond_testkit/fake_log.py
+++ b/src/basilpond_testkit/fake_log.py
@@ -29,7 +29,8 @@
     down : bool
         Calls fail after `error_delay_s`; nothing is written.
     silent : bool
-        Calls get no response until the client's timeout; nothing is written.
+        Calls get no response until the client's timeout, also those in
+        progress. Only an append that is on its way still takes effect.
     append_delay_s, read_delay_s : float
         An append takes effect after half its delay and is acknowledged after
         the rest. A delay above the client's timeout therefore also gives
@@ -223,6 +224,7 @@
             raise LogUnavailableError(
                 'fake log did not acknowledge the append in time'
             ) from None
+        await self._hang_if_silent(self.timeout_s)
         if self._take_one('lose_acknowledgements') or self._is_down():
             raise LogUnavailableError('fake log lost the acknowledgement')
         return offset
@@ -243,6 +245,7 @@
                 await self.log._wait_for_entry(stream, offset)
         except TimeoutError:
             pass
+        await self._hang_if_silent(self.timeout_s)
         delay_s = self._delay_s('read_delay_s')
         await asyncio.sleep(min(delay_s, self.timeout_s))
         if delay_s > self.timeout_s or self._is_down():
@@ -255,15 +258,18 @@
         return self.log.write(stream, payload)
 
     async def _fail_if_down(self, timeout_s: float) -> None:
-        if self.faults.silent or self.log.faults.silent:
-            await asyncio.sleep(timeout_s)
-            raise LogUnavailableError('fake log did not respond in time')
+        await self._hang_if_silent(timeout_s)
         if self._is_down():
             await asyncio.sleep(
                 max(self.faults.error_delay_s, self.log.faults.error_delay_s)
             )
             raise LogUnavailableError('fake log is down')
 
+    async def _hang_if_silent(self, timeout_s: float) -> None:
+        if self.faults.silent or self.log.faults.silent:
+            await asyncio.sleep(timeout_s)
+            raise LogUnavailableError('fake log did not respond in time')
+
     def _is_down(self) -> bool:
         return self.faults.down or self.log.faults.down
 
