Add manifest checks, diff, lookup tables and router settings

Cause: routers and the command line need one checked form of both files. Change: constraints next to the fields, semantic checks, JSON Schema, diff by id, lookup tables; TOML settings whose first wrong field ends the program with one line and exit code 2. Conclusion: ranges are stated once and shared by check and schema.

--- a/src/basilpond/core/_manifest.py
+++ b/src/basilpond/core/_manifest.py
@@ -6,11 +6,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Annotated
 from typing import Literal
 
 import msgspec
 
+from ._codes import ResultCode
+from ._validation import InvalidFieldError
+from ._validation import convert_fields
+
 Name = Annotated[
     str,
     msgspec.Meta(min_length=1, max_length=64, pattern='^[A-Za-z0-9._-]+$'),
@@ -105,3 +111,171 @@
     models: list[Model] = []
     services: list[Service] = []
     endpoints: list[Endpoint]
+
+
+def _duplicates(names: Iterable[str]) -> Iterator[tuple[int, str]]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield index, name
+        seen.add(name)
+
+
+def _unique_errors(
+    path: str, ids: Iterable[str]
+) -> Iterator[InvalidFieldError]:
+    for index, name in _duplicates(ids):
+        yield _invalid(f'{path}[{index}].id', name, 'an id used once')
+
+
+def _invalid(path: str, value: object, expected: str) -> InvalidFieldError:
+    return InvalidFieldError(
+        ResultCode.MANIFEST_INVALID, path, value, expected
+    )
+
+
+def _semantic_errors(manifest: Manifest) -> Iterator[InvalidFieldError]:
+    yield from _unique_errors(
+        'organisations', (item.id for item in manifest.organisations)
+    )
+    yield from _unique_errors('models', (item.id for item in manifest.models))
+    yield from _unique_errors(
+        'services', (item.id for item in manifest.services)
+    )
+    yield from _unique_errors(
+        'endpoints', (item.id for item in manifest.endpoints)
+    )
+    yield from _organisation_errors(manifest)
+    yield from _endpoint_errors(manifest)
+
+
+def _organisation_errors(manifest: Manifest) -> Iterator[InvalidFieldError]:
+    endpoint_ids = {endpoint.id for endpoint in manifest.endpoints}
+    key_owner: dict[str, str] = {}
+    for index, organisation in enumerate(manifest.organisations):
+        path = f'organisations[{index}]'
+        yield from _unique_errors(
+            f'{path}.top_ups', (item.id for item in organisation.top_ups)
+        )
+        for number, endpoint in enumerate(organisation.endpoints):
+            if endpoint not in endpoint_ids:
+                yield _invalid(
+                    f'{path}.endpoints[{number}]',
+                    endpoint,
+                    'the id of an endpoint of this manifest',
+                )
+        for number, key in enumerate(organisation.key_sha256):
+            if key_owner.setdefault(key, organisation.id) != organisation.id:
+                yield _invalid(
+                    f'{path}.key_sha256[{number}]',
+                    key[:8],
+                    'a key of one organisation only',
+                )
+
+
+def _endpoint_errors(manifest: Manifest) -> Iterator[InvalidFieldError]:
+    model_ids = {model.id for model in manifest.models}
+    service_ids = {service.id for service in manifest.services}
+    for index, endpoint in enumerate(manifest.endpoints):
+        path = f'endpoints[{index}]'
+        if bool(endpoint.models) == bool(endpoint.service):
+            yield _invalid(
+                f'{path}.models',
+                endpoint.models,
+                'either models or a service, not both',
+            )
+        for number, model in enumerate(endpoint.models):
+            if model not in model_ids:
+                yield _invalid(
+                    f'{path}.models[{number}]',
+                    model,
+                    'the id of a model of this manifest',
+                )
+        if endpoint.service and endpoint.service not in service_ids:
+            yield _invalid(
+                f'{path}.service',
+                endpoint.service,
+                'the id of a service of this manifest',
+            )
+
+
+def check_manifest(raw: object) -> Manifest:
+    """Check a decoded JSON document and return the typed manifest.
+
+    Raises
+    ------
+    InvalidFieldError
+        With the path, the value and the allowed range of the first wrong
+        field.
+    """
+    manifest = convert_fields(raw, Manifest, ResultCode.MANIFEST_INVALID)
+    for error in _semantic_errors(manifest):
+        raise error
+    return manifest
+
+
+def decode_manifest(document: bytes | str) -> Manifest:
+    """Decode and check a manifest's JSON text.
+
+    Raises
+    ------
+    InvalidFieldError
+    """
+    try:
+        raw = msgspec.json.decode(document)
+    except msgspec.DecodeError as error:
+        raise _invalid('$', msgspec.UNSET, f'JSON; {error}') from None
+    return check_manifest(raw)
+
+
+def manifest_schema() -> dict:
+    """Return the JSON Schema (draft 2020-12) of manifests."""
+    schema = msgspec.json.schema(Manifest)
+    return {
+        '$schema': 'https://json-schema.org/draft/2020-12/schema',
+        'title': 'basilpond manifest',
+        **schema,
+    }
+
+
+def budget_tokens(organisation: Organisation) -> int:
+    """Return the sum of an organisation's top-ups."""
+    return sum(top_up.tokens for top_up in organisation.top_ups)
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One difference between two manifests; `None` stands for absent."""
+
+    path: str
+    old: object
+    new: object
+
+
+def _changes(path: str, old: object, new: object) -> Iterator[Change]:
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name in sorted(old.keys() | new.keys()):
+            yield from _changes(
+                f'{path}.{name}' if path else name,
+                old.get(name),
+                new.get(name),
+            )
+    elif old != new:
+        yield Change(path, old, new)
+
+
+def _keyed_by_id(value: object) -> object:
+    if isinstance(value, dict):
+        return {name: _keyed_by_id(item) for name, item in value.items()}
+    if isinstance(value, list) and all(
+        isinstance(item, dict) and 'id' in item for item in value
+    ):
+        return {item['id']: _keyed_by_id(item) for item in value}
+    return value
+
+
+def diff_manifests(old: Manifest | None, new: Manifest) -> Iterator[Change]:
+    """Yield the differences, with list items matched by their ids."""
+    old_raw = msgspec.to_builtins(old) if old is not None else {}
+    yield from _changes(
+        '', _keyed_by_id(old_raw), _keyed_by_id(msgspec.to_builtins(new))
+    )
--- /dev/null
+++ b/src/basilpond/core/_manifest_index.py
@@ -0,0 +1,107 @@
+"""Lookup tables over one manifest version."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import hashlib
+
+from ._manifest import Endpoint
+from ._manifest import Manifest
+from ._manifest import Model
+from ._manifest import Organisation
+from ._manifest import Route
+from ._manifest import Service
+
+
+def key_sha256(key: str) -> str:
+    """Return the hash under which a manifest lists a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class ManifestIndex:
+    """Tables that requests are looked up in.
+
+    Parameters
+    ----------
+    manifest : Manifest
+    version : int
+    """
+
+    __slots__ = (
+        'manifest',
+        'version',
+        '_organisations',
+        '_owners',
+        '_models',
+        '_services',
+        '_endpoints',
+    )
+
+    def __init__(self, manifest: Manifest, version: int) -> None:
+        self.manifest = manifest
+        self.version = version
+        self._organisations = {
+            item.id: item for item in manifest.organisations
+        }
+        self._owners = {
+            key: organisation
+            for organisation in manifest.organisations
+            for key in organisation.key_sha256
+        }
+        self._models = {item.id: item for item in manifest.models}
+        self._services = {item.id: item for item in manifest.services}
+        self._endpoints = {item.id: item for item in manifest.endpoints}
+
+    def organisation_of_key(self, key: str) -> Organisation | None:
+        """Return the organisation that owns a caller's key."""
+        # The lookup is by hash, so its time tells nothing about the key.
+        return self._owners.get(key_sha256(key))
+
+    def organisation(self, organisation: str) -> Organisation | None:
+        """Return an organisation by id."""
+        return self._organisations.get(organisation)
+
+    def model(self, model: str) -> Model | None:
+        """Return a model by id."""
+        return self._models.get(model)
+
+    def endpoint(self, endpoint: str) -> Endpoint | None:
+        """Return an endpoint by id."""
+        return self._endpoints.get(endpoint)
+
+    def service(self, service: str) -> Service | None:
+        """Return an application service by id."""
+        return self._services.get(service)
+
+    def route(self, service: Service, method: str, path: str) -> Route | None:
+        """Return the first route of a service that matches a call."""
+        for route in service.routes:
+            if route.method != method:
+                continue
+            if route.path == path:
+                return route
+            if route.path.endswith('/*') and path.startswith(route.path[:-1]):
+                return route
+        return None
+
+    def reachable(self, organisation: Organisation) -> Iterator[Endpoint]:
+        """Yield the endpoints that an organisation may reach."""
+        for name in organisation.endpoints:
+            yield self._endpoints[name]
+
+    def reachable_models(self, organisation: Organisation) -> set[str]:
+        """Return the ids of the models that an organisation may use."""
+        return {
+            model
+            for endpoint in self.reachable(organisation)
+            for model in endpoint.models
+        }
+
+    def reaches_service(
+        self, organisation: Organisation, service: str
+    ) -> bool:
+        """Tell whether an organisation may call a service."""
+        return any(
+            endpoint.service == service
+            for endpoint in self.reachable(organisation)
+        )
--- /dev/null
+++ b/src/basilpond/core/_validation.py
@@ -0,0 +1,106 @@
+"""Conversion of untyped input to structs, with errors that name the field."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import re
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+from . import _codes
+
+T = TypeVar('T')
+
+_LOCATION = re.compile(r'^(?P<expected>.*?)(?: - at `(?P<path>\$.*)`)?$', re.S)
+_PATH_STEP = re.compile(r'\.(?P<field>[^.\[\]]+)|\[(?P<index>\d+)\]')
+_SHOWN_VALUE_CHARS = 60
+
+
+class InvalidFieldError(_codes.BasilpondError):
+    """A field outside its allowed range.
+
+    Parameters
+    ----------
+    code : ResultCode
+    path : str
+        Path of the field, such as ``organisations[0].priority``.
+    value : object
+        The value found; `msgspec.UNSET` when the field is missing.
+    expected : str
+        Allowed type and range.
+    """
+
+    def __init__(
+        self,
+        code: _codes.ResultCode,
+        path: str,
+        value: object,
+        expected: str,
+    ) -> None:
+        shown = 'missing' if value is msgspec.UNSET else f'value {value!r}'
+        if len(shown) > _SHOWN_VALUE_CHARS:
+            shown = shown[:_SHOWN_VALUE_CHARS] + '...'
+        super().__init__(code, f'{path}: {shown}; allowed: {expected}')
+        self.path = path
+        self.value = value
+        self.expected = expected
+
+
+def _path_steps(path: str) -> Iterator[str | int]:
+    for match in _PATH_STEP.finditer(path):
+        if match['index'] is not None:
+            yield int(match['index'])
+        else:
+            yield match['field']
+
+
+def _value_at(raw: Any, path: str) -> object:
+    value = raw
+    for step in _path_steps(path):
+        try:
+            value = value[step]
+        except (KeyError, IndexError, TypeError):
+            return msgspec.UNSET
+    return value
+
+
+def convert_fields(raw: Any, type_: type[T], code: _codes.ResultCode) -> T:
+    """Convert plain dicts and lists to a struct.
+
+    Parameters
+    ----------
+    raw : object
+        Output of a JSON or TOML decoder.
+    type_ : type
+        Struct with its constraints.
+    code : ResultCode
+        Code of the error that is raised.
+
+    Raises
+    ------
+    InvalidFieldError
+        With the path, the value and the allowed range of the first wrong
+        field.
+    """
+    try:
+        return msgspec.convert(raw, type_)
+    except msgspec.ValidationError as error:
+        match = _LOCATION.match(str(error))
+        path = match['path'] or '$'
+        expected = match['expected']
+        missing = re.search(r'missing required field `([^`]+)`', expected)
+        unknown = re.search(r'contains unknown field `([^`]+)`', expected)
+        if missing:
+            path = f'{path}.{missing[1]}'
+            expected = 'a value is required'
+        elif unknown:
+            path = f'{path}.{unknown[1]}'
+            expected = 'no such field'
+        raise InvalidFieldError(
+            code,
+            path.removeprefix('$').lstrip('.') or '$',
+            _value_at(raw, path),
+            expected,
+        ) from None
--- /dev/null
+++ b/src/basilpond/settings/_load.py
@@ -0,0 +1,54 @@
+"""Reading of TOML settings files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+import sys
+import tomllib
+from typing import TypeVar
+
+import msgspec
+
+from ..core import InvalidFieldError
+from ..core import ResultCode
+from ..core import convert_fields
+
+T = TypeVar('T')
+
+EXIT_INVALID_SETTINGS = 2
+
+
+def load_settings(path: Path, type_: type[T]) -> T:
+    """Read and check a TOML settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+    type_ : type
+        Struct of the whole file.
+
+    Raises
+    ------
+    InvalidFieldError
+        With the path, the value and the allowed range of the first wrong
+        field, or for the file itself when it can't be read.
+    """
+    try:
+        raw = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise InvalidFieldError(
+            ResultCode.SETTINGS_INVALID,
+            str(path),
+            msgspec.UNSET,
+            f'a readable TOML file; {error}',
+        ) from None
+    return convert_fields(raw, type_, ResultCode.SETTINGS_INVALID)
+
+
+def load_settings_or_exit(path: Path, type_: type[T]) -> T:
+    """Read a settings file; on a wrong field print one line and exit 2."""
+    try:
+        return load_settings(path, type_)
+    except InvalidFieldError as error:
+        sys.stderr.write(f'{error}\n')
+        raise SystemExit(EXIT_INVALID_SETTINGS) from None
