Add checks of streamed and whole chat completions

Change: StreamCheck compares frames with a template learned from one parsed frame; one string decode validates the content of a whole chunk. JSON is parsed for the first frame, frames with a finish reason or usage, and frames that differ from the template. Comments of endpoints are replaced, because their text could imitate the router's outcome comment. One choice a response.

--- /dev/null
+++ b/src/basilpond/core/_frames.py
@@ -0,0 +1,607 @@
+"""Checks on responses of the chat completions API.
+
+A stream is checked without parsing each frame: the bytes around the content
+string of one parsed frame form a template, and a frame that differs from the
+template in its content string only needs no parsing. A quote inside a JSON
+string is always escaped, so content cannot imitate the template.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from ._codes import ResultCode
+
+# An event beyond this size is treated as malformed, so that an endpoint that
+# never ends an event cannot fill the router's memory.
+MAX_EVENT_BYTES = 262_144
+# Tokens without content bytes (end of sequence, partial characters) that a
+# plausible usage may count in addition to one token a byte.
+USAGE_SLACK_TOKENS = 8
+DONE_EVENT = b'data: [DONE]\n\n'
+
+_FINISH_REASONS = frozenset(
+    ('stop', 'length', 'tool_calls', 'function_call', 'content_filter')
+)
+_DELTA_KEYS = frozenset(
+    (
+        'role',
+        'content',
+        'reasoning',
+        'reasoning_content',
+        'refusal',
+        'tool_calls',
+        'function_call',
+    )
+)
+_FIRST_DELIMITER = re.compile(rb'\r?\n\r?\n')
+_CONTENT_START = re.compile(rb'"content": ?"')
+_STRING_REST = re.compile(rb'(?:[^"\\]|\\.)*+')
+_decode_str = msgspec.json.Decoder(str).decode
+_decode_any = msgspec.json.Decoder().decode
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts reported by the endpoint."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int | None = None
+
+
+class StreamStep(msgspec.Struct, frozen=True, gc=False):
+    """Result of one chunk.
+
+    Parameters
+    ----------
+    relay : bytes
+        Checked bytes to send to the caller now.
+    held : bytes
+        Terminal bytes found in this chunk, kept back until the bill commits.
+    problem : ResultCode or None
+        First fault of the stream; nothing is relayed from that event on.
+    cut : bool
+        The output limit is reached; the attempt must be cancelled.
+    """
+
+    relay: bytes = b''
+    held: bytes = b''
+    problem: ResultCode | None = None
+    cut: bool = False
+
+
+class StreamSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """State of a stream at its end.
+
+    `frames` counts frames with content, `usage` is None unless plausible, and
+    `usage_problem` is ``''``, ``'missing'`` or ``'implausible'``.
+    `terminal_bytes` of a complete stream ends with `DONE_EVENT`.
+    """
+
+    complete: bool
+    problem: ResultCode | None
+    frames: int
+    content_bytes: int
+    usage: Usage | None
+    usage_problem: str
+    finish_reason: str | None
+    terminal_bytes: bytes
+    cut: bool
+
+
+class WholeSummary(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of a check of a response that is not streamed."""
+
+    complete: bool
+    problem: ResultCode | None
+    content_bytes: int = 0
+    usage: Usage | None = None
+    usage_problem: str = 'missing'
+    finish_reasons: tuple[str, ...] = ()
+
+
+class _InvalidError(Exception):
+    def __init__(self, code: ResultCode = ResultCode.ANSWER_INVALID) -> None:
+        super().__init__(code)
+        self.code = code
+
+
+class _Choice(msgspec.Struct):
+    index: int
+    delta: dict[str, Any]
+    finish_reason: str | None = None
+
+
+class _Frame(msgspec.Struct):
+    id: str
+    model: str
+    choices: list[_Choice]
+    usage: Usage | None = None
+
+
+class _WholeChoice(msgspec.Struct):
+    index: int
+    message: dict[str, Any]
+    finish_reason: str
+
+
+class _Whole(msgspec.Struct):
+    id: str
+    model: str
+    choices: list[_WholeChoice]
+    usage: Usage | None = None
+
+
+def _text_bytes(value: Any) -> int:
+    """Count the UTF-8 bytes of all strings in a delta or message."""
+    if isinstance(value, str):
+        return len(value.encode())
+    if isinstance(value, dict):
+        return sum(_text_bytes(v) for k, v in value.items() if k != 'role')
+    if isinstance(value, list):
+        return sum(map(_text_bytes, value))
+    return 0
+
+
+def _usage_problem(
+    usage: Usage | None,
+    *,
+    frames: int,
+    content_bytes: int,
+    max_output_tokens: int,
+    prompt_bound_tokens: int | None,
+) -> str:
+    if usage is None:
+        return 'missing'
+    prompt, completion = usage.prompt_tokens, usage.completion_tokens
+    plausible = (
+        prompt >= 0
+        and (prompt_bound_tokens is None or prompt <= prompt_bound_tokens)
+        and frames <= completion <= content_bytes + USAGE_SLACK_TOKENS
+        and completion <= max_output_tokens
+        and usage.total_tokens in (None, prompt + completion)
+    )
+    return '' if plausible else 'implausible'
+
+
+class StreamCheck:
+    """Check of one stream of server-sent events with a single choice.
+
+    Parameters
+    ----------
+    attempt_id : str or None
+        Must be part of the frames' id; None when the endpoint does not echo
+        it.
+    model : str
+    max_output_tokens : int
+        Content frames relayed at most.
+    prompt_bound_tokens : int, optional
+        Largest plausible prompt size.
+    """
+
+    __slots__ = (
+        '_attempt_id',
+        '_choice_keys',
+        '_content_bytes',
+        '_cut',
+        '_delimiter',
+        '_done',
+        '_finish_reason',
+        '_form',
+        '_frames',
+        '_held',
+        '_id',
+        '_max_output_tokens',
+        '_model',
+        '_prefix',
+        '_problem',
+        '_prompt_bound_tokens',
+        '_separator',
+        '_suffix',
+        '_tail',
+        '_usage',
+    )
+
+    def __init__(
+        self,
+        *,
+        attempt_id: str | None,
+        model: str,
+        max_output_tokens: int,
+        prompt_bound_tokens: int | None = None,
+    ) -> None:
+        self._attempt_id = attempt_id
+        self._model = model
+        self._max_output_tokens = max_output_tokens
+        self._prompt_bound_tokens = prompt_bound_tokens
+        self._id: str | None = None
+        self._form: frozenset[str] = frozenset()
+        self._choice_keys: frozenset[str] | None = None
+        self._delimiter = b''
+        # Template of a content frame; an empty prefix disables it.
+        self._prefix = b''
+        self._suffix = b''
+        self._separator = b''
+        self._tail = b''
+        self._frames = 0
+        self._content_bytes = 0
+        self._usage: Usage | None = None
+        self._finish_reason: str | None = None
+        self._done = False
+        self._held: list[bytes] = []
+        self._problem: ResultCode | None = None
+        self._cut = False
+
+    def feed(self, chunk: bytes) -> StreamStep:
+        """Check the next bytes of the stream.
+
+        Parameters
+        ----------
+        chunk : bytes
+            Any part of the stream; events may span several chunks.
+
+        Returns
+        -------
+        StreamStep
+        """
+        data = self._tail + chunk if self._tail else chunk
+        prefix = self._prefix
+        if prefix and data.startswith(prefix):
+            suffix = self._suffix
+            if data.endswith(suffix):
+                if self._match(data):
+                    self._tail = b''
+                    return StreamStep(data)
+            else:
+                delimiter = self._delimiter
+                end = data.rfind(delimiter) + len(delimiter)
+                whole = data[:end]
+                if whole.endswith(suffix) and self._match(whole):
+                    self._tail = data[end:]
+                    if len(self._tail) <= MAX_EVENT_BYTES:
+                        return StreamStep(whole)
+                    self._stop(ResultCode.ANSWER_INVALID)
+                    return StreamStep(whole, problem=self._problem)
+        return self._feed_events(data)
+
+    def finish(self) -> StreamSummary:
+        """Return the state after the last chunk."""
+        if self._problem is None:
+            if self._done:
+                if self._tail.strip():
+                    self._stop(ResultCode.ANSWER_INVALID)
+            elif not self._cut:
+                self._stop(ResultCode.ANSWER_TRUNCATED)
+        complete = self._problem is None and self._done
+        usage_problem = _usage_problem(
+            self._usage,
+            frames=self._frames,
+            content_bytes=self._content_bytes,
+            max_output_tokens=self._max_output_tokens,
+            prompt_bound_tokens=self._prompt_bound_tokens,
+        )
+        return StreamSummary(
+            complete=complete,
+            problem=self._problem,
+            frames=self._frames,
+            content_bytes=self._content_bytes,
+            usage=None if usage_problem else self._usage,
+            usage_problem=usage_problem,
+            finish_reason=self._finish_reason,
+            terminal_bytes=b''.join(self._held) if complete else b'',
+            cut=self._cut,
+        )
+
+    def _match(self, data: bytes) -> bool:
+        """Count frames of `data` if all of them match the template.
+
+        `data` starts with the prefix and ends with the suffix.
+        """
+        start = len(self._prefix) - 1
+        end = len(data) - len(self._suffix) + 1
+        # The slice contains the quotes around the content.
+        body = data[start:end]
+        if end - start < 2 or len(data) > MAX_EVENT_BYTES:
+            return False
+        frames = 1
+        if self._separator in body:
+            parts = body[1:-1].split(self._separator)
+            gaps = len(parts) - 1
+            frames = len(parts) - parts.count(b'')
+            # A space cannot complete an escape sequence cut by a separator.
+            body = b'"%b"' % b' '.join(parts)
+        else:
+            gaps = 0
+        try:
+            text = _decode_str(body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return False
+        if not text:
+            frames = 0
+        total = self._frames + frames
+        if total > self._max_output_tokens:
+            return False
+        self._frames = total
+        self._content_bytes += (
+            len(text) if text.isascii() else len(text.encode())
+        ) - gaps
+        return True
+
+    def _feed_events(self, data: bytes) -> StreamStep:
+        """Check `data` event by event."""
+        relay: list[bytes] = []
+        held_before = len(self._held)
+        start = 0
+        while self._problem is None and not self._cut:
+            end = self._event_end(data, start)
+            if not end:
+                if len(data) - start > MAX_EVENT_BYTES:
+                    self._stop(ResultCode.ANSWER_INVALID)
+                break
+            event = data[start:end]
+            start = end
+            prefix = self._prefix
+            if (
+                prefix
+                and event.startswith(prefix)
+                and event.endswith(self._suffix)
+                and self._match(event)
+            ):
+                relay.append(event)
+                continue
+            try:
+                self._take_event(event, relay)
+            except _InvalidError as error:
+                self._stop(error.code)
+        self._tail = b'' if self._problem or self._cut else data[start:]
+        return StreamStep(
+            b''.join(relay),
+            b''.join(self._held[held_before:]),
+            self._problem,
+            self._cut,
+        )
+
+    def _event_end(self, data: bytes, start: int) -> int:
+        """Return the end of the event at `start`, or 0 if it is partial."""
+        if not self._delimiter:
+            match = _FIRST_DELIMITER.search(data, start)
+            if match is None:
+                return 0
+            self._delimiter = (
+                b'\r\n\r\n' if match[0].startswith(b'\r') else b'\n\n'
+            )
+        at = data.find(self._delimiter, start)
+        return 0 if at < 0 else at + len(self._delimiter)
+
+    def _take_event(self, event: bytes, relay: list[bytes]) -> None:
+        if len(event) > MAX_EVENT_BYTES:
+            raise _InvalidError
+        lines = [line for line in event.splitlines() if line]
+        if self._done:
+            if lines:
+                raise _InvalidError
+            return
+        fields = [line for line in lines if not line.startswith(b':')]
+        if not fields:
+            # Comments keep the connection open, but their text could imitate
+            # the router's own outcome comment.
+            if lines and self._finish_reason is None:
+                relay.append(b':\n\n')
+            return
+        if fields[0].startswith(b'event:'):
+            if fields[0][6:].strip() == b'error':
+                raise _InvalidError(ResultCode.ENDPOINT_FAILED)
+            raise _InvalidError
+        if len(lines) != 1 or not fields[0].startswith(b'data:'):
+            raise _InvalidError
+        payload = fields[0][5:].strip(b' ')
+        if payload == b'[DONE]':
+            if self._finish_reason is None:
+                raise _InvalidError(ResultCode.ANSWER_TRUNCATED)
+            self._done = True
+            self._held.append(DONE_EVENT)
+            return
+        self._take_frame(event, payload, relay)
+
+    def _take_frame(
+        self, event: bytes, payload: bytes, relay: list[bytes]
+    ) -> None:
+        fields, frame = self._parse(payload)
+        choice = frame.choices[0] if frame.choices else None
+        size = 0
+        if choice is None:
+            if frame.usage is None:
+                raise _InvalidError
+        else:
+            self._check_choice(choice, fields['choices'][0])
+            size = _text_bytes(choice.delta)
+        if self._finish_reason is not None:
+            # Only a usage frame may follow the finish reason, once.
+            if choice is not None or self._held_usage():
+                raise _InvalidError
+            self._usage = frame.usage
+            self._held.append(event)
+            return
+        if size and self._frames >= self._max_output_tokens:
+            self._cut = True
+            self._prefix = b''
+            return
+        if frame.usage is not None:
+            self._usage = frame.usage
+        self._frames += bool(size)
+        self._content_bytes += size
+        if choice is not None and choice.finish_reason is not None:
+            self._finish_reason = choice.finish_reason
+            self._prefix = b''
+            self._held.append(event)
+            return
+        relay.append(event)
+        if choice is not None and frame.usage is None:
+            self._learn(event, choice)
+
+    def _held_usage(self) -> bool:
+        return len(self._held) > 1
+
+    def _parse(self, payload: bytes) -> tuple[dict[str, Any], _Frame]:
+        try:
+            fields = _decode_any(payload)
+            if isinstance(fields, dict) and fields.get('error') is not None:
+                raise _InvalidError(ResultCode.ENDPOINT_FAILED)
+            frame = msgspec.convert(fields, _Frame)
+        except (
+            msgspec.DecodeError,
+            msgspec.ValidationError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
+            raise _InvalidError from error
+        if len(frame.choices) > 1 or frame.model != self._model:
+            raise _InvalidError
+        form = frozenset(fields) - {'usage'}
+        if self._id is None:
+            if self._attempt_id is not None and (
+                self._attempt_id not in frame.id
+            ):
+                raise _InvalidError
+            self._id = frame.id
+            self._form = form
+        terminal = frame.usage is not None or any(
+            choice.finish_reason is not None for choice in frame.choices
+        )
+        # Engines add fields to terminal frames only.
+        if frame.id != self._id or not (
+            form >= self._form if terminal else form == self._form
+        ):
+            raise _InvalidError
+        return fields, frame
+
+    def _check_choice(self, choice: _Choice, fields: dict[str, Any]) -> None:
+        if choice.index != 0 or not choice.delta.keys() <= _DELTA_KEYS:
+            raise _InvalidError
+        if not isinstance(choice.delta.get('content'), str | None):
+            raise _InvalidError
+        keys = frozenset(fields)
+        if self._choice_keys is None:
+            self._choice_keys = keys
+        if choice.finish_reason is None:
+            if keys != self._choice_keys:
+                raise _InvalidError
+        elif (
+            choice.finish_reason not in _FINISH_REASONS
+            or not keys >= self._choice_keys
+        ):
+            raise _InvalidError
+
+    def _learn(self, event: bytes, choice: _Choice) -> None:
+        """Make `event` the template if only its content string can vary."""
+        if not choice.delta.get('content') or any(
+            value is not None and key not in ('content', 'role')
+            for key, value in choice.delta.items()
+        ):
+            return
+        starts = list(_CONTENT_START.finditer(event))
+        if len(starts) != 1:
+            return
+        start = starts[0].end()
+        end = _STRING_REST.match(event, start).end()
+        self._prefix = event[:start]
+        self._suffix = event[end:]
+        self._separator = self._suffix + self._prefix
+
+    def _stop(self, code: ResultCode) -> None:
+        self._problem = code
+        self._prefix = b''
+        self._tail = b''
+
+
+class WholeCheck:
+    """Check of a response in one JSON document.
+
+    Parameters
+    ----------
+    attempt_id : str or None
+        Must be part of the id; None when the endpoint does not echo it.
+    model : str
+    max_output_tokens : int
+    prompt_bound_tokens : int, optional
+    """
+
+    __slots__ = (
+        '_attempt_id',
+        '_max_output_tokens',
+        '_model',
+        '_prompt_bound_tokens',
+    )
+
+    def __init__(
+        self,
+        *,
+        attempt_id: str | None,
+        model: str,
+        max_output_tokens: int,
+        prompt_bound_tokens: int | None = None,
+    ) -> None:
+        self._attempt_id = attempt_id
+        self._model = model
+        self._max_output_tokens = max_output_tokens
+        self._prompt_bound_tokens = prompt_bound_tokens
+
+    def check(self, body: bytes) -> WholeSummary:
+        """Check a complete body.
+
+        Parameters
+        ----------
+        body : bytes
+
+        Returns
+        -------
+        WholeSummary
+        """
+        try:
+            whole = self._parse(body)
+        except _InvalidError as error:
+            return WholeSummary(complete=False, problem=error.code)
+        size = sum(_text_bytes(choice.message) for choice in whole.choices)
+        usage_problem = _usage_problem(
+            whole.usage,
+            frames=0,
+            content_bytes=size,
+            max_output_tokens=self._max_output_tokens,
+            prompt_bound_tokens=self._prompt_bound_tokens,
+        )
+        return WholeSummary(
+            complete=True,
+            problem=None,
+            content_bytes=size,
+            usage=None if usage_problem else whole.usage,
+            usage_problem=usage_problem,
+            finish_reasons=tuple(c.finish_reason for c in whole.choices),
+        )
+
+    def _parse(self, body: bytes) -> _Whole:
+        try:
+            fields = _decode_any(body)
+            if isinstance(fields, dict) and fields.get('error') is not None:
+                raise _InvalidError(ResultCode.ENDPOINT_FAILED)
+            whole = msgspec.convert(fields, _Whole)
+        except (
+            msgspec.DecodeError,
+            msgspec.ValidationError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
+            raise _InvalidError from error
+        echoed = self._attempt_id is None or self._attempt_id in whole.id
+        valid = (
+            echoed
+            and whole.model == self._model
+            and len(whole.choices) == 1
+            and whole.choices[0].index == 0
+            and whole.choices[0].finish_reason in _FINISH_REASONS
+        )
+        if not valid:
+            raise _InvalidError
+        return whole
