--- /dev/null
+++ b/src/basilpond/core/_request_queue.py
@@ -0,0 +1,200 @@
+"""Bounded queue of requests that wait for an endpoint."""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter
+import dataclasses
+import math
+from typing import Generic
+from typing import TypeVar
+
+from ._codes import ResultCode
+
+T = TypeVar('T')
+
+# Time constant of the service rate.
+_RATE_MEMORY_S = 5.0
+# Fewer services than this give no estimate unless the queue also waited for
+# `_RATE_MIN_BUSY_S`; false refusals cost more than a late one.
+_RATE_MIN_SERVICES = 5.0
+_RATE_MIN_BUSY_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Waiting(Generic[T]):
+    """Queued request; `deadline_s` is its latest useful start."""
+
+    item: T
+    organisation: str
+    priority: int
+    deadline_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Admission(Generic[T]):
+    """Result of a push.
+
+    `refusal` is None when the request was queued; `evicted` is a request of
+    another organisation that lost its place and is to be refused.
+    """
+
+    refusal: ResultCode | None = None
+    evicted: Waiting[T] | None = None
+
+
+class RequestQueue(Generic[T]):
+    """Queue ordered by priority, then deadline.
+
+    An organisation may use all free places, but gives up those beyond an
+    equal share when another organisation needs them.
+
+    Parameters
+    ----------
+    max_size : int
+    """
+
+    __slots__ = (
+        '_busy_s',
+        '_counts',
+        '_entries',
+        '_expired',
+        '_max_size',
+        '_next_expiry_s',
+        '_sequence',
+        '_services',
+        '_updated_s',
+    )
+
+    def __init__(self, *, max_size: int) -> None:
+        self._max_size = max_size
+        # Sorted by (priority, deadline_s, sequence).
+        self._entries: list[tuple[int, float, int, Waiting[T]]] = []
+        self._counts: Counter[str] = Counter()
+        self._expired: list[Waiting[T]] = []
+        self._next_expiry_s = math.inf
+        self._sequence = 0
+        self._services = 0.0
+        self._busy_s = 0.0
+        self._updated_s: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def waiting_of(self, organisation: str) -> int:
+        """Return the queued requests of an organisation."""
+        return self._counts[organisation]
+
+    def service_rate(self, now_s: float) -> float | None:
+        """Return the recent services a second, None when unknown.
+
+        Only time with a request in the queue counts.
+        """
+        self._advance(now_s)
+        if (
+            self._services < _RATE_MIN_SERVICES
+            and self._busy_s < _RATE_MIN_BUSY_S
+        ):
+            return None
+        return self._services / self._busy_s if self._busy_s else math.inf
+
+    def push(self, waiting: Waiting[T], now_s: float) -> Admission[T]:
+        """Queue a request, or refuse it as not run.
+
+        Parameters
+        ----------
+        waiting : Waiting
+        now_s : float
+
+        Returns
+        -------
+        Admission
+        """
+        self._drop_expired(now_s)
+        if waiting.deadline_s <= now_s:
+            return Admission(ResultCode.DEADLINE_UNREACHABLE)
+        key = (waiting.priority, waiting.deadline_s, self._sequence)
+        ahead = bisect.bisect(self._entries, key)
+        rate = self.service_rate(now_s)
+        remaining_s = waiting.deadline_s - now_s
+        if ahead and rate is not None and ahead > rate * remaining_s:
+            return Admission(ResultCode.DEADLINE_UNREACHABLE)
+        evicted = None
+        if len(self._entries) >= self._max_size:
+            evicted = self._make_room(waiting.organisation)
+            if evicted is None:
+                return Admission(ResultCode.QUEUE_FULL)
+        self._sequence += 1
+        bisect.insort(self._entries, (*key, waiting))
+        self._counts[waiting.organisation] += 1
+        self._next_expiry_s = min(self._next_expiry_s, waiting.deadline_s)
+        return Admission(evicted=evicted)
+
+    def pop(self, now_s: float) -> Waiting[T] | None:
+        """Take the next request whose deadline has not passed."""
+        self._drop_expired(now_s)
+        if not self._entries:
+            return None
+        self._advance(now_s)
+        self._services += 1
+        return self._remove(0)
+
+    def discard(self, waiting: Waiting[T], now_s: float) -> bool:
+        """Remove a request whose caller has left."""
+        for index, entry in enumerate(self._entries):
+            if entry[3] is waiting:
+                self._advance(now_s)
+                self._remove(index)
+                return True
+        return False
+
+    def take_expired(self, now_s: float) -> list[Waiting[T]]:
+        """Return requests dropped since the last call; refuse them."""
+        self._drop_expired(now_s)
+        expired, self._expired = self._expired, []
+        return expired
+
+    def _remove(self, index: int) -> Waiting[T]:
+        waiting = self._entries.pop(index)[3]
+        self._counts[waiting.organisation] -= 1
+        if not self._counts[waiting.organisation]:
+            del self._counts[waiting.organisation]
+        return waiting
+
+    def _advance(self, now_s: float) -> None:
+        """Age the service rate by the time since the last call."""
+        if self._updated_s is not None and self._entries:
+            elapsed_s = max(0.0, now_s - self._updated_s)
+            kept = math.exp(-elapsed_s / _RATE_MEMORY_S)
+            self._services *= kept
+            self._busy_s = self._busy_s * kept + elapsed_s
+        self._updated_s = now_s
+
+    def _drop_expired(self, now_s: float) -> None:
+        if now_s < self._next_expiry_s:
+            return
+        self._advance(now_s)
+        kept = []
+        self._next_expiry_s = math.inf
+        for entry in self._entries:
+            waiting = entry[3]
+            if waiting.deadline_s <= now_s:
+                self._expired.append(waiting)
+            else:
+                kept.append(entry)
+                self._next_expiry_s = min(
+                    self._next_expiry_s, waiting.deadline_s
+                )
+        self._entries = kept
+        self._counts = Counter(entry[3].organisation for entry in kept)
+
+    def _make_room(self, organisation: str) -> Waiting[T] | None:
+        """Remove the last request of the organisation over its share."""
+        largest, count = max(self._counts.items(), key=lambda kv: kv[1])
+        # A smaller difference would only swap the two organisations.
+        if count < self._counts[organisation] + 2:
+            return None
+        for index in range(len(self._entries) - 1, -1, -1):
+            if self._entries[index][3].organisation == largest:
+                return self._remove(index)
+        return None
--- /dev/null
+++ b/src/basilpond/core/_retry_budget.py
@@ -0,0 +1,83 @@
+"""Budget of retries, so that an outage is not amplified."""
+
+from __future__ import annotations
+
+# Share of requests and rate in section 7 of the design.
+_REQUEST_SHARE = 0.1
+_RATE_PER_S = 3.0
+# Below 30 requests/s the rate alone would exceed an amplification of 1.2, so
+# in an outage only this share of requests counts.
+_OUTAGE_SHARE = 0.2
+_FAILURE_WEIGHT = 0.05
+_OUTAGE_FAILURE_SHARE = 0.5
+
+
+class RetryBudget:
+    """Token bucket for retries.
+
+    Parameters
+    ----------
+    burst : float
+        Retries saved up at most.
+    outage_burst : float
+        Retries saved up at most for an outage.
+    """
+
+    __slots__ = (
+        '_burst',
+        '_failure_share',
+        '_outage_burst',
+        '_outage_tokens',
+        '_tokens',
+        '_updated_s',
+    )
+
+    def __init__(
+        self, *, burst: float = 10.0, outage_burst: float = 1.0
+    ) -> None:
+        self._burst = burst
+        self._outage_burst = outage_burst
+        self._tokens = burst
+        self._outage_tokens = outage_burst
+        self._failure_share = 0.0
+        self._updated_s: float | None = None
+
+    @property
+    def in_outage(self) -> bool:
+        """Whether most recent attempts failed."""
+        return self._failure_share > _OUTAGE_FAILURE_SHARE
+
+    def record_request(self) -> None:
+        """Count a first attempt."""
+        self._tokens = min(self._burst, self._tokens + _REQUEST_SHARE)
+        self._outage_tokens = min(
+            self._outage_burst, self._outage_tokens + _OUTAGE_SHARE
+        )
+
+    def record_result(self, *, failed: bool) -> None:
+        """Count the end of any attempt."""
+        self._failure_share += _FAILURE_WEIGHT * (failed - self._failure_share)
+
+    def try_retry(self, now_s: float) -> bool:
+        """Take one retry from the budget if there is one.
+
+        Parameters
+        ----------
+        now_s : float
+
+        Returns
+        -------
+        bool
+            False when the request must end without another attempt.
+        """
+        if self._updated_s is not None:
+            elapsed_s = max(0.0, now_s - self._updated_s)
+            self._tokens = min(
+                self._burst, self._tokens + _RATE_PER_S * elapsed_s
+            )
+        self._updated_s = now_s
+        if self._tokens < 1 or (self.in_outage and self._outage_tokens < 1):
+            return False
+        self._tokens -= 1
+        self._outage_tokens = max(0.0, self._outage_tokens - 1)
+        return True
