--- /dev/null
+++ b/src/basilpond/core/_crash_counter.py
@@ -0,0 +1,119 @@
+"""Count of endpoint crashes per request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+
+MAX_CRASHES = 2
+_EXPIRY_S = 600.0
+_MAX_ENTRIES = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    last_s: float
+    # Crashes seen by this router.
+    own: int = 0
+    # Largest count each peer reported.
+    peers: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def crashes(self) -> int:
+        return self.own + sum(self.peers.values())
+
+
+class CrashCounter:
+    """Counter that stops a request whose runs crash endpoints.
+
+    Counts are kept by body digest and by request id, because a caller that
+    sends the request again may change either. A peer's reports replace its
+    earlier ones, so a report received twice counts once.
+
+    Parameters
+    ----------
+    max_entries : int
+        Oldest entries are dropped beyond this number.
+    """
+
+    __slots__ = ('_entries', '_max_entries')
+
+    def __init__(self, *, max_entries: int = _MAX_ENTRIES) -> None:
+        self._max_entries = max_entries
+        # Ordered by time of the last crash.
+        self._entries: dict[str, _Entry] = {}
+
+    def record(self, body_digest: str, request_id: str, now_s: float) -> None:
+        """Count a crash of an endpoint that ran the request."""
+        for key in dict.fromkeys((body_digest, request_id)):
+            self._touch(key, now_s).own += 1
+
+    def is_stopped(
+        self, body_digest: str, request_id: str, now_s: float
+    ) -> bool:
+        """Return whether the request must not run again."""
+        entries = (self._entries.get(k) for k in (body_digest, request_id))
+        return any(
+            entry is not None
+            and now_s - entry.last_s < _EXPIRY_S
+            and entry.crashes >= MAX_CRASHES
+            for entry in entries
+        )
+
+    def merge(
+        self,
+        peer: str,
+        digest: str,
+        crashes: int,
+        *,
+        age_s: float,
+        now_s: float,
+    ) -> None:
+        """Take a peer's own count.
+
+        Parameters
+        ----------
+        peer : str
+            Incarnation id of the router that counted the crashes.
+        digest : str
+            Body digest or request id.
+        crashes : int
+            Crashes that the peer itself counted; others are ignored.
+        age_s : float
+            Time since the peer's last crash.
+        now_s : float
+        """
+        at_s = now_s - max(0.0, age_s)
+        if crashes < 1 or now_s - at_s >= _EXPIRY_S:
+            return
+        entry = self._touch(digest, at_s)
+        entry.peers[peer] = max(entry.peers.get(peer, 0), crashes)
+
+    def own_counts(self, now_s: float) -> Iterator[tuple[str, int, float]]:
+        """Yield key, own crashes and age in seconds, for peers."""
+        self._expire(now_s)
+        for key, entry in self._entries.items():
+            if entry.own:
+                yield key, entry.own, now_s - entry.last_s
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _touch(self, key: str, at_s: float) -> _Entry:
+        entry = self._entries.pop(key, None)
+        if entry is None or at_s - entry.last_s >= _EXPIRY_S:
+            entry = _Entry(at_s)
+        entry.last_s = max(entry.last_s, at_s)
+        self._entries[key] = entry
+        while len(self._entries) > self._max_entries:
+            del self._entries[next(iter(self._entries))]
+        return entry
+
+    def _expire(self, now_s: float) -> None:
+        expired = [
+            key
+            for key, entry in self._entries.items()
+            if now_s - entry.last_s >= _EXPIRY_S
+        ]
+        for key in expired:
+            del self._entries[key]
