Add polls of endpoints, VM list and probes

Cause: the endpoint table needs load reports, cache events, leaving signals and probes of quarantined endpoints. Change: EndpointTask polls in random order spread over an interval that grows with the number of routers, bounded per router. Signals taken from peers are not published again, so that routers do not quarantine an endpoint in turn. Probes use the stream checks that callers' streams use; services are probed by their load report, because a call may have effects.

--- /dev/null
+++ b/src/basilpond/tasks/_endpoint_task.py
@@ -0,0 +1,417 @@
+"""Polls of endpoints and of the VM list, and probes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import random
+from typing import TypeVar
+
+from absl import logging
+import aiohttp
+import msgspec
+import reactivex
+from reactivex import subject
+
+from ..core import _frames
+from ..core._manifest import Endpoint
+from ..core._manifest import Manifest
+from ..core._routing import EndpointTable
+from ..core._routing import LeavingSource
+from ..core._routing import Load
+
+T = TypeVar('T')
+
+# Kinds of `EndpointNotice` in peer.thrift.
+NOTICE_LEAVING = 0
+NOTICE_QUARANTINED = 1
+_MAX_BODY_BYTES = 1_048_576
+_PROBE_TOKENS = 4
+
+
+class _LoadReport(msgspec.Struct):
+    running: int
+    waiting: int
+    kv_used_share: float = 0.0
+    leaving: bool = False
+
+
+class _CacheEvent(msgspec.Struct):
+    prefix_digest: str
+    stored: bool
+
+
+class _CachePage(msgspec.Struct):
+    next: int
+    events: list[_CacheEvent]
+
+
+class _Vm(msgspec.Struct):
+    id: str
+    address: str
+    state: str
+
+
+class _VmList(msgspec.Struct):
+    vms: list[_Vm]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PollParameters:
+    """Intervals and bounds of the polls.
+
+    `load_s` and `cache_s` are for one router alone. With more routers each
+    polls more rarely, until `max_load_s` and `max_cache_s`, so that polls do
+    not grow with the fleet; `max_per_s` bounds one router's polls.
+    """
+
+    load_s: float = 0.5
+    max_load_s: float = 2.0
+    cache_s: float = 1.0
+    max_cache_s: float = 30.0
+    vms_s: float = 1.0
+    probe_check_s: float = 0.5
+    timeout_s: float = 1.0
+    probe_timeout_s: float = 10.0
+    # A poll takes about 400 bytes both ways; a router may use 7 KB/s for all
+    # control work.
+    max_per_s: float = 12.0
+    concurrency: int = 16
+
+
+def poll_interval_s(
+    base_s: float,
+    max_s: float,
+    *,
+    live_routers: int,
+    endpoints: int,
+    max_per_s: float,
+) -> float:
+    """Return the interval between polls of one endpoint by this router.
+
+    Parameters
+    ----------
+    base_s, max_s : float
+        Interval of a single router, and the longest interval as far as
+        `max_per_s` allows.
+    live_routers, endpoints : int
+    max_per_s : float
+        Polls a second of this router at most.
+
+    Returns
+    -------
+    float
+    """
+    fleet_s = min(max_s, base_s * max(1, live_routers))
+    return max(fleet_s, endpoints / max_per_s)
+
+
+class EndpointTask:
+    """Owner of the endpoint table.
+
+    Parameters
+    ----------
+    table : EndpointTable
+    rng : random.Random
+    live_routers : callable
+        Returns the number of live routers.
+    vms_url : str or None
+        Base address of the platform's VM list.
+    parameters : PollParameters
+    """
+
+    def __init__(
+        self,
+        table: EndpointTable,
+        *,
+        rng: random.Random,
+        live_routers: Callable[[], int],
+        vms_url: str | None,
+        parameters: PollParameters | None = None,
+    ) -> None:
+        self.table = table
+        # Ids of endpoints that start to leave, for the relay and for peers.
+        self.leaving: subject.Subject[str] = subject.Subject()
+        self.quarantined: subject.Subject[str] = subject.Subject()
+        self._rng = rng
+        self._live_routers = live_routers
+        self._vms_url = vms_url
+        self._parameters = parameters or PollParameters()
+        self._endpoints: dict[str, Endpoint] = {}
+        self._announced: set[str] = set()
+        self._announced_quarantines: set[str] = set()
+        self._session: aiohttp.ClientSession | None = None
+
+    def set_manifest(self, manifest: Manifest) -> None:
+        """Take the endpoints of a new manifest."""
+        self.table.set_manifest(manifest)
+        self._endpoints = {e.id: e for e in manifest.endpoints}
+        self._announced &= self._endpoints.keys()
+        now_s = asyncio.get_running_loop().time()
+        for endpoint in self._endpoints.values():
+            self._announce_leaving(endpoint.id, now_s)
+
+    def take_notice(self, endpoint: str, kind: int) -> None:
+        """Take a peer's notice; unknown endpoints and kinds are ignored."""
+        if endpoint not in self._endpoints:
+            return
+        now_s = asyncio.get_running_loop().time()
+        if kind == NOTICE_LEAVING:
+            self.table.set_leaving(endpoint, LeavingSource.PEER, True, now_s)
+            # Not published: the notice spreads by gossip already.
+            self._announced.add(endpoint)
+        elif kind == NOTICE_QUARANTINED:
+            # Not published either: routers would requarantine each other.
+            self._announced_quarantines.add(endpoint)
+            self.table.quarantine.quarantine(endpoint, now_s)
+
+    def subscribe_notices(
+        self, notices: reactivex.Observable[tuple[str, int]]
+    ) -> reactivex.abc.DisposableBase:
+        """Take each ``(endpoint, kind)`` that `notices` emits."""
+        return notices.subscribe(lambda notice: self.take_notice(*notice))
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=self._parameters.concurrency, limit_per_host=2
+            )
+        ) as session:
+            self._session = session
+            try:
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._poll_loads())
+                    group.create_task(self._poll_caches())
+                    group.create_task(self._run_probes())
+                    if self._vms_url is not None:
+                        group.create_task(self._poll_vms())
+            finally:
+                self._session = None
+
+    async def _poll_loads(self) -> None:
+        p = self._parameters
+        while True:
+            await self._poll_round(self._poll_load, p.load_s, p.max_load_s)
+
+    async def _poll_caches(self) -> None:
+        p = self._parameters
+        while True:
+            await self._poll_round(self._poll_cache, p.cache_s, p.max_cache_s)
+
+    async def _poll_round(
+        self,
+        poll: Callable[[Endpoint], Awaitable[None]],
+        base_s: float,
+        max_s: float,
+    ) -> None:
+        """Poll each endpoint once, spread over one interval."""
+        loop = asyncio.get_running_loop()
+        endpoints = list(self._endpoints.values())
+        # Another order in each router and round, so that routers do not poll
+        # an endpoint at the same time.
+        self._rng.shuffle(endpoints)
+        start_s = loop.time()
+        interval_s = poll_interval_s(
+            base_s,
+            max_s,
+            live_routers=self._live_routers(),
+            endpoints=len(endpoints),
+            # Loads and cache events share the bound.
+            max_per_s=self._parameters.max_per_s / 2,
+        )
+        running: set[asyncio.Task[None]] = set()
+        try:
+            for index, endpoint in enumerate(endpoints):
+                due_s = start_s + interval_s * index / len(endpoints)
+                await asyncio.sleep(max(0.0, due_s - loop.time()))
+                if len(running) >= self._parameters.concurrency:
+                    _, running = await asyncio.wait(
+                        running, return_when=asyncio.FIRST_COMPLETED
+                    )
+                running = {task for task in running if not task.done()}
+                running.add(asyncio.ensure_future(poll(endpoint)))
+            end_s = start_s + interval_s
+            await asyncio.sleep(max(0.0, end_s - loop.time()))
+            if running:
+                await asyncio.wait(running)
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _poll_load(self, endpoint: Endpoint) -> None:
+        report = await self._get(f'{endpoint.url}/load', _LoadReport)
+        if report is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        load = Load(
+            running=max(0, report.running),
+            waiting=max(0, report.waiting),
+            kv_used_share=report.kv_used_share,
+            leaving=report.leaving,
+        )
+        self.table.report_load(endpoint.id, load, now_s)
+        self._announce_leaving(endpoint.id, now_s)
+
+    async def _poll_cache(self, endpoint: Endpoint) -> None:
+        if not endpoint.models:
+            return
+        after = self.table.affinity.next_event(endpoint.id)
+        page = await self._get(
+            f'{endpoint.url}/cache_events?after={after}', _CachePage
+        )
+        if page is None or page.next < 0:
+            return
+        try:
+            events = [
+                (int(event.prefix_digest, 16), event.stored)
+                for event in page.events
+            ]
+        except ValueError:
+            logging.warning(
+                'endpoint %s sent a cache event with an invalid digest',
+                endpoint.id,
+            )
+            return
+        self.table.affinity.apply_events(endpoint.id, after, page.next, events)
+
+    async def _poll_vms(self) -> None:
+        while True:
+            page = await self._get(f'{self._vms_url}/vms', _VmList)
+            if page is not None:
+                self._take_vms(page.vms)
+            await asyncio.sleep(self._parameters.vms_s)
+
+    def _take_vms(self, vms: Iterable[_Vm]) -> None:
+        """Apply the VM list; an absent VM keeps its state, as lists lag."""
+        now_s = asyncio.get_running_loop().time()
+        by_address = {vm.address: vm.state for vm in vms}
+        for endpoint in self._endpoints.values():
+            state = by_address.get(endpoint.url.removeprefix('http://'))
+            if state in ('live', 'leaving'):
+                self.table.set_leaving(
+                    endpoint.id,
+                    LeavingSource.VM_LIST,
+                    state == 'leaving',
+                    now_s,
+                )
+                self._announce_leaving(endpoint.id, now_s)
+
+    async def _run_probes(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = list(self.table.quarantine.due_probes(loop.time()))
+            for name in due:
+                if name not in self._announced_quarantines:
+                    self._announced_quarantines.add(name)
+                    self.quarantined.on_next(name)
+            await asyncio.gather(*map(self._probe, due))
+            self._announced_quarantines = {
+                name
+                for name in self._announced_quarantines
+                if self.table.quarantine.traffic_share(name, loop.time()) == 0
+            }
+            await asyncio.sleep(self._parameters.probe_check_s)
+
+    async def _probe(self, name: str) -> None:
+        endpoint = self._endpoints.get(name)
+        if endpoint is None:
+            return
+        passed = await (
+            self._probe_model(endpoint)
+            if endpoint.models
+            else self._probe_service(endpoint)
+        )
+        readmitted = self.table.quarantine.record_probe(
+            name, passed=passed, now_s=asyncio.get_running_loop().time()
+        )
+        if readmitted:
+            logging.info('endpoint %s passed its probes', name)
+
+    async def _probe_service(self, endpoint: Endpoint) -> bool:
+        """Probe by the load report; calls of a service may have effects."""
+        return await self._get(f'{endpoint.url}/load', _LoadReport) is not None
+
+    async def _probe_model(self, endpoint: Endpoint) -> bool:
+        """Run a short stream through the same checks as a caller's."""
+        model = self._rng.choice(endpoint.models)
+        attempt_id = f'probe-{self._rng.getrandbits(64):016x}'
+        body = {
+            'model': model,
+            'messages': [{'role': 'user', 'content': 'ping'}],
+            'max_tokens': _PROBE_TOKENS,
+            'stream': True,
+            'stream_options': {'include_usage': True},
+        }
+        check = _frames.StreamCheck(
+            attempt_id=attempt_id if endpoint.echoes_request_id else None,
+            model=model,
+            max_output_tokens=_PROBE_TOKENS,
+        )
+        try:
+            async with self._session.post(
+                f'{endpoint.url}/v1/chat/completions',
+                data=msgspec.json.encode(body),
+                headers={
+                    'Content-Type': 'application/json',
+                    'X-Request-Id': attempt_id,
+                    'Accept-Encoding': 'identity',
+                },
+                timeout=aiohttp.ClientTimeout(
+                    total=self._parameters.probe_timeout_s
+                ),
+                auto_decompress=False,
+            ) as response:
+                if (
+                    response.status != 200
+                    or response.content_type != 'text/event-stream'
+                    or 'Content-Encoding' in response.headers
+                ):
+                    return False
+                async for chunk in response.content.iter_any():
+                    step = check.feed(chunk)
+                    if step.problem is not None or step.cut:
+                        return False
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return False
+        summary = check.finish()
+        return summary.complete and not summary.usage_problem
+
+    def _announce_leaving(self, name: str, now_s: float) -> None:
+        """Publish an endpoint once when it starts to leave."""
+        if not self.table.is_leaving(name, now_s):
+            self._announced.discard(name)
+        elif name not in self._announced:
+            self._announced.add(name)
+            logging.info('endpoint %s is leaving', name)
+            self.leaving.on_next(name)
+
+    async def _get(self, url: str, kind: type[T]) -> T | None:
+        """Return a decoded document, None when there is no valid one."""
+        body = bytearray()
+        try:
+            async with self._session.get(
+                url,
+                timeout=aiohttp.ClientTimeout(
+                    total=self._parameters.timeout_s
+                ),
+                allow_redirects=False,
+            ) as response:
+                if response.status != 200:
+                    return None
+                async for chunk in response.content.iter_any():
+                    body += chunk
+                    if len(body) > _MAX_BODY_BYTES:
+                        return None
+            return msgspec.json.decode(body, type=kind)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            msgspec.MsgspecError,
+            UnicodeDecodeError,
+        ) as error:
+            logging.debug('no answer from %s: %s', url, error)
+            return None
