Add fold of the config stream

Cause: routers need one decision on concurrent publishes. Change: ConfigFold accepts a publish that replaces the current version and passes the check; a rejection carries its numbered reason. A publish that is appended again after a lost acknowledgement gets its first answer.

--- /dev/null
+++ b/src/basilpond/core/_config_fold.py
@@ -0,0 +1,136 @@
+"""Fold of the ``config`` stream: which manifest is in force.
+
+A publish is accepted when it replaces the current version and its document
+passes the check. The new version is the entry's offset + 1, so versions rise
+without a counter of their own.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from ._codes import BasilpondError
+from ._codes import ResultCode
+from ._interfaces import LogEntry
+from ._manifest import Manifest
+from ._manifest import decode_manifest
+from ._records import ManifestPublish
+from ._records import ManifestSnapshot
+from ._records import decode_config
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishDecided:
+    """Result of a `ManifestPublish`.
+
+    Parameters
+    ----------
+    publish_id : str
+    version : int
+        Version in force after the entry.
+    accepted : bool
+    reason : str
+        Numbered code and text of a rejection, else empty.
+    """
+
+    publish_id: str
+    version: int
+    accepted: bool
+    reason: str = ''
+
+
+class ConfigFold:
+    """Manifest in force after the entries applied so far.
+
+    Attributes
+    ----------
+    version : int
+        0 without a manifest.
+    manifest : Manifest or None
+    document : bytes or None
+        JSON text of the manifest as it was published.
+    """
+
+    __slots__ = ('_publish_id', 'document', 'manifest', 'version')
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.manifest: Manifest | None = None
+        self.document: bytes | None = None
+        self._publish_id: str | None = None
+
+    def apply(self, entry: LogEntry) -> PublishDecided | None:
+        """Apply an entry; return the result of a publish.
+
+        A payload that is not a config record has no effect. A snapshot has
+        none unless the fold started after the publish of its version.
+        """
+        try:
+            record = decode_config(entry.payload)
+        except msgspec.MsgspecError:
+            return None
+        if isinstance(record, ManifestSnapshot):
+            self.load_snapshot(record)
+            return None
+        return self._decide(record, entry.offset + 1)
+
+    def load_snapshot(self, snapshot: ManifestSnapshot) -> bool:
+        """Take over a snapshot if it is newer.
+
+        Returns
+        -------
+        bool
+            False when it is not newer or its document fails the check.
+        """
+        if snapshot.version <= self.version:
+            return False
+        document = bytes(snapshot.document)
+        try:
+            manifest = decode_manifest(document)
+        except BasilpondError:
+            return False
+        self._set(snapshot.version, manifest, document, None)
+        return True
+
+    def to_snapshot(self) -> ManifestSnapshot | None:
+        """Return the manifest in force as a record, None without one."""
+        if self.document is None:
+            return None
+        return ManifestSnapshot(self.version, msgspec.Raw(self.document))
+
+    def _decide(
+        self, publish: ManifestPublish, new_version: int
+    ) -> PublishDecided:
+        publish_id = publish.publish_id
+        if publish_id == self._publish_id:
+            # Appended again after a lost acknowledgement.
+            return PublishDecided(publish_id, self.version, True)
+        if publish.replaces_version != self.version:
+            stale = BasilpondError(
+                ResultCode.MANIFEST_STALE,
+                f'publish replaces version {publish.replaces_version}, '
+                f'but version {self.version} is in force',
+            )
+            return PublishDecided(publish_id, self.version, False, str(stale))
+        document = bytes(publish.document)
+        try:
+            manifest = decode_manifest(document)
+        except BasilpondError as error:
+            return PublishDecided(publish_id, self.version, False, str(error))
+        self._set(new_version, manifest, document, publish_id)
+        return PublishDecided(publish_id, new_version, True)
+
+    def _set(
+        self,
+        version: int,
+        manifest: Manifest,
+        document: bytes,
+        publish_id: str | None,
+    ) -> None:
+        assert version > self.version, 'manifest version must rise'
+        self.version = version
+        self.manifest = manifest
+        self.document = document
+        self._publish_id = publish_id
--- /dev/null
+++ b/src/basilpond/core/tests/test_config_fold.py
@@ -0,0 +1,68 @@
+import json
+
+import msgspec
+
+from basilpond.core._config_fold import ConfigFold
+from basilpond.core._config_fold import PublishDecided
+from basilpond.core._interfaces import LogEntry
+from basilpond.core._records import ManifestPublish
+from basilpond.core._records import ManifestSnapshot
+from basilpond.core._records import encode
+
+
+def document(tokens):
+    organisation = {
+        'id': 'o',
+        'key_sha256': ['0' * 64],
+        'top_ups': [{'id': 't', 'tokens': tokens}],
+        'endpoints': [],
+    }
+    return json.dumps(
+        {'organisations': [organisation], 'endpoints': []}
+    ).encode()
+
+
+def publish(offset, publish_id, replaces, text):
+    record = ManifestPublish(publish_id, replaces, msgspec.Raw(text))
+    return LogEntry(offset, 0, encode(record).decode())
+
+
+def test_first_of_concurrent_publishes_is_accepted():
+    """Guards against two operators who overwrite each other."""
+    fold = ConfigFold()
+    first = publish(4, 'a', 0, document(1))
+    assert fold.apply(first) == PublishDecided('a', 5, True)
+    lost = fold.apply(publish(5, 'b', 0, document(2)))
+    assert (lost.accepted, lost.version) == (False, 5)
+    assert lost.reason.startswith('6002 manifest_stale: publish replaces')
+    again = publish(6, 'a', 0, document(1))
+    assert fold.apply(again) == PublishDecided('a', 5, True)
+    assert fold.apply(publish(7, 'c', 5, document(3))).version == 8
+    assert fold.document == document(3)
+    assert fold.manifest.organisations[0].top_ups[0].tokens == 3
+
+
+def test_invalid_documents_are_rejected_with_their_reason():
+    """Guards against a bad manifest in force, and against silence on why."""
+    fold = ConfigFold()
+    result = fold.apply(publish(0, 'a', 0, document(-1)))
+    assert not result.accepted and fold.version == 0
+    assert result.reason.startswith('6001 manifest_invalid')
+    assert 'top_ups[0].tokens' in result.reason
+    assert fold.apply(LogEntry(1, 0, 'nonsense')) is None
+
+
+def test_snapshots_only_raise_the_version():
+    """Guards against a snapshot that reverts a configuration."""
+    fold = ConfigFold()
+    assert fold.to_snapshot() is None
+    fold.apply(publish(9, 'a', 0, document(1)))
+    snapshot = fold.to_snapshot()
+    fold.apply(publish(10, 'b', 10, document(2)))
+    fold.apply(LogEntry(11, 0, encode(snapshot).decode()))
+    assert (fold.version, fold.document) == (11, document(2))
+    started = ConfigFold()
+    started.apply(LogEntry(11, 0, encode(snapshot).decode()))
+    assert (started.version, started.document) == (10, document(1))
+    broken = ManifestSnapshot(50, msgspec.Raw(b'{}'))
+    assert not started.load_snapshot(broken)
