--- /dev/null
+++ b/src/basilpond/core/_decision_trail.py
@@ -0,0 +1,55 @@
+"""Decisions taken for recent requests, for operators' questions."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Decision:
+    """One decision; `time_ms` is wall-clock time."""
+
+    time_ms: int
+    step: str
+    detail: str
+
+
+class DecisionTrail:
+    """Decisions of the newest requests, by request id.
+
+    Parameters
+    ----------
+    max_requests : int
+        The oldest requests are dropped beyond this number.
+    max_decisions : int
+        Per request; bounds a request that is retried for long.
+    """
+
+    __slots__ = ('_max_requests', '_max_decisions', '_trails')
+
+    def __init__(
+        self, max_requests: int = 2_000, max_decisions: int = 40
+    ) -> None:
+        self._max_requests = max_requests
+        self._max_decisions = max_decisions
+        self._trails: collections.OrderedDict[str, list[Decision]] = (
+            collections.OrderedDict()
+        )
+
+    def note(
+        self, request_id: str, step: str, detail: str, time_ms: int
+    ) -> None:
+        """Record a decision."""
+        trail = self._trails.get(request_id)
+        if trail is None:
+            trail = self._trails[request_id] = []
+            if len(self._trails) > self._max_requests:
+                self._trails.popitem(last=False)
+        if len(trail) < self._max_decisions:
+            trail.append(Decision(time_ms, step, detail))
+
+    def explain(self, request_id: str) -> list[Decision] | None:
+        """Return the decisions of a request, or `None` when unknown."""
+        trail = self._trails.get(request_id)
+        return list(trail) if trail is not None else None
--- a/src/basilpond/core/_frames.py
+++ b/src/basilpond/core/_frames.py
@@ -235,6 +235,11 @@
         self._problem: ResultCode | None = None
         self._cut = False
 
+    @property
+    def stream_id(self) -> str | None:
+        """Id of the frames, `None` before the first."""
+        return self._id
+
     def feed(self, chunk: bytes) -> StreamStep:
         """Check the next bytes of the stream.
 
--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -33,7 +33,7 @@
 _MAX_CACHED_GROUPS = 256
 
 
-class AttemptResult(enum.Enum):
+class AttemptVerdict(enum.Enum):
     """What an attempt says about its endpoint."""
 
     COMPLETE = 'complete'
@@ -237,19 +237,19 @@
             state.limit.record_first_byte(latency_s, state.in_flight, now_s)
 
     def finish(
-        self, endpoint: str, result: AttemptResult, now_s: float
+        self, endpoint: str, result: AttemptVerdict, now_s: float
     ) -> None:
         """Count the end of an attempt, also of a removed endpoint."""
         state = self._states.get(endpoint)
         if state is None:
             return
         state.in_flight = max(0, state.in_flight - 1)
-        if result is AttemptResult.NEUTRAL:
+        if result is AttemptVerdict.NEUTRAL:
             return
-        if result is AttemptResult.INVALID:
+        if result is AttemptVerdict.INVALID:
             self.quarantine.record_invalid(endpoint, now_s)
-        failed = result is AttemptResult.FAILED
-        if failed or result is AttemptResult.REFUSED:
+        failed = result is AttemptVerdict.FAILED
+        if failed or result is AttemptVerdict.REFUSED:
             state.limit.record_failure(now_s)
         # A refusal is load, not a fault: it lowers the limit only.
         self.ejection.record(
@@ -289,6 +289,13 @@
             key=lambda state: self._score(state, shares, now_s),
         ).endpoint.id
 
+    def serves(self, query: RouteQuery, now_s: float) -> bool:
+        """Return whether waiting for an endpoint can help the request."""
+        local, remote = self._candidates(query)
+        return any(True for _ in self._available(local, query, now_s)) or any(
+            True for _ in self._available(remote, query, now_s)
+        )
+
     def _candidates(self, query: RouteQuery) -> tuple[tuple[_State, ...], ...]:
         """Return the local and remote endpoints that may serve the query."""
         is_model = query.model is not None
@@ -382,7 +389,7 @@
 
 
 __all__ = [
-    'AttemptResult',
+    'AttemptVerdict',
     'EndpointTable',
     'LeavingSource',
     'Load',
--- /dev/null
+++ b/src/basilpond/programs/router.py
@@ -0,0 +1,42 @@
+"""``basilpond-router``: one router process."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+import signal
+
+import defopt
+
+from ..settings import RouterSettings
+from ..settings import load_settings_or_exit
+from ..tasks import Router
+from ..telemetry import configure_logs
+
+
+async def _serve(settings: RouterSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    router = Router(settings)
+    await router.start()
+    await router.run_until(stop)
+
+
+def run(*, settings: Path) -> None:
+    """Run a router until SIGTERM, then stop gracefully.
+
+    Parameters
+    ----------
+    settings : Path
+        TOML settings file.
+    """
+    loaded = load_settings_or_exit(settings, RouterSettings)
+    configure_logs(loaded.telemetry.log_level, router=loaded.router.id)
+    asyncio.run(_serve(loaded))
+
+
+def main() -> None:
+    """Parse arguments and run."""
+    defopt.run(run)
--- a/src/basilpond/settings/_router.py
+++ b/src/basilpond/settings/_router.py
@@ -54,9 +54,6 @@
         int, msgspec.Meta(ge=100, le=10_000_000)
     ] = 20_000
     patience_ms: Annotated[int, msgspec.Meta(ge=10, le=10_000)] = 250
-    deduplication_window_s: Annotated[int, msgspec.Meta(ge=60, le=604_800)] = (
-        86_400
-    )
 
 
 class VmsSection(
--- /dev/null
+++ b/src/basilpond/tasks/_answers.py
@@ -0,0 +1,222 @@
+"""Ways to deliver an answer: directly to one caller, or through a buffer.
+
+A request with an ``Idempotency-Key`` runs into a buffer, so that a retry can
+attach to it from the first byte and a finished answer can be given again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import dataclasses
+from typing import Protocol
+
+from aiohttp import web
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class AnswerSink(Protocol):
+    """Receiver of one answer."""
+
+    started: bool
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send status and headers; called once, before any byte."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body.
+
+        Raises
+        ------
+        ConnectionError
+            The caller is gone.
+        """
+        ...
+
+    async def finish(self) -> None:
+        """End the body properly."""
+        ...
+
+    def abort(self) -> None:
+        """End without a proper end of the body."""
+        ...
+
+
+class DirectAnswer:
+    """Answer that goes to one caller and is not kept.
+
+    Parameters
+    ----------
+    request : aiohttp.web.Request
+    """
+
+    __slots__ = ('_request', 'response', 'started')
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self._request = request
+        self.response: web.StreamResponse | None = None
+        self.started = False
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send status and headers."""
+        self.started = True
+        self.response = web.StreamResponse(
+            status=head.status, headers=head.headers
+        )
+        await self.response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body."""
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End the body properly."""
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Close the connection, so that the caller sees a truncated body."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+
+
+class BufferedAnswer:
+    """Answer that is kept and read by any number of callers.
+
+    Parameters
+    ----------
+    body_digest : str
+        Digest of the request body that it answers.
+    """
+
+    __slots__ = (
+        'body_digest',
+        'head',
+        'started',
+        'finished',
+        'aborted',
+        'size_bytes',
+        '_parts',
+        '_changed',
+    )
+
+    def __init__(self, body_digest: str) -> None:
+        self.body_digest = body_digest
+        self.head: AnswerHead | None = None
+        self.started = False
+        self.finished = False
+        self.aborted = False
+        self.size_bytes = 0
+        self._parts: list[bytes] = []
+        self._changed = asyncio.Event()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def start(self, head: AnswerHead) -> None:
+        """Keep status and headers."""
+        self.head = head
+        self.started = True
+        self._notify()
+
+    async def write(self, data: bytes) -> None:
+        """Keep part of the body."""
+        self._parts.append(data)
+        self.size_bytes += len(data)
+        self._notify()
+
+    async def finish(self) -> None:
+        """Mark the body as whole."""
+        self.finished = True
+        self._notify()
+
+    def abort(self) -> None:
+        """Mark the answer as ended without its whole body."""
+        self.aborted = True
+        self._notify()
+
+    async def wait_head(self) -> AnswerHead | None:
+        """Return the head, or `None` when the run ends without one."""
+        while self.head is None and not self.aborted:
+            await self._changed.wait()
+        return self.head
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yield the body from its first byte, joined where it is late."""
+        position = 0
+        while True:
+            if position < len(self._parts):
+                data = b''.join(self._parts[position:])
+                position = len(self._parts)
+                yield data
+            elif self.finished or self.aborted:
+                return
+            else:
+                await self._changed.wait()
+
+    def body(self) -> bytes:
+        """Return all bytes so far."""
+        return b''.join(self._parts)
+
+
+class AnswerStore:
+    """Running and finished buffered answers by organisation and request id.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bound on finished answers; the oldest are dropped beyond it.
+    keep_s : float
+        Time for which a finished answer can be given again.
+    """
+
+    __slots__ = ('_max_bytes', '_keep_s', '_answers', '_finished', '_bytes')
+
+    def __init__(self, max_bytes: int, keep_s: float) -> None:
+        self._max_bytes = max_bytes
+        self._keep_s = keep_s
+        self._answers: dict[tuple[str, str], BufferedAnswer] = {}
+        self._finished: collections.OrderedDict[tuple[str, str], float] = (
+            collections.OrderedDict()
+        )
+        self._bytes = 0
+
+    def get(self, organisation: str, request_id: str) -> BufferedAnswer | None:
+        """Return a running or finished answer."""
+        return self._answers.get((organisation, request_id))
+
+    def add(
+        self, organisation: str, request_id: str, answer: BufferedAnswer
+    ) -> None:
+        """Register a running answer."""
+        self._answers[organisation, request_id] = answer
+
+    def remove(self, organisation: str, request_id: str) -> None:
+        """Forget an answer that did not become whole."""
+        self._answers.pop((organisation, request_id), None)
+
+    def keep(self, organisation: str, request_id: str, now_s: float) -> None:
+        """Keep a finished answer for later retries."""
+        key = (organisation, request_id)
+        self._finished[key] = now_s + self._keep_s
+        self._bytes += self._answers[key].size_bytes
+        self.expire(now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drop answers that are too old or exceed the bound."""
+        while self._finished:
+            key, expires_s = next(iter(self._finished.items()))
+            if expires_s > now_s and self._bytes <= self._max_bytes:
+                return
+            del self._finished[key]
+            self._bytes -= self._answers.pop(key).size_bytes
--- /dev/null
+++ b/src/basilpond/tasks/_attempts.py
@@ -0,0 +1,159 @@
+"""Attempts of one request until it has an answer or may not be retried."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from ..core import AttemptKind
+from ..core import Attempt
+from ..core import Endpoint
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
+from ..core import RouteQuery
+from ._caller_request import CallerRequest
+from ._dispatcher import Dispatcher
+from ._dispatcher import exclude
+from ._refusals import not_run
+from ._request_log import RequestLog
+
+HTTP_SERVER_ERROR = 500
+
+# Runs one attempt at an endpoint; fills the result, which stays readable when
+# the attempt is cancelled.
+AttemptRunner = Callable[[Endpoint, Attempt], Awaitable[None]]
+
+
+class RequestAttempts:
+    """Sequence of attempts of one request.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+    log : RequestLog
+    call : CallerRequest
+    idempotent : bool
+        Otherwise only an attempt that provably did not start is repeated.
+    max_attempts : int
+    """
+
+    __slots__ = (
+        'dispatcher',
+        'log',
+        'call',
+        'idempotent',
+        'max_attempts',
+        'result',
+        'may_have_run',
+        '_answered',
+    )
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        log: RequestLog,
+        call: CallerRequest,
+        *,
+        idempotent: bool,
+        max_attempts: int,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.log = log
+        self.call = call
+        self.idempotent = idempotent
+        self.max_attempts = max_attempts
+        self.result: Attempt | None = None
+        self.may_have_run = False
+        self._answered = False
+
+    async def run(self, query: RouteQuery, attempt: AttemptRunner) -> Attempt:
+        """Run attempts; return the last result.
+
+        Raises
+        ------
+        RefusalError
+            There is no answer and nothing was relayed to the caller.
+        """
+        tried: set[str] = set()
+        self.dispatcher.retries.record_request()
+        while True:
+            result = await self._one(exclude(query, tried), attempt)
+            tried.add(result.endpoint)
+            if not self._retriable(result):
+                break
+            if len(tried) >= self.max_attempts:
+                break
+            if not self.dispatcher.may_retry():
+                self.log.note(self.call.request_id, 'no-retry', 'budget')
+                break
+            self.log.note(self.call.request_id, 'retry', result.message)
+        if (
+            result.kind is AttemptKind.COMPLETE
+            or result.relayed
+            or (result.kind is AttemptKind.CALLER_GONE)
+        ):
+            return result
+        raise self._refusal(result)
+
+    def _retriable(self, result: Attempt) -> bool:
+        if result.kind is AttemptKind.NOT_STARTED:
+            return True
+        return self.idempotent and result.retriable
+
+    async def _one(self, query: RouteQuery, attempt: AttemptRunner) -> Attempt:
+        endpoint_id = await self._place(query)
+        endpoint = self.call.index.endpoint(endpoint_id)
+        self.result = result = Attempt(AttemptKind.FAILED, endpoint_id)
+        self.log.note(self.call.request_id, 'attempt', endpoint_id)
+        try:
+            await attempt(endpoint, result)
+        except BaseException:
+            # Cancelled because the caller left.
+            result.kind = AttemptKind.CALLER_GONE
+            raise
+        finally:
+            self.dispatcher.finish(result)
+        if result.kind is not AttemptKind.NOT_STARTED:
+            self.may_have_run = True
+            self._answered |= result.answered
+        if result.code is ResultCode.ENDPOINT_FAILED and (
+            result.http_status < HTTP_SERVER_ERROR
+        ):
+            self.dispatcher.note_crash(self.call)
+        return result
+
+    async def _place(self, query: RouteQuery) -> str:
+        try:
+            self.dispatcher.check_crashes(self.call, ran=self.may_have_run)
+            return await self.dispatcher.place(self.call, query)
+        except RefusalError as error:
+            if self.may_have_run and error.outcome is Outcome.NOT_RUN:
+                # An earlier attempt may have run, so "not run" would be
+                # untrue.
+                error.outcome = self._ran_outcome()
+            raise
+
+    def _ran_outcome(self) -> Outcome:
+        # Without a byte of an answer nothing tells whether it ran.
+        return Outcome.FAILED if self._answered else Outcome.UNKNOWN
+
+    def _refusal(self, result: Attempt) -> RefusalError:
+        message = result.message or 'the endpoint failed'
+        code = result.code or ResultCode.ENDPOINT_FAILED
+        if result.kind is AttemptKind.REJECTED:
+            return RefusalError(
+                code,
+                message,
+                outcome=Outcome.FAILED,
+                http_status=result.http_status,
+            )
+        if not self.may_have_run:
+            return not_run(code, message, 503, 1)
+        return RefusalError(
+            code,
+            message,
+            outcome=self._ran_outcome(),
+            http_status=(504 if code is ResultCode.ENDPOINT_TIMEOUT else 502),
+            retry_after_s=1 if self.idempotent else None,
+        )
--- /dev/null
+++ b/src/basilpond/tasks/_chat_run.py
@@ -0,0 +1,322 @@
+"""One run of a chat request: hold, attempts, bill, release of the answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+
+import msgspec
+
+from ..core import AttemptKind
+from ..core import Attempt
+from ..core import ChatBound
+from ..core import ChatRequest
+from ..core import Endpoint
+from ..core import Model
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
+from ..core import RouteQuery
+from ..core import StreamCheck
+from ..core import Usage
+from ..core import WholeCheck
+from ..core import build_terminal
+from ..core import failure_terminal
+from ..core import prefix_digests
+from ..core import response_cost
+from ..settings import LimitsSection
+from ._answers import AnswerHead
+from ._answers import AnswerSink
+from ._attempts import RequestAttempts
+from ._budget_interfaces import BillDraft
+from ._budget_task import BudgetTask
+from ._budget_interfaces import Hold
+from ._budget_interfaces import Settlement
+from ._caller_request import CallerRequest
+from ._dispatcher import Dispatcher
+from ._refusals import OUTCOME_HEADER
+from ._refusals import REQUEST_ID_HEADER
+from ._refusals import error_body
+from ._relay import ATTEMPT_ID_HEADER
+from ._relay import EndpointClient
+from ._relay import StreamExchange
+from ._relay import UpstreamCall
+from ._relay import WholeExchange
+from ._request_log import RequestLog
+
+CHAT_PATH = '/v1/chat/completions'
+ABANDONED = 'abandoned'
+
+
+@dataclasses.dataclass(slots=True)
+class ChatRun:
+    """State of one run; `hold` is `None` once its amount is settled."""
+
+    call: CallerRequest
+    chat: ChatRequest
+    model: Model
+    bound: ChatBound
+    sink: AnswerSink
+    hold: Hold | None = None
+
+    def head(self) -> AnswerHead:
+        """Return status and headers of the answer."""
+        stream = self.chat.stream
+        # A stream's outcome is not known when its headers are sent; its last
+        # comment tells it.
+        outcome = Outcome.UNKNOWN if stream else Outcome.COMPLETE
+        headers = {
+            'Content-Type': (
+                'text/event-stream' if stream else 'application/json'
+            ),
+            REQUEST_ID_HEADER: self.call.request_id,
+            OUTCOME_HEADER: outcome.value,
+        }
+        if stream:
+            headers['Cache-Control'] = 'no-cache'
+        return AnswerHead(200, headers)
+
+
+class ChatRunner:
+    """Runs chat requests.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    budget : BudgetTask
+    dispatcher : Dispatcher
+    client : EndpointClient
+    log : RequestLog
+    wall_s : callable
+        Wall-clock time in seconds.
+    """
+
+    def __init__(
+        self,
+        limits: LimitsSection,
+        budget: BudgetTask,
+        dispatcher: Dispatcher,
+        client: EndpointClient,
+        log: RequestLog,
+        wall_s: Callable[[], float],
+    ) -> None:
+        self.limits = limits
+        self.budget = budget
+        self.dispatcher = dispatcher
+        self.client = client
+        self.log = log
+        self.wall_s = wall_s
+        self._bills: set[asyncio.Task] = set()
+
+    async def run(self, run: ChatRun) -> bool:
+        """Run a request and write its answer.
+
+        Returns
+        -------
+        bool
+            Whether the whole answer was written.
+
+        Raises
+        ------
+        RefusalError
+            Nothing was written.
+        """
+        call = run.call
+        run.hold = await self.budget.hold(
+            call.organisation.id,
+            run.bound.cost_tokens,
+            timeout_s=self.limits.hold_timeout_ms / 1000,
+        )
+        self.log.note(
+            call.request_id, 'hold', f'{run.bound.cost_tokens} tokens'
+        )
+        attempts = RequestAttempts(
+            self.dispatcher,
+            self.log,
+            call,
+            idempotent=True,
+            max_attempts=self.limits.attempts,
+        )
+        try:
+            result = await attempts.run(
+                self._query(run),
+                lambda endpoint, result: self._attempt(run, endpoint, result),
+            )
+            return await self._end(run, result)
+        except asyncio.CancelledError:
+            if run.hold is not None and attempts.result is not None:
+                self._bill_abandoned(run, attempts.result)
+            raise
+        finally:
+            if run.hold is not None:
+                self.budget.release(run.hold)
+
+    async def wait_bills(self) -> None:
+        """Wait for bills whose callers are gone."""
+        while self._bills:
+            await asyncio.wait(self._bills)
+
+    def _query(self, run: ChatRun) -> RouteQuery:
+        return RouteQuery(
+            organisation=run.call.organisation.id,
+            model=run.model.id,
+            service=None,
+            prefix_digests=prefix_digests(
+                run.model.id, msgspec.json.encode(run.chat.messages)
+            ),
+        )
+
+    async def _attempt(
+        self, run: ChatRun, endpoint: Endpoint, result: Attempt
+    ) -> None:
+        call = run.call
+        attempt_id = call.attempt_id()
+        checks = {
+            'attempt_id': attempt_id if endpoint.echoes_request_id else None,
+            'model': run.model.id,
+            'max_output_tokens': run.bound.output_tokens,
+            'prompt_bound_tokens': run.bound.prompt_tokens,
+        }
+        if run.chat.stream:
+            exchange = StreamExchange(
+                self.limits,
+                StreamCheck(**checks),
+                run.sink,
+                lambda: run.sink.start(run.head()),
+                run.model.id,
+                self.wall_s,
+            )
+        else:
+            exchange = WholeExchange(self.limits, WholeCheck(**checks))
+        upstream = UpstreamCall(
+            url=endpoint.url + CHAT_PATH,
+            method='POST',
+            body=run.chat.upstream_body(run.bound.output_tokens),
+            headers={
+                'Content-Type': 'application/json',
+                'Accept-Encoding': 'identity',
+                ATTEMPT_ID_HEADER: attempt_id,
+                'X-Priority': str(call.organisation.priority),
+                **call.trace_headers(),
+            },
+        )
+        await self.client.run(upstream, exchange, result)
+
+    async def _end(self, run: ChatRun, result: Attempt) -> bool:
+        if result.kind is AttemptKind.CALLER_GONE:
+            self._bill_abandoned(run, result)
+            return False
+        if result.kind is not AttemptKind.COMPLETE:
+            outcome = Outcome.FAILED
+            error = RefusalError(
+                result.code or ResultCode.ENDPOINT_FAILED,
+                result.message or 'the endpoint failed',
+                outcome=outcome,
+                http_status=502,
+            )
+            await self._fail_stream(run, error)
+            return False
+        return await self._bill_and_release(run, result)
+
+    async def _bill_and_release(self, run: ChatRun, result: Attempt) -> bool:
+        cost = self._cost(run, result)
+        settlement = await self._settle(
+            run, result, cost, Outcome.COMPLETE.value
+        )
+        request_id = run.call.request_id
+        if not settlement.committed:
+            error = RefusalError(
+                ResultCode.BILL_NOT_COMMITTED,
+                'the bill could not be committed, so the answer is withheld',
+                outcome=Outcome.UNKNOWN,
+                http_status=503,
+                retry_after_s=2,
+            )
+            if not run.sink.started:
+                raise error
+            await self._fail_stream(run, error)
+            return False
+        self.log.note(
+            request_id,
+            'bill',
+            f'{cost} tokens via {settlement.via}'
+            + (' duplicate' if settlement.duplicate else ''),
+        )
+        if not run.sink.started:
+            await run.sink.start(run.head())
+        terminal = result.terminal
+        if run.chat.stream:
+            terminal = build_terminal(
+                terminal, include_usage=run.chat.include_usage
+            )
+        try:
+            await run.sink.write(terminal)
+            await run.sink.finish()
+        except ConnectionError:
+            self.log.note(request_id, 'caller-gone', 'after the bill')
+            return False
+        return True
+
+    def _cost(self, run: ChatRun, result: Attempt) -> int:
+        usage = None
+        if result.prompt_tokens is not None:
+            usage = Usage(result.prompt_tokens, result.completion_tokens)
+        frames = result.content_frames
+        if not run.chat.stream and usage is None:
+            # The size of a token is not known; a token has at least a byte.
+            frames = result.content_bytes
+        return response_cost(
+            run.bound,
+            usage=usage,
+            content_frames=frames,
+            content_bytes=result.content_bytes,
+            prompt_price_tokens=run.model.prompt_price_tokens,
+            output_price_tokens=run.model.output_price_tokens,
+        ).cost_tokens
+
+    async def _settle(
+        self, run: ChatRun, result: Attempt, cost: int, outcome: str
+    ) -> Settlement:
+        draft = BillDraft(
+            request_id=run.call.request_id,
+            tokens=cost,
+            outcome=outcome,
+            body_digest=run.call.body_digest,
+            endpoint=result.endpoint,
+            keyed=run.call.keyed,
+        )
+        hold, run.hold = run.hold, None
+        settling = self._spawn(
+            self.budget.settle(
+                hold, draft, timeout_s=self.limits.settle_timeout_ms / 1000
+            )
+        )
+        # The bill goes on when the caller leaves meanwhile.
+        return await asyncio.shield(settling)
+
+    def _bill_abandoned(self, run: ChatRun, result: Attempt) -> None:
+        if not result.relayed:
+            return
+        self.log.note(run.call.request_id, 'caller-gone', 'during the answer')
+        result.prompt_tokens = None
+        cost = self._cost(run, result)
+        self._spawn(self._settle(run, result, cost, ABANDONED))
+
+    async def _fail_stream(self, run: ChatRun, error: RefusalError) -> None:
+        request_id = run.call.request_id
+        self.log.note_refusal(request_id, error)
+        try:
+            await run.sink.write(
+                failure_terminal(error_body(error, request_id), error.outcome)
+            )
+            await run.sink.finish()
+        except ConnectionError:
+            self.log.note(request_id, 'caller-gone', 'before the failure')
+
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.ensure_future(coroutine)
+        self._bills.add(task)
+        task.add_done_callback(self._bills.discard)
+        return task
--- /dev/null
+++ b/src/basilpond/tasks/_dispatcher.py
@@ -0,0 +1,232 @@
+"""Placement of requests at endpoints: choice, queue, retries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+import dataclasses
+
+from ..core import Attempt
+from ..core import AttemptKind
+from ..core import AttemptVerdict
+from ..core import CrashCounter
+from ..core import EndpointTable
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import RequestQueue
+from ..core import ResultCode
+from ..core import RetryBudget
+from ..core import RouteQuery
+from ..core import Waiting
+from ..settings import LimitsSection
+from ._caller_request import CallerRequest
+from ._refusals import not_run
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Place:
+    """Queued wait for an endpoint."""
+
+    query: RouteQuery
+    chosen: asyncio.Future[str]
+
+
+class Dispatcher:
+    """Owner of the request queue and the retry budget.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    table : EndpointTable
+    crashes : CrashCounter
+    """
+
+    def __init__(
+        self,
+        limits: LimitsSection,
+        table: EndpointTable,
+        crashes: CrashCounter,
+    ) -> None:
+        self.limits = limits
+        self.table = table
+        self.crashes = crashes
+        self.queue: RequestQueue[_Place] = RequestQueue(
+            max_size=limits.queue_requests
+        )
+        self.retries = RetryBudget()
+
+    async def place(self, call: CallerRequest, query: RouteQuery) -> str:
+        """Return the endpoint for an attempt; count it as in flight.
+
+        Raises
+        ------
+        RefusalError
+            Not run: no endpoint, queue full or deadline not reachable.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if not self.table.serves(query, now_s):
+            raise not_run(
+                ResultCode.NO_ENDPOINT, 'no endpoint serves this now', 503, 1
+            )
+        if not len(self.queue):
+            endpoint = self.table.choose(query, now_s)
+            if endpoint is not None:
+                self.table.start(endpoint, now_s, query.prefix_digests)
+                return endpoint
+        return await self._wait(call, query, now_s)
+
+    def finish(self, result: Attempt) -> None:
+        """Record the end of an attempt and start queued requests."""
+        now_s = asyncio.get_running_loop().time()
+        if result.first_byte_s is not None:
+            self.table.record_first_byte(
+                result.endpoint, result.first_byte_s, now_s
+            )
+        self.table.finish(result.endpoint, _verdict(result), now_s)
+        failed = result.kind in (AttemptKind.FAILED, AttemptKind.NOT_STARTED)
+        self.retries.record_result(failed=failed)
+        self.serve_queue()
+
+    def serve_queue(self) -> None:
+        """Place queued requests while an endpoint has room."""
+        now_s = asyncio.get_running_loop().time()
+        for waiting in self.queue.take_expired(now_s):
+            _refuse(waiting, ResultCode.DEADLINE_UNREACHABLE)
+        skipped = []
+        while (waiting := self.queue.pop(now_s)) is not None:
+            place = waiting.item
+            if place.chosen.done():
+                continue
+            endpoint = self.table.choose(place.query, now_s)
+            if endpoint is None:
+                skipped.append(waiting)
+                # Others may wait for another model, but the search is bounded.
+                if len(skipped) >= 16:
+                    break
+                continue
+            self.table.start(endpoint, now_s, place.query.prefix_digests)
+            place.chosen.set_result(endpoint)
+        for waiting in skipped:
+            self.queue.push(waiting, now_s)
+
+    def may_retry(self) -> bool:
+        """Take one retry from the budget."""
+        return self.retries.try_retry(asyncio.get_running_loop().time())
+
+    def check_crashes(self, call: CallerRequest, *, ran: bool) -> None:
+        """Stop a request whose runs crash endpoints.
+
+        Parameters
+        ----------
+        call : CallerRequest
+        ran : bool
+            Whether an attempt of this call may have run.
+
+        Raises
+        ------
+        RefusalError
+        """
+        now_s = asyncio.get_running_loop().time()
+        body_key, id_key = _crash_keys(call)
+        if self.crashes.is_stopped(body_key, id_key, now_s):
+            same_id = self.crashes.is_stopped(id_key, id_key, now_s)
+            raise RefusalError(
+                ResultCode.POISON_REQUEST,
+                'runs of this request ended with the loss of endpoints',
+                outcome=(
+                    Outcome.FAILED if ran or same_id else Outcome.NOT_RUN
+                ),
+                http_status=422,
+            )
+
+    def note_crash(self, call: CallerRequest) -> None:
+        """Count an attempt that ended with a lost connection."""
+        now_s = asyncio.get_running_loop().time()
+        self.crashes.record(*_crash_keys(call), now_s)
+
+    async def _wait(
+        self, call: CallerRequest, query: RouteQuery, now_s: float
+    ) -> str:
+        loop = asyncio.get_running_loop()
+        wait_ms = self.limits.queue_timeout_ms
+        if call.deadline_ms is not None:
+            wait_ms = min(wait_ms, call.deadline_ms)
+        place = _Place(query, loop.create_future())
+        waiting = Waiting(
+            place,
+            call.organisation.id,
+            call.organisation.priority,
+            now_s + wait_ms / 1000,
+        )
+        admission = self.queue.push(waiting, now_s)
+        if admission.evicted is not None:
+            _refuse(admission.evicted, ResultCode.QUEUE_FULL)
+        if admission.refusal is not None:
+            raise _queue_refusal(admission.refusal)
+        expiry = loop.call_at(waiting.deadline_s, self.serve_queue)
+        try:
+            return await place.chosen
+        except asyncio.CancelledError:
+            self._withdraw(waiting, loop.time())
+            raise
+        finally:
+            expiry.cancel()
+
+    def _withdraw(self, waiting: Waiting[_Place], now_s: float) -> None:
+        if self.queue.discard(waiting, now_s):
+            return
+        chosen = waiting.item.chosen
+        if (
+            chosen.done()
+            and not chosen.cancelled()
+            and (chosen.exception() is None)
+        ):
+            # The caller left between the choice and the start.
+            self.finish(Attempt(AttemptKind.CALLER_GONE, chosen.result()))
+
+
+def exclude(query: RouteQuery, endpoints: Collection[str]) -> RouteQuery:
+    """Return a query that avoids endpoints that were tried."""
+    return dataclasses.replace(query, exclude=frozenset(endpoints))
+
+
+def _crash_keys(call: CallerRequest) -> tuple[str, str]:
+    # Counted per organisation: a short prompt that many organisations send
+    # would otherwise be stopped after unrelated losses of endpoints.
+    organisation = call.organisation.id
+    return (
+        f'{organisation}/{call.body_digest}',
+        f'{organisation}/{call.request_id}',
+    )
+
+
+def _verdict(result: Attempt) -> AttemptVerdict:
+    """Return what an attempt says about its endpoint."""
+    if result.kind is AttemptKind.COMPLETE:
+        # A stream that had to be cut ignored its output limit.
+        return (
+            AttemptVerdict.INVALID if result.cut else (AttemptVerdict.COMPLETE)
+        )
+    if result.kind is AttemptKind.NOT_STARTED:
+        return (
+            AttemptVerdict.REFUSED
+            if result.http_status
+            else (AttemptVerdict.FAILED)
+        )
+    if result.kind is not AttemptKind.FAILED:
+        return AttemptVerdict.NEUTRAL
+    if result.code in (
+        ResultCode.ANSWER_INVALID,
+        ResultCode.ANSWER_TRUNCATED,
+    ):
+        return AttemptVerdict.INVALID
+    return AttemptVerdict.FAILED
+
+
+def _queue_refusal(code: ResultCode) -> RefusalError:
+    return not_run(code, 'all endpoints are busy', 503, 1)
+
+
+def _refuse(waiting: Waiting[_Place], code: ResultCode) -> None:
+    if not waiting.item.chosen.done():
+        waiting.item.chosen.set_exception(_queue_refusal(code))
--- /dev/null
+++ b/src/basilpond/tasks/_gateway.py
@@ -0,0 +1,248 @@
+"""HTTP server for callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Protocol
+import uuid
+
+from absl import logging
+from aiohttp import web
+
+from ..core import ManifestIndex
+from ..core import Organisation
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
+from ..core import key_sha256
+from ..settings import LimitsSection
+from ._caller_request import IDEMPOTENCY_HEADER
+from ._caller_request import CallerRequest
+from ._caller_request import states_first_attempt
+from ._refusals import REQUEST_ID_HEADER
+from ._refusals import not_run
+from ._refusals import refusal_response
+
+BEARER_PREFIX = 'Bearer '
+SERVICES_PREFIX = '/v1/services/'
+
+
+class CallHandler(Protocol):
+    """Handler of one kind of calls."""
+
+    async def serve(self, call: CallerRequest) -> web.StreamResponse:
+        """Serve a call.
+
+        Raises
+        ------
+        RefusalError
+        """
+        ...
+
+
+class Gateway:
+    """Authentication, bounds on input and the paths that callers use.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    index : callable
+        Returns the tables of the manifest in force, or `None`.
+    chat, services : CallHandler
+    """
+
+    def __init__(
+        self,
+        limits: LimitsSection,
+        index: Callable[[], ManifestIndex | None],
+        chat: CallHandler,
+        services: CallHandler,
+    ) -> None:
+        self.limits = limits
+        self.index = index
+        self.chat = chat
+        self.services = services
+        self.open_requests = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for callers."""
+        app = web.Application(client_max_size=self.limits.body_bytes)
+        app.router.add_route('*', '/{path:.*}', self._handle)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            # A caller that leaves ends its request at once, and the endpoint
+            # stops generating for nobody.
+            handler_cancellation=True,
+            keepalive_timeout=75,
+        )
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket; open requests go on."""
+        await self._site.stop()
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is open; tell whether that was reached."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._runner.cleanup()
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get(IDEMPOTENCY_HEADER) or str(
+            uuid.uuid4()
+        )
+        self.open_requests += 1
+        self._idle.clear()
+        try:
+            return await self._dispatch(request, request_id)
+        except RefusalError as error:
+            _log_refusal(error, request_id)
+            return refusal_response(error, _safe_header(request_id))
+        except Exception:
+            logging.exception('request %s failed', _safe_header(request_id))
+            return refusal_response(
+                RefusalError(
+                    ResultCode.INTERNAL_ERROR,
+                    'internal error',
+                    outcome=Outcome.UNKNOWN,
+                    http_status=500,
+                ),
+                _safe_header(request_id),
+            )
+        finally:
+            self.open_requests -= 1
+            if not self.open_requests:
+                self._idle.set()
+
+    async def _dispatch(
+        self, request: web.Request, request_id: str
+    ) -> web.StreamResponse:
+        index = self.index()
+        if index is None:
+            raise _unavailable(
+                request, ResultCode.NOT_READY, 'no manifest is known yet'
+            )
+        organisation = _authenticate(request, index)
+        if self.open_requests > self.limits.open_requests:
+            raise _unavailable(
+                request, ResultCode.QUEUE_FULL, 'too many open requests'
+            )
+        path = request.path
+        if path == '/v1/models' and request.method == 'GET':
+            return _models_response(index, organisation, request_id)
+        if path == '/v1/chat/completions' and request.method == 'POST':
+            handler = self.chat
+        elif path.startswith(SERVICES_PREFIX):
+            handler = self.services
+        else:
+            raise not_run(ResultCode.UNKNOWN_PATH, 'no such path', 404)
+        body = await self._read_body(request)
+        return await handler.serve(
+            CallerRequest.create(
+                request, body, organisation, index, request_id
+            )
+        )
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        try:
+            async with asyncio.timeout(self.limits.upload_timeout_ms / 1000):
+                return await request.read()
+        except TimeoutError:
+            raise not_run(
+                ResultCode.SLOW_UPLOAD, 'the upload took too long', 408
+            ) from None
+        except web.HTTPRequestEntityTooLarge:
+            raise not_run(
+                ResultCode.BODY_TOO_LARGE,
+                f'the body exceeds {self.limits.body_bytes} bytes',
+                413,
+            ) from None
+        except web.RequestPayloadError:
+            raise not_run(
+                ResultCode.MALFORMED_BODY, 'the upload was abandoned', 400
+            ) from None
+
+
+def _unavailable(
+    request: web.Request, code: ResultCode, message: str
+) -> RefusalError:
+    """Return the refusal of a call that was not looked at."""
+    error = not_run(code, message, 503, 1)
+    if (
+        request.path.startswith(SERVICES_PREFIX)
+        and IDEMPOTENCY_HEADER in request.headers
+        and not states_first_attempt(request)
+    ):
+        # An earlier call with this key may have run elsewhere.
+        error.outcome = Outcome.UNKNOWN
+    return error
+
+
+def _authenticate(request: web.Request, index: ManifestIndex) -> Organisation:
+    header = request.headers.get('Authorization', '')
+    if not header.startswith(BEARER_PREFIX):
+        raise not_run(ResultCode.MISSING_KEY, 'a bearer key is required', 401)
+    organisation = index.organisation_of_key(
+        header.removeprefix(BEARER_PREFIX).strip()
+    )
+    if organisation is None:
+        raise not_run(ResultCode.WRONG_KEY, 'the key is not known', 401)
+    return organisation
+
+
+def _models_response(
+    index: ManifestIndex, organisation: Organisation, request_id: str
+) -> web.Response:
+    models = sorted(index.reachable_models(organisation))
+    return web.json_response(
+        {
+            'object': 'list',
+            'data': [
+                {
+                    'id': model,
+                    'object': 'model',
+                    'created': 0,
+                    'owned_by': 'basilpond',
+                }
+                for model in models
+            ],
+        },
+        headers={
+            REQUEST_ID_HEADER: _safe_header(request_id),
+            'Basilpond-Outcome': Outcome.COMPLETE.value,
+        },
+    )
+
+
+def _safe_header(request_id: str) -> str:
+    """Return an id that can be echoed in a header and a log line."""
+    if request_id.isascii() and request_id.isprintable():
+        return request_id[:128]
+    return 'invalid-' + key_sha256(request_id)[:16]
+
+
+def _log_refusal(error: RefusalError, request_id: str) -> None:
+    logging.info(
+        'refused request %s: %d %s %s at %.3f',
+        _safe_header(request_id),
+        int(error.code),
+        error.code.name.lower(),
+        error.outcome.value,
+        time.time(),
+    )
--- /dev/null
+++ b/src/basilpond/tasks/_manifest_spread.py
@@ -0,0 +1,64 @@
+"""Newer manifests from other routers, for data centres cut off the log."""
+
+from __future__ import annotations
+
+import asyncio
+
+from absl import logging
+
+from .. import protocol
+from ..core import BasilpondError
+from ._budget_interfaces import Peers
+from ._config_task import ConfigTask
+from ._gossip_task import GossipTask
+
+CHECK_INTERVAL_S = 0.5
+FETCH_TIMEOUT_S = 2.0
+
+
+class ManifestSpread:
+    """Compares versions with the members and fetches a newer manifest.
+
+    Parameters
+    ----------
+    config_task : ConfigTask
+    gossip : GossipTask
+    peers : Peers
+    """
+
+    def __init__(
+        self, config_task: ConfigTask, gossip: GossipTask, peers: Peers
+    ) -> None:
+        self.config_task = config_task
+        self.gossip = gossip
+        self.peers = peers
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self._fetch_newer()
+
+    async def _fetch_newer(self) -> None:
+        version = self.config_task.version
+        newer = [
+            member
+            for member in self.gossip.live()
+            if member.manifest_version > version
+        ]
+        if not newer:
+            return
+        member = max(newer, key=lambda member: member.manifest_version)
+        request = protocol.FetchManifest(newer_than_version=version)
+        try:
+            frame = await self.peers.call(
+                member,
+                protocol.Frame(fetch_manifest=request),
+                timeout_s=FETCH_TIMEOUT_S,
+            )
+        except BasilpondError as error:
+            logging.info('no manifest from a member: %s', error)
+            return
+        reply = frame.fetch_manifest_reply
+        if reply is not None and reply.document is not None:
+            self.config_task.offer(reply.version, reply.document)
--- /dev/null
+++ b/src/basilpond/tasks/_peer_answers.py
@@ -0,0 +1,63 @@
+"""Bills of keyed requests and answers that other routers store."""
+
+from __future__ import annotations
+
+from .. import protocol
+from ..core import BasilpondError
+from ..core import Bill
+from ._budget_interfaces import Members
+from ._budget_interfaces import Peers
+from ._budget_task import BudgetTask
+from ._recorded_answers import PeerAnswer
+
+FETCH_TIMEOUT_S = 2.0
+
+
+class PeerAnswers:
+    """Implements `AnswerSource` over the other routers.
+
+    Parameters
+    ----------
+    budget : BudgetTask
+    members : Members
+    peers : Peers
+    """
+
+    def __init__(
+        self, budget: BudgetTask, members: Members, peers: Peers
+    ) -> None:
+        self.budget = budget
+        self.members = members
+        self.peers = peers
+
+    def recorded_bill(self, organisation: str, request_id: str) -> Bill | None:
+        """Return the bill of a keyed request, if the log has it."""
+        return self.budget.recorded_bill(organisation, request_id)
+
+    async def fetch_answer(self, bill: Bill) -> PeerAnswer | None:
+        """Ask the billing router for its stored answer."""
+        holder = self.budget.holder_of(bill)
+        for member in self.members.live():
+            if member.incarnation_id == holder:
+                break
+        else:
+            return None
+        request = protocol.FetchAnswer(
+            organisation=bill.organisation, request_id=bill.request_id
+        )
+        try:
+            reply = await self.peers.call(
+                member,
+                protocol.Frame(fetch_answer=request),
+                timeout_s=FETCH_TIMEOUT_S,
+            )
+        except BasilpondError:
+            return None
+        answer = reply.fetch_answer_reply
+        if (
+            answer is None
+            or not answer.status
+            or answer.body_digest != bill.body_digest
+        ):
+            return None
+        return PeerAnswer(answer.status, answer.content_type, answer.body)
--- /dev/null
+++ b/src/basilpond/tasks/_peer_requests.py
@@ -0,0 +1,87 @@
+"""Requests of other routers: journal copies, tokens, manifests, answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .. import protocol
+from ..core import BasilpondError
+from ..core import ResultCode
+from ._answers import BufferedAnswer
+from ._budget_task import BudgetTask
+from ._config_task import ConfigTask
+from ._keyed_calls import KeyedCalls
+
+# A stored answer beyond this size is not sent to a peer; frames are bounded.
+MAX_ANSWER_BYTES = 900_000
+
+
+class PeerRequests:
+    """Handler of the frames that other routers send.
+
+    Parameters
+    ----------
+    config_task : ConfigTask
+    budget : BudgetTask
+    keyed : KeyedCalls
+    """
+
+    def __init__(
+        self, config_task: ConfigTask, budget: BudgetTask, keyed: KeyedCalls
+    ) -> None:
+        self.config_task = config_task
+        self.budget = budget
+        self.keyed = keyed
+
+    async def handle(self, frame: Any) -> Any:
+        """Return the reply to a frame.
+
+        Raises
+        ------
+        BasilpondError
+            The request can't be served; its text is sent to the peer.
+        """
+        if frame.journal_append is not None:
+            return protocol.Frame(
+                journal_reply=self.budget.serve_journal_append(
+                    frame.journal_append
+                )
+            )
+        if frame.ask_allotment is not None:
+            return protocol.Frame(
+                ask_allotment_reply=await self.budget.serve_ask_allotment(
+                    frame.ask_allotment
+                )
+            )
+        if frame.fetch_manifest is not None:
+            return protocol.Frame(
+                fetch_manifest_reply=self._manifest(frame.fetch_manifest)
+            )
+        if frame.fetch_answer is not None:
+            return protocol.Frame(
+                fetch_answer_reply=self._answer(frame.fetch_answer)
+            )
+        raise BasilpondError(ResultCode.PEER_UNAVAILABLE, 'unknown request')
+
+    def _manifest(self, request: Any) -> Any:
+        version = self.config_task.version
+        newer = version > request.newer_than_version
+        return protocol.FetchManifestReply(
+            version=version,
+            document=self.config_task.document if newer else None,
+        )
+
+    def _answer(self, request: Any) -> Any:
+        answer = self.keyed.find(request.organisation, request.request_id)
+        if answer is None or answer.size_bytes > MAX_ANSWER_BYTES:
+            return protocol.FetchAnswerReply(status=0)
+        return _answer_reply(answer)
+
+
+def _answer_reply(answer: BufferedAnswer) -> Any:
+    return protocol.FetchAnswerReply(
+        status=answer.head.status,
+        content_type=answer.head.headers['Content-Type'],
+        body=answer.body(),
+        body_digest=answer.body_digest,
+    )
--- /dev/null
+++ b/src/basilpond/tasks/_recorded_answers.py
@@ -0,0 +1,122 @@
+"""Answers of requests that some router has already billed."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import Protocol
+
+from ..core import Bill
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
+from ._answers import AnswerHead
+from ._answers import AnswerSink
+from ._caller_request import CallerRequest
+from ._refusals import OUTCOME_HEADER
+from ._refusals import REQUEST_ID_HEADER
+from ._refusals import not_run
+from ._request_log import RequestLog
+
+MAX_RERUN_RECORDS = 10_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerAnswer:
+    """Stored answer of another router."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class AnswerSource(Protocol):
+    """Access to bills and to answers stored by other routers."""
+
+    def recorded_bill(self, organisation: str, request_id: str) -> Bill | None:
+        """Return the bill of a keyed request, if the log has it."""
+        ...
+
+    async def fetch_answer(self, bill: Bill) -> PeerAnswer | None:
+        """Ask the billing router for its stored answer."""
+        ...
+
+
+class RecordedAnswers:
+    """Decides what a repeated key gets when its answer is not here.
+
+    Parameters
+    ----------
+    source : AnswerSource
+    log : RequestLog
+    rerun_limit : int
+        Runs without a second charge after the stored answer is lost.
+    """
+
+    def __init__(
+        self, source: AnswerSource, log: RequestLog, rerun_limit: int
+    ) -> None:
+        self.source = source
+        self.log = log
+        self.rerun_limit = rerun_limit
+        self._reruns: collections.OrderedDict[tuple[str, str], int] = (
+            collections.OrderedDict()
+        )
+
+    async def replay(self, call: CallerRequest, sink: AnswerSink) -> bool:
+        """Write the recorded answer of a call, if there is one.
+
+        Returns
+        -------
+        bool
+            False when the request must run: it is new, or its answer is lost
+            and it may run again.
+
+        Raises
+        ------
+        RefusalError
+            The key was used with another body, or ran too often.
+        """
+        bill = self.source.recorded_bill(call.organisation.id, call.request_id)
+        if bill is None:
+            return False
+        if bill.body_digest != call.body_digest:
+            raise not_run(
+                ResultCode.KEY_REUSED_WITH_OTHER_BODY,
+                'the Idempotency-Key was used with another body',
+                422,
+            )
+        answer = await self.source.fetch_answer(bill)
+        if answer is None:
+            self._count_rerun(call)
+            self.log.note(call.request_id, 'rerun', 'stored answer is lost')
+            return False
+        self.log.note(call.request_id, 'replay', 'from the billing router')
+        await sink.start(
+            AnswerHead(
+                answer.status,
+                {
+                    'Content-Type': answer.content_type,
+                    REQUEST_ID_HEADER: call.request_id,
+                    OUTCOME_HEADER: Outcome.COMPLETE.value,
+                },
+            )
+        )
+        await sink.write(answer.body)
+        await sink.finish()
+        return True
+
+    def _count_rerun(self, call: CallerRequest) -> None:
+        key = (call.organisation.id, call.request_id)
+        count = self._reruns.pop(key, 0) + 1
+        if count > self.rerun_limit:
+            self._reruns[key] = count
+            raise RefusalError(
+                ResultCode.RERUN_LIMIT,
+                'the request was billed and its answer is no longer stored',
+                outcome=Outcome.COMPLETE,
+                http_status=409,
+            )
+        self._reruns[key] = count
+        if len(self._reruns) > MAX_RERUN_RECORDS:
+            self._reruns.popitem(last=False)
--- /dev/null
+++ b/src/basilpond/tasks/_relay.py
@@ -0,0 +1,389 @@
+"""One attempt to run a request at one endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+import aiohttp
+
+from ..core import AttemptKind
+from ..core import Attempt
+from ..core import ResultCode
+from ..core import StreamCheck
+from ..core import StreamSummary
+from ..core import WholeCheck
+from ..core import length_terminal
+from ..settings import LimitsSection
+from ._answers import AnswerSink
+
+NOT_STARTED_HEADER = 'X-Not-Started'
+ATTEMPT_ID_HEADER = 'X-Request-Id'
+HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
+HTTP_SERVER_ERROR = 500
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVICE_UNAVAILABLE = 503
+MAX_WHOLE_BYTES = 16_000_000
+MAX_ERROR_BYTES = 2_000
+# The deadline between frames is moved at most this often, because moving a
+# timer for each frame costs more than relaying it.
+DEADLINE_STEP_S = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamCall:
+    """Request as it is sent to an endpoint.
+
+    Parameters
+    ----------
+    url : str
+    method : str
+    body : bytes
+    headers : dict
+    attempt_id : str
+    echoes_request_id : bool
+        Whether the endpoint's answers carry the attempt id.
+    fresh_connection : bool
+        Non-idempotent calls never share a connection, because a failure on a
+        reused one does not tell whether the endpoint read the request.
+    """
+
+    url: str
+    method: str
+    body: bytes
+    headers: dict[str, str]
+    attempt_id: str
+    echoes_request_id: bool = True
+    fresh_connection: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChatBounds:
+    """What an answer is checked against."""
+
+    model: str
+    max_output_tokens: int
+    prompt_bound_tokens: int
+
+
+class _CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class EndpointClient:
+    """Owner of the connections to endpoints.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    """
+
+    def __init__(self, limits: LimitsSection) -> None:
+        self.limits = limits
+        self._session: aiohttp.ClientSession | None = None
+        self._fresh_session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Create the sessions; needs a running event loop."""
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self.limits.connect_timeout_ms / 1000,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            timeout=timeout,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._fresh_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=timeout,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+        await self._fresh_session.close()
+
+    async def run(
+        self,
+        endpoint: str,
+        call: UpstreamCall,
+        exchange: Exchange,
+    ) -> Attempt:
+        """Send a call and hand its response to `exchange`.
+
+        Returns
+        -------
+        Attempt
+            Never raises for a failure of the endpoint.
+        """
+        result = Attempt(AttemptKind.FAILED, endpoint)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        first_byte_s = started_s + self.limits.first_byte_timeout_ms / 1000
+        response = None
+        session = (
+            self._fresh_session if call.fresh_connection else (self._session)
+        )
+        try:
+            async with asyncio.timeout_at(first_byte_s) as deadline:
+                exchange.deadline = deadline
+                response = await session.request(
+                    call.method,
+                    call.url,
+                    data=call.body,
+                    headers=call.headers,
+                    allow_redirects=False,
+                )
+                result.answered = True
+                result.first_byte_s = loop.time() - started_s
+                result.http_status = response.status
+                await exchange.receive(response, result)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            result.kind = AttemptKind.NOT_STARTED
+            result.code = ResultCode.ENDPOINT_REFUSED
+            result.message = 'the endpoint refused the connection'
+        except TimeoutError:
+            _note_timeout(result, exchange)
+        except _CallerGoneError:
+            result.kind = AttemptKind.CALLER_GONE
+        except (aiohttp.ClientError, ConnectionError) as error:
+            result.code = ResultCode.ENDPOINT_FAILED
+            result.message = f'connection lost: {type(error).__name__}'
+        finally:
+            # Reads to the end release the connection; any other way out must
+            # close it, or late bytes would be read as the next answer.
+            if response is not None:
+                response.close()
+        return result
+
+
+def _note_timeout(result: Attempt, exchange: Exchange) -> None:
+    if exchange.writing:
+        result.kind = AttemptKind.CALLER_GONE
+        result.message = 'the caller stopped reading'
+        return
+    result.code = ResultCode.ENDPOINT_TIMEOUT
+    result.message = (
+        'no progress between frames' if result.answered else 'no first byte'
+    )
+
+
+class Exchange:
+    """Receiving side of one attempt.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    """
+
+    def __init__(self, limits: LimitsSection) -> None:
+        self.limits = limits
+        self.deadline: asyncio.Timeout | None = None
+        self.writing = False
+
+    async def receive(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        """Read a response into `result`."""
+        if response.status >= HTTP_BAD_REQUEST:
+            await self._receive_error(response, result)
+        elif response.headers.get('Content-Encoding', 'identity') != (
+            'identity'
+        ):
+            result.code = ResultCode.ANSWER_INVALID
+            result.message = 'the answer is compressed'
+        else:
+            await self._receive_answer(response, result)
+
+    async def _receive_answer(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        raise NotImplementedError
+
+    async def _receive_error(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        status = response.status
+        self._extend(self.limits.frame_timeout_ms)
+        body = await response.content.read(MAX_ERROR_BYTES)
+        result.message = f'the endpoint answered {status}'
+        if status in (HTTP_TOO_MANY_REQUESTS, HTTP_SERVICE_UNAVAILABLE) and (
+            response.headers.get(NOT_STARTED_HEADER) == '1'
+        ):
+            result.kind = AttemptKind.NOT_STARTED
+            result.code = ResultCode.ENDPOINT_REFUSED
+        elif status < HTTP_SERVER_ERROR and status != HTTP_TOO_MANY_REQUESTS:
+            result.kind = AttemptKind.REJECTED
+            result.code = ResultCode.ENDPOINT_REJECTED_REQUEST
+            result.terminal = body
+            result.content_type = response.content_type
+        else:
+            result.code = ResultCode.ENDPOINT_FAILED
+
+    def _extend(self, timeout_ms: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.deadline.reschedule(loop.time() + timeout_ms / 1000)
+
+    async def _read_whole(self, response: aiohttp.ClientResponse) -> bytes:
+        parts = []
+        size = 0
+        while part := await response.content.readany():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_WHOLE_BYTES:
+                raise aiohttp.ClientPayloadError('the answer is too large')
+        return b''.join(parts)
+
+
+class WholeExchange(Exchange):
+    """Answer in one JSON document, checked before any of it is released."""
+
+    def __init__(self, limits: LimitsSection, check: WholeCheck) -> None:
+        super().__init__(limits)
+        self._check = check
+
+    async def _receive_answer(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        self._extend(self.limits.total_timeout_ms)
+        body = await self._read_whole(response)
+        summary = self._check.check(body)
+        if not summary.complete:
+            result.code = summary.problem
+            result.message = 'the answer failed its checks'
+            return
+        result.kind = AttemptKind.COMPLETE
+        result.terminal = body
+        result.content_type = 'application/json'
+        result.content_bytes = summary.content_bytes
+        if summary.usage is not None:
+            result.prompt_tokens = summary.usage.prompt_tokens
+            result.completion_tokens = summary.usage.completion_tokens
+
+
+class ServiceExchange(Exchange):
+    """Answer of an application service; any status is an answer."""
+
+    async def receive(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        """Read a response into `result`."""
+        if response.headers.get(NOT_STARTED_HEADER) == '1':
+            await self._receive_error(response, result)
+            return
+        self._extend(self.limits.total_timeout_ms)
+        result.terminal = await self._read_whole(response)
+        result.content_type = response.headers.get(
+            'Content-Type', 'application/octet-stream'
+        )
+        if response.status >= HTTP_SERVER_ERROR:
+            result.code = ResultCode.ENDPOINT_FAILED
+            result.message = f'the service answered {response.status}'
+        else:
+            result.kind = AttemptKind.COMPLETE
+
+
+class StreamExchange(Exchange):
+    """Server-sent events, relayed as they arrive up to the terminal events.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    check : StreamCheck
+    sink : AnswerSink
+    start : callable
+        Sends status and headers to the caller; called before the first byte.
+    model : str
+    now_s : callable
+        Wall-clock time for the frame that ends a cut stream.
+    """
+
+    def __init__(
+        self,
+        limits: LimitsSection,
+        check: StreamCheck,
+        sink: AnswerSink,
+        start: Callable[[], Awaitable[None]],
+        model: str,
+        now_s: Callable[[], float],
+    ) -> None:
+        super().__init__(limits)
+        self._check = check
+        self._sink = sink
+        self._start = start
+        self._model = model
+        self._now_s = now_s
+
+    async def _receive_answer(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        if response.content_type != 'text/event-stream':
+            result.code = ResultCode.ANSWER_INVALID
+            result.message = f'content type {response.content_type!r}'
+            return
+        # A silent stream has sent its headers, so the first frame still
+        # counts as the first byte.
+        try:
+            await self._relay_frames(response, result)
+        finally:
+            self._note_summary(self._check.finish(), result)
+
+    async def _relay_frames(
+        self, response: aiohttp.ClientResponse, result: Attempt
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        read = response.content.readany
+        feed = self._check.feed
+        frame_timeout_s = self.limits.frame_timeout_ms / 1000
+        total_s = loop.time() + self.limits.total_timeout_ms / 1000
+        next_extension_s = 0.0
+        while chunk := await read():
+            now_s = loop.time()
+            if now_s >= next_extension_s:
+                next_extension_s = now_s + DEADLINE_STEP_S
+                self.deadline.reschedule(
+                    min(next_extension_s + frame_timeout_s, total_s)
+                )
+            step = feed(chunk)
+            if step.relay:
+                await self._send(step.relay, result)
+            if step.problem is not None or step.cut:
+                return
+
+    async def _send(self, data: bytes, result: Attempt) -> None:
+        self.writing = True
+        try:
+            if not result.relayed:
+                result.relayed = True
+                await self._start()
+            await self._sink.write(data)
+        except ConnectionError as error:
+            raise _CallerGoneError from error
+        self.writing = False
+
+    def _note_summary(self, summary: StreamSummary, result: Attempt) -> None:
+        result.content_frames = summary.frames
+        result.content_bytes = summary.content_bytes
+        result.cut = summary.cut
+        if summary.usage is not None:
+            result.prompt_tokens = summary.usage.prompt_tokens
+            result.completion_tokens = summary.usage.completion_tokens
+        if summary.cut:
+            result.kind = AttemptKind.COMPLETE
+            result.code = ResultCode.ANSWER_INVALID
+            result.terminal = length_terminal(
+                self._check.stream_id, self._model, int(self._now_s())
+            )
+        elif summary.complete:
+            result.kind = AttemptKind.COMPLETE
+            result.terminal = summary.terminal_bytes
+        elif summary.problem is not None:
+            result.code = summary.problem
+            result.message = 'the stream failed its checks'
--- /dev/null
+++ b/src/basilpond/tasks/_router.py
@@ -0,0 +1,273 @@
+"""Router: all tasks of one process, wired together."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import random
+import time
+
+from absl import logging
+
+from ..core import CrashCounter
+from ..core import DecisionTrail
+from ..core import EndpointTable
+from ..core import ManifestIndex
+from ..settings import RouterSettings
+from ._answers import AnswerStore
+from ._budget_interfaces import BudgetSettings
+from ._budget_task import BudgetTask
+from ._chat_run import ChatRunner
+from ._chat_service import ChatService
+from ._config_task import ConfigTask
+from ._dispatcher import Dispatcher
+from ._endpoint_task import EndpointTask
+from ._gateway import Gateway
+from ._gossip_task import GossipTask
+from ._keyed_calls import KeyedCalls
+from ._ledger_task import LedgerTask
+from ._log_client import LogClient
+from ._manifest_spread import ManifestSpread
+from ._operator_api import OperatorApi
+from ._peer_answers import PeerAnswers
+from ._peer_client import PeerClient
+from ._peer_requests import PeerRequests
+from ._peer_server import PeerServer
+from ._recorded_answers import RecordedAnswers
+from ._relay import EndpointClient
+from ._request_log import RequestLog
+from ._router_state import RouterState
+from ._service_calls import ServiceCalls
+
+# Time for the last bills, returns and closes to reach the log.
+DRAIN_BUDGET_S = 20.0
+
+
+def uptime_s() -> float:
+    """Return a clock that goes on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Router:
+    """All tasks of a router process.
+
+    Parameters
+    ----------
+    settings : RouterSettings
+    """
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self.settings = settings
+        section = settings.router
+        limits = settings.limits
+        self.incarnation = f'{section.id}~{int(time.time() * 1000)}'
+        self.ready = False
+        self._index: ManifestIndex | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._failed = asyncio.Event()
+
+        rng = random.Random()
+        self.log = LogClient(
+            settings.log.url,
+            timeout_s=settings.log.append_timeout_ms / 1000,
+            client=section.id,
+        )
+        self.gossip = GossipTask(
+            router_id=section.id,
+            incarnation_id=self.incarnation,
+            data_centre=section.data_centre,
+            host=section.host,
+            port=section.peer_port,
+            operator_port=section.operator_port,
+            seeds=section.seeds,
+            rng=rng,
+        )
+        self.ledger_task = LedgerTask(
+            self.log,
+            self.incarnation,
+            live_routers=self._live_incarnations,
+            append_budget_per_s=settings.log.append_budget_per_s,
+            snapshot_every_records=settings.log.snapshot_every_records,
+        )
+        self.config_task = ConfigTask(
+            self.log, self.incarnation, live_routers=self._live_incarnations
+        )
+        self.peers = PeerClient()
+        self.budget = BudgetTask(
+            self.ledger_task,
+            self.gossip,
+            self.peers,
+            incarnation=self.incarnation,
+            settings=BudgetSettings(
+                data_centre=section.data_centre,
+                log_patience_ms=settings.log.patience_ms,
+            ),
+        )
+        self.table = EndpointTable(section.data_centre, rng)
+        self.endpoints = EndpointTask(
+            self.table,
+            rng=rng,
+            live_routers=lambda: len(self.gossip.live()) + 1,
+            vms_url=settings.vms.url,
+        )
+        self.crashes = CrashCounter()
+        self.dispatcher = Dispatcher(limits, self.table, self.crashes)
+        self.client = EndpointClient(limits)
+        self.request_log = RequestLog(DecisionTrail(), time.time)
+        self.answers = AnswerStore(
+            limits.stored_answers_bytes, limits.stored_answer_s
+        )
+        self.keyed = KeyedCalls(self.answers, self.request_log)
+        self.runner = ChatRunner(
+            limits,
+            self.budget,
+            self.dispatcher,
+            self.client,
+            self.request_log,
+            time.time,
+        )
+        recorded = RecordedAnswers(
+            PeerAnswers(self.budget, self.gossip, self.peers),
+            self.request_log,
+            limits.rerun_limit,
+        )
+        self.gateway = Gateway(
+            limits,
+            lambda: self._index,
+            ChatService(limits, self.runner, self.keyed, recorded),
+            ServiceCalls(
+                limits,
+                self.budget,
+                self.dispatcher,
+                self.client,
+                self.keyed,
+                recorded,
+                self.request_log,
+                time.time,
+                uptime_s,
+            ),
+        )
+        self.peer_server = PeerServer(
+            section.host,
+            section.peer_port,
+            PeerRequests(self.config_task, self.budget, self.keyed).handle,
+        )
+        self.operator_api = OperatorApi(
+            section.host,
+            section.operator_port,
+            source=RouterState(self),
+            operator_key_sha256=section.operator_key_sha256,
+        )
+
+    async def start(self) -> None:
+        """Open all sockets and start all tasks."""
+        section = self.settings.router
+        await self.client.open()
+        await self.operator_api.start()
+        await self.peer_server.start()
+        self.config_task.versions.subscribe(self._take_version)
+        self.endpoints.leaving.subscribe(
+            lambda endpoint: self.gossip.notice_endpoint(endpoint, 0)
+        )
+        self.endpoints.quarantined.subscribe(
+            lambda endpoint: self.gossip.notice_endpoint(endpoint, 1)
+        )
+        self.gossip.endpoint_notices.subscribe(
+            lambda notice: self.endpoints.take_notice(
+                notice.endpoint, notice.kind
+            )
+        )
+        self.gossip.crash_notices.subscribe(self._take_crash_notice)
+        for run in (
+            self.gossip.run(),
+            self.config_task.run(),
+            self.ledger_task.run(),
+            self.budget.run(),
+            self.endpoints.run(),
+            ManifestSpread(self.config_task, self.gossip, self.peers).run(),
+        ):
+            self._spawn(run)
+        await self.gateway.start(section.host, section.caller_port)
+
+    async def run_until(self, stop: asyncio.Event) -> None:
+        """Run until `stop` is set or a task fails, then stop gracefully.
+
+        Raises
+        ------
+        RuntimeError
+            A task ended with an error.
+        """
+        waits = [
+            asyncio.ensure_future(stop.wait()),
+            asyncio.ensure_future(self._failed.wait()),
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        if self._failed.is_set():
+            raise RuntimeError('a task of the router ended with an error')
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop without cutting a request in progress."""
+        section = self.settings.router
+        logging.info('stopping: not ready, waiting for the load balancer')
+        self.ready = False
+        self.draining = True
+        self.gossip.announce(ready=False)
+        await asyncio.sleep(section.drain_notice_ms / 1000)
+        await self.gateway.stop_accepting()
+        if not await self.gateway.wait_idle(section.drain_timeout_ms / 1000):
+            logging.warning('requests were still open at the drain timeout')
+        await self.keyed.wait_runs()
+        await self.runner.wait_bills()
+        if not await self.budget.drain(DRAIN_BUDGET_S):
+            logging.warning('bills or allotments could not be closed in time')
+        await self.gossip.leave()
+        await self._close()
+        logging.info('stopped')
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.remove_done_callback(self._note_end)
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.gateway.close()
+        await self.operator_api.close()
+        await self.peer_server.close()
+        await self.peers.close()
+        await self.client.close()
+        await self.log.close()
+
+    def _spawn(self, coroutine: Coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            logging.error('task failed', exc_info=task.exception())
+        self._failed.set()
+
+    def _live_incarnations(self) -> list[str]:
+        return [member.incarnation_id for member in self.gossip.live()]
+
+    def _take_version(self, version: int) -> None:
+        manifest = self.config_task.manifest
+        if manifest is None:
+            return
+        self._index = ManifestIndex(manifest, version)
+        self.endpoints.set_manifest(manifest)
+        self.budget.set_budgets(manifest, version)
+        self.ready = True
+        self.gossip.announce(manifest_version=version, ready=True)
+        logging.info('manifest version %d is in force', version)
+
+    def _take_crash_notice(self, notice: CrashNotice) -> None:
+        self.crashes.merge(
+            notice.peer,
+            notice.body_digest,
+            notice.crashes,
+            age_s=notice.age_ms / 1000,
+            now_s=asyncio.get_running_loop().time(),
+        )
--- /dev/null
+++ b/src/basilpond/tasks/_service_calls.py
@@ -0,0 +1,404 @@
+"""Calls of application services, some of which may run at most once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from aiohttp import web
+import msgspec
+
+from ..core import AttemptKind
+from ..core import DEDUPLICATION_WINDOW_S
+from ..core import Attempt
+from ..core import Bill
+from ..core import Endpoint
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
+from ..core import Route
+from ..core import RouteQuery
+from ..core import parse_issued_key
+from ..settings import LimitsSection
+from ._answers import AnswerHead
+from ._answers import AnswerSink
+from ._answers import DirectAnswer
+from ._attempts import RequestAttempts
+from ._budget_interfaces import BillDraft
+from ._budget_task import BudgetTask
+from ._budget_interfaces import ClaimState
+from ._budget_interfaces import ClaimVerdict
+from ._budget_interfaces import Hold
+from ._budget_interfaces import Settlement
+from ._caller_request import IDEMPOTENCY_HEADER
+from ._caller_request import CallerRequest
+from ._dispatcher import Dispatcher
+from ._gateway import SERVICES_PREFIX
+from ._keyed_calls import KeyedCalls
+from ._recorded_answers import RecordedAnswers
+from ._refusals import OUTCOME_HEADER
+from ._refusals import REQUEST_ID_HEADER
+from ._refusals import not_run
+from ._relay import ATTEMPT_ID_HEADER
+from ._relay import EndpointClient
+from ._relay import ServiceExchange
+from ._relay import UpstreamCall
+from ._request_log import RequestLog
+
+MAX_INLINE_ANSWER_BYTES = 2_048
+
+
+@dataclasses.dataclass(slots=True)
+class _ServiceRun:
+    """State of one run; `hold` is `None` once its amount is settled."""
+
+    call: CallerRequest
+    service: str
+    path: str
+    route: Route
+    sink: AnswerSink
+    hold: Hold | None = None
+    sent: bool = False
+
+
+class ServiceCalls:
+    """Handler of calls under ``/v1/services/{service}/``.
+
+    Parameters
+    ----------
+    limits : LimitsSection
+    budget : BudgetTask
+    dispatcher : Dispatcher
+    client : EndpointClient
+    keyed : KeyedCalls
+    recorded : RecordedAnswers
+    log : RequestLog
+    wall_s, uptime_s : callable
+        Wall-clock time, and a clock that counts suspended time.
+    """
+
+    def __init__(
+        self,
+        limits: LimitsSection,
+        budget: BudgetTask,
+        dispatcher: Dispatcher,
+        client: EndpointClient,
+        keyed: KeyedCalls,
+        recorded: RecordedAnswers,
+        log: RequestLog,
+        wall_s: Callable[[], float],
+        uptime_s: Callable[[], float],
+    ) -> None:
+        self.limits = limits
+        self.budget = budget
+        self.dispatcher = dispatcher
+        self.client = client
+        self.keyed = keyed
+        self.recorded = recorded
+        self.log = log
+        self.wall_s = wall_s
+        self.uptime_s = uptime_s
+
+    async def serve(self, call: CallerRequest) -> web.StreamResponse:
+        """Serve a call.
+
+        Raises
+        ------
+        RefusalError
+        """
+        service, path, route = _route(call)
+        if not route.idempotent:
+            self._check_key(call)
+
+        async def run(sink: AnswerSink) -> bool:
+            state = _ServiceRun(call, service, path, route, sink)
+            if not route.idempotent:
+                return await self._run_once(state)
+            if call.keyed and await self.recorded.replay(call, sink):
+                return True
+            return await self._run_idempotent(state)
+
+        if call.keyed:
+            return await self.keyed.serve(call, run)
+        sink = DirectAnswer(call.request)
+        await run(sink)
+        return sink.response
+
+    def _check_key(self, call: CallerRequest) -> None:
+        key = parse_issued_key(
+            call.request.headers.get(IDEMPOTENCY_HEADER),
+            wall_time_ms=int(self.wall_s() * 1000),
+            deduplication_window_s=DEDUPLICATION_WINDOW_S,
+        )
+        call.request_id = key.value
+
+    async def _hold(self, run: _ServiceRun) -> None:
+        run.hold = await self.budget.hold(
+            run.call.organisation.id,
+            run.route.call_price_tokens,
+            timeout_s=self.limits.hold_timeout_ms / 1000,
+        )
+
+    async def _run_idempotent(self, run: _ServiceRun) -> bool:
+        await self._hold(run)
+        try:
+            result = await self._attempts(run)
+            if result.kind is AttemptKind.CALLER_GONE:
+                return False
+            await self._bill_and_release(run, result)
+            return True
+        finally:
+            if run.hold is not None:
+                self.budget.release(run.hold)
+
+    async def _run_once(self, run: _ServiceRun) -> bool:
+        call = run.call
+        started_s = self.uptime_s()
+        # The claim comes before the hold: once it is won, no other run of
+        # this key exists, and a refusal may truthfully say "not run".
+        verdict = await self._claim(call)
+        if verdict.state is not ClaimState.WON:
+            return await _give_recorded(run, verdict.state, verdict.bill)
+        try:
+            await self._hold(run)
+            self._check_not_late(started_s)
+            result = await self._attempts(run)
+            return await self._end_once(run, result)
+        except RefusalError as error:
+            if run.sent:
+                await self._record_failure(run, error)
+            raise
+        finally:
+            if not run.sent:
+                await self.budget.abandon_claim(
+                    call.organisation.id, call.request_id
+                )
+            if run.hold is not None:
+                self.budget.release(run.hold)
+
+    async def _claim(self, call: CallerRequest) -> ClaimVerdict:
+        try:
+            verdict = await self.budget.claim(
+                call.organisation.id,
+                call.request_id,
+                call.body_digest,
+                timeout_s=self.limits.claim_timeout_ms / 1000,
+            )
+        except RefusalError as error:
+            if not call.first_attempt:
+                # An earlier call with this key may have run elsewhere.
+                error.outcome = Outcome.UNKNOWN
+            raise
+        self.log.note(call.request_id, 'claim', verdict.state.value)
+        return verdict
+
+    def _check_not_late(self, started_s: float) -> None:
+        # A router that was paused after its claim must not start the call
+        # long after its caller has given up.
+        allowed_ms = self.limits.claim_timeout_ms + self.limits.hold_timeout_ms
+        if (self.uptime_s() - started_s) * 1000 > allowed_ms:
+            raise not_run(
+                ResultCode.DEADLINE_UNREACHABLE,
+                'the claim came too late to start the call',
+                503,
+                1,
+            )
+
+    async def _attempts(self, run: _ServiceRun) -> Attempt:
+        call = run.call
+        attempts = RequestAttempts(
+            self.dispatcher,
+            self.log,
+            call,
+            idempotent=run.route.idempotent,
+            max_attempts=self.limits.attempts,
+        )
+        query = RouteQuery(
+            organisation=call.organisation.id,
+            model=None,
+            service=run.service,
+            prefix_digests=(),
+        )
+        return await attempts.run(
+            query,
+            lambda endpoint, result: self._attempt(run, endpoint, result),
+        )
+
+    async def _attempt(
+        self, run: _ServiceRun, endpoint: Endpoint, result: Attempt
+    ) -> None:
+        call = run.call
+        query = call.request.rel_url.raw_query_string
+        headers = {
+            'Accept-Encoding': 'identity',
+            'Content-Type': call.request.headers.get(
+                'Content-Type', 'application/octet-stream'
+            ),
+            ATTEMPT_ID_HEADER: call.attempt_id(),
+            'X-Priority': str(call.organisation.priority),
+            **call.trace_headers(),
+        }
+        if call.keyed:
+            headers[IDEMPOTENCY_HEADER] = call.request_id
+        upstream = UpstreamCall(
+            url=endpoint.url + run.path + (f'?{query}' if query else ''),
+            method=run.route.method,
+            body=call.body,
+            headers=headers,
+            fresh_connection=not run.route.idempotent,
+        )
+        run.sent = True
+        await self.client.run(upstream, ServiceExchange(self.limits), result)
+        run.sent = result.kind is not AttemptKind.NOT_STARTED
+
+    async def _end_once(self, run: _ServiceRun, result: Attempt) -> bool:
+        answer = None
+        if len(result.terminal) <= MAX_INLINE_ANSWER_BYTES:
+            answer = _text_or_none(result.terminal)
+        await self._bill_and_release(run, result, answer)
+        return True
+
+    async def _record_failure(
+        self, run: _ServiceRun, error: RefusalError
+    ) -> None:
+        """Record that a claimed call ran, or may have run, without answer."""
+        if run.hold is None:
+            return
+        await self._settle(run, '', 0, error.outcome.value, 0, None)
+
+    async def _bill_and_release(
+        self,
+        run: _ServiceRun,
+        result: Attempt,
+        answer: str | None = None,
+    ) -> None:
+        settlement = await self._settle(
+            run,
+            result.endpoint,
+            run.route.call_price_tokens,
+            Outcome.COMPLETE.value,
+            result.http_status,
+            answer,
+        )
+        if not settlement.committed:
+            raise RefusalError(
+                ResultCode.BILL_NOT_COMMITTED,
+                'the bill could not be committed, so the answer is withheld',
+                outcome=Outcome.UNKNOWN,
+                http_status=503,
+                retry_after_s=2,
+            )
+        self.log.note(run.call.request_id, 'bill', f'via {settlement.via}')
+        await _release(
+            run, result.http_status, result.content_type, result.terminal
+        )
+
+    async def _settle(
+        self,
+        run: _ServiceRun,
+        endpoint: str,
+        tokens: int,
+        outcome: str,
+        status: int,
+        answer: str | None,
+    ) -> Settlement:
+        draft = BillDraft(
+            request_id=run.call.request_id,
+            tokens=tokens,
+            outcome=outcome,
+            body_digest=run.call.body_digest,
+            endpoint=endpoint,
+            keyed=run.call.keyed,
+            answer_status=status,
+            answer=answer,
+        )
+        hold, run.hold = run.hold, None
+        return await asyncio.shield(
+            asyncio.ensure_future(
+                self.budget.settle(
+                    hold,
+                    draft,
+                    timeout_s=self.limits.settle_timeout_ms / 1000,
+                )
+            )
+        )
+
+
+def _route(call: CallerRequest) -> tuple[str, str, Route]:
+    rest = call.request.rel_url.raw_path.removeprefix(SERVICES_PREFIX)
+    name, _, path = rest.partition('/')
+    service = call.index.service(name)
+    if service is None:
+        raise not_run(
+            ResultCode.UNKNOWN_SERVICE, f'no service {name[:64]!r}', 404
+        )
+    if not call.index.reaches_service(call.organisation, name):
+        raise not_run(
+            ResultCode.MODEL_NOT_REACHABLE,
+            f'the organisation may not use service {name!r}',
+            403,
+        )
+    route = call.index.route(service, call.request.method, '/' + path)
+    if route is None:
+        raise not_run(ResultCode.UNKNOWN_PATH, 'no such call', 404)
+    return name, '/' + path, route
+
+
+def _text_or_none(body: bytes) -> str | None:
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        return None
+
+
+async def _release(
+    run: _ServiceRun, status: int, content_type: str, body: bytes
+) -> None:
+    await run.sink.start(
+        AnswerHead(
+            status,
+            {
+                'Content-Type': content_type,
+                REQUEST_ID_HEADER: run.call.request_id,
+                OUTCOME_HEADER: Outcome.COMPLETE.value,
+            },
+        )
+    )
+    await run.sink.write(body)
+    await run.sink.finish()
+
+
+async def _give_recorded(
+    run: _ServiceRun, state: ClaimState, bill: Bill | None
+) -> bool:
+    """Answer a call whose key was claimed before."""
+    if state is ClaimState.OTHER_BODY:
+        raise not_run(
+            ResultCode.KEY_REUSED_WITH_OTHER_BODY,
+            'the Idempotency-Key was used with another body',
+            422,
+        )
+    if state is ClaimState.IN_PROGRESS:
+        raise RefusalError(
+            ResultCode.CLAIM_IN_PROGRESS,
+            'another router runs this request',
+            outcome=Outcome.UNKNOWN,
+            http_status=409,
+            retry_after_s=1,
+        )
+    if bill is None or bill.outcome != Outcome.COMPLETE.value:
+        failed = bill is not None and bill.outcome == Outcome.FAILED.value
+        raise RefusalError(
+            ResultCode.CLAIM_OUTCOME_UNKNOWN,
+            'the request ran and failed'
+            if failed
+            else 'the request may have run; its outcome is not known',
+            outcome=Outcome.FAILED if failed else Outcome.UNKNOWN,
+            http_status=409,
+        )
+    body = bill.answer
+    if body is None:
+        body = msgspec.json.encode({'answer_kept': False}).decode()
+    await _release(run, bill.answer_status, 'application/json', body.encode())
+    return True
