Pay off retries from before an outage was noticed

Cause: the measured amplification in an outage of 40 s was 1.26, over the 1.2 of the design: retries made before the outage was noticed were free. Change: the outage bucket may go below zero by the burst.

--- a/src/basilpond/core/_retry_budget.py
+++ b/src/basilpond/core/_retry_budget.py
@@ -79,5 +79,6 @@
         if self._tokens < 1 or (self.in_outage and self._outage_tokens < 1):
             return False
         self._tokens -= 1
-        self._outage_tokens = max(0.0, self._outage_tokens - 1)
+        # Retries before the outage was noticed are paid off during it.
+        self._outage_tokens = max(-self._burst, self._outage_tokens - 1)
         return True
