--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -1,15 +1,33 @@
 """Decisions of the router, without I/O, sockets, files, timers or clocks."""
 
+from ._attempt import Attempt
+from ._attempt import AttemptKind
+from ._chat_request import ChatRequest
+from ._chat_request import parse_chat_request
 from ._codes import BasilpondError
 from ._codes import LogRateLimitedError
 from ._codes import LogUnavailableError
 from ._codes import Outcome
 from ._codes import RefusalError
 from ._codes import ResultCode
+from ._config_fold import ConfigFold
+from ._config_fold import PublishDecided
+from ._crash_counter import CrashCounter
+from ._decision_trail import Decision
+from ._decision_trail import DecisionTrail
+from ._frames import StreamCheck
+from ._frames import StreamSummary
+from ._frames import WholeCheck
 from ._interfaces import Log
 from ._interfaces import LogEntry
 from ._interfaces import LogPage
+from ._ledger import Ledger
+from ._manifest import Endpoint
 from ._manifest import Manifest
+from ._manifest import Model
+from ._manifest import Organisation
+from ._manifest import Route
+from ._manifest import Service
 from ._manifest import budget_tokens
 from ._manifest import check_manifest
 from ._manifest import decode_manifest
@@ -17,12 +35,40 @@
 from ._manifest import manifest_schema
 from ._manifest_index import ManifestIndex
 from ._manifest_index import key_sha256
+from ._prefix_affinity import prefix_digests
+from ._records import Batch
+from ._records import Bill
+from ._records import ManifestPublish
+from ._records import decode_batch
+from ._records import encode
+from ._request_queue import RequestQueue
+from ._request_queue import Waiting
+from ._retry_budget import RetryBudget
+from ._routing import AttemptVerdict
+from ._routing import EndpointTable
+from ._routing import RouteQuery
+from ._terminal import build_terminal
+from ._terminal import failure_terminal
+from ._terminal import length_terminal
 from ._validation import InvalidFieldError
 from ._validation import convert_fields
 
 __all__ = [
+    'Attempt',
+    'AttemptKind',
+    'AttemptVerdict',
     'BasilpondError',
+    'Batch',
+    'Bill',
+    'ChatRequest',
+    'ConfigFold',
+    'CrashCounter',
+    'Decision',
+    'DecisionTrail',
+    'Endpoint',
+    'EndpointTable',
     'InvalidFieldError',
+    'Ledger',
     'Log',
     'LogEntry',
     'LogPage',
@@ -30,14 +76,34 @@
     'LogUnavailableError',
     'Manifest',
     'ManifestIndex',
+    'ManifestPublish',
+    'Model',
+    'Organisation',
     'Outcome',
+    'PublishDecided',
     'RefusalError',
+    'RequestQueue',
     'ResultCode',
+    'RetryBudget',
+    'Route',
+    'RouteQuery',
+    'Service',
+    'StreamCheck',
+    'StreamSummary',
+    'Waiting',
+    'WholeCheck',
     'budget_tokens',
+    'build_terminal',
     'check_manifest',
     'convert_fields',
+    'decode_batch',
     'decode_manifest',
     'diff_manifests',
+    'encode',
+    'failure_terminal',
     'key_sha256',
+    'length_terminal',
     'manifest_schema',
+    'parse_chat_request',
+    'prefix_digests',
 ]
--- a/src/basilpond/tasks/_attempts.py
+++ b/src/basilpond/tasks/_attempts.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from ..core import AttemptKind
 from ..core import Attempt
+from ..core import AttemptKind
 from ..core import Endpoint
 from ..core import Outcome
 from ..core import RefusalError
--- a/src/basilpond/tasks/_chat_run.py
+++ b/src/basilpond/tasks/_chat_run.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from ..core import AttemptKind
 from ..core import Attempt
+from ..core import AttemptKind
 from ..core import ChatBound
 from ..core import ChatRequest
 from ..core import Endpoint
@@ -31,9 +31,9 @@
 from ._answers import AnswerSink
 from ._attempts import RequestAttempts
 from ._budget_interfaces import BillDraft
-from ._budget_task import BudgetTask
 from ._budget_interfaces import Hold
 from ._budget_interfaces import Settlement
+from ._budget_task import BudgetTask
 from ._caller_request import CallerRequest
 from ._dispatcher import Dispatcher
 from ._refusals import OUTCOME_HEADER
--- a/src/basilpond/tasks/_relay.py
+++ b/src/basilpond/tasks/_relay.py
@@ -9,8 +9,8 @@
 
 import aiohttp
 
-from ..core import AttemptKind
 from ..core import Attempt
+from ..core import AttemptKind
 from ..core import ResultCode
 from ..core import StreamCheck
 from ..core import StreamSummary
--- a/src/basilpond/tasks/_service_calls.py
+++ b/src/basilpond/tasks/_service_calls.py
@@ -9,9 +9,9 @@
 from aiohttp import web
 import msgspec
 
-from ..core import AttemptKind
 from ..core import DEDUPLICATION_WINDOW_S
 from ..core import Attempt
+from ..core import AttemptKind
 from ..core import Bill
 from ..core import Endpoint
 from ..core import Outcome
@@ -26,11 +26,11 @@
 from ._answers import DirectAnswer
 from ._attempts import RequestAttempts
 from ._budget_interfaces import BillDraft
-from ._budget_task import BudgetTask
 from ._budget_interfaces import ClaimState
 from ._budget_interfaces import ClaimVerdict
 from ._budget_interfaces import Hold
 from ._budget_interfaces import Settlement
+from ._budget_task import BudgetTask
 from ._caller_request import IDEMPOTENCY_HEADER
 from ._caller_request import CallerRequest
 from ._dispatcher import Dispatcher
