--- /dev/null
+++ b/src/basilpond/programs/fleet.py
@@ -0,0 +1,304 @@
+"""``basilpond-fleet``: observe and operate a running fleet.
+
+The operator key is read from BASILPOND_OPERATOR_KEY. Exit codes: 0 done, 1
+not found or refused, 2 wrong use, 3 log or routers unreachable.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+import uuid
+
+import defopt
+
+from ..core import Batch
+from ..core import Close
+from ..core import LogUnavailableError
+from ..core import encode
+from ..tasks import LogClient
+from ..tasks import read_ledger
+from ._operator_client import OperatorClient
+from ._operator_client import RouterReply
+from ._operator_client import operator_key
+from ._output import EXIT_OK
+from ._output import EXIT_REJECTED
+from ._output import EXIT_UNAVAILABLE
+from ._output import run_command
+from ._output import write_json
+from ._output import write_line
+from ._output import write_table
+
+RELEASE_RISK = (
+    'Bills that were committed only on journals of lost routers are lost: '
+    'their requests stay unbilled. Release only when the VMs of {holder} and '
+    'of its journal peers are gone for good.'
+)
+
+
+def status(*routers: str, json: bool = False) -> None:
+    """Print members, readiness, version, load and allotments.
+
+    Parameters
+    ----------
+    routers : str
+        Operator addresses, ip:port; other members are asked through them.
+    json : bool
+        One JSON line for each router instead of tables.
+    """
+    run_command(_status(routers, json))
+
+
+def budget(*, log_url: str, json: bool = False) -> None:
+    """Print granted, spent and free tokens per organisation from the log.
+
+    Parameters
+    ----------
+    log_url : str
+        Base address of the platform's log.
+    json : bool
+        One JSON line for each organisation instead of a table.
+    """
+    run_command(_budget(log_url, json))
+
+
+def explain(request_id: str, *routers: str) -> None:
+    """Print each decision on a request, with its time.
+
+    Parameters
+    ----------
+    request_id : str
+    routers : str
+        Operator addresses, ip:port.
+    """
+    run_command(_explain(request_id, routers))
+
+
+def drain(endpoint: str, *routers: str) -> None:
+    """Stop new work for an endpoint until it is undrained.
+
+    Parameters
+    ----------
+    endpoint : str
+    routers : str
+        Operator addresses, ip:port; peers are told by gossip.
+    """
+    run_command(_endpoint(endpoint, routers, 'drain'))
+
+
+def undrain(endpoint: str, *routers: str) -> None:
+    """Allow new work for an endpoint again.
+
+    Parameters
+    ----------
+    endpoint : str
+    routers : str
+        Operator addresses, ip:port.
+    """
+    run_command(_endpoint(endpoint, routers, 'undrain'))
+
+
+def release(holder: str, *, log_url: str, confirm: str = '') -> None:
+    """Return what a lost router held to the budgets.
+
+    Parameters
+    ----------
+    holder : str
+        Incarnation id of the lost router, as `status` prints it.
+    log_url : str
+        Base address of the platform's log.
+    confirm : str
+        The incarnation id again, once the printed risk is accepted.
+    """
+    run_command(_release(holder, log_url, confirm))
+
+
+async def _ask(
+    routers: tuple[str, ...], method: str, path: str
+) -> list[RouterReply]:
+    if not routers:
+        sys.stderr.write('name at least one operator address, ip:port\n')
+        raise SystemExit(2)
+    return await OperatorClient(operator_key()).request_all(
+        routers, method, path
+    )
+
+
+def _worst(replies: list[RouterReply]) -> int:
+    if all(reply.status == 200 for reply in replies):
+        return EXIT_OK
+    return EXIT_UNAVAILABLE
+
+
+async def _status(routers: tuple[str, ...], json: bool) -> int:
+    replies = await _ask(routers, 'GET', '/state')
+    known = {reply.address for reply in replies}
+    others = {
+        member['operator_address']
+        for reply in replies
+        if reply.status == 200
+        for member in reply.body['members']
+    }
+    if others - known:
+        replies += await _ask(tuple(sorted(others - known)), 'GET', '/state')
+    if json:
+        for reply in replies:
+            write_json(
+                reply.body
+                if reply.status == 200
+                else {'address': reply.address, 'error': _reason(reply)}
+            )
+    else:
+        _write_status(replies)
+    return _worst(replies)
+
+
+def _reason(reply: RouterReply) -> str:
+    return reply.error or f'HTTP {reply.status}'
+
+
+def _write_status(replies: list[RouterReply]) -> None:
+    rows = []
+    for reply in replies:
+        if reply.status != 200:
+            rows.append((reply.address, _reason(reply), *'-' * 5))
+            continue
+        state = reply.body
+        rows.append(
+            (
+                reply.address,
+                state['incarnation_id'],
+                state['data_centre'],
+                'ready' if state['ready'] else 'not ready',
+                str(state['manifest_version']),
+                str(state['open_requests']),
+                'reachable' if state['log_reachable'] else 'unreachable',
+            )
+        )
+    write_table(
+        ('address', 'router', 'data centre', 'state', 'version', 'open', 'log'),
+        rows,
+    )
+    write_line('')
+    _write_allotments(replies)
+
+
+def _write_allotments(replies: list[RouterReply]) -> None:
+    rows = [
+        (
+            budget['organisation'],
+            reply.body['router_id'],
+            str(budget['free_here_tokens']),
+            str(budget['free_tokens']),
+        )
+        for reply in replies
+        if reply.status == 200
+        for budget in reply.body['budgets']
+    ]
+    write_table(
+        ('organisation', 'router', 'free here', 'free in budget'), sorted(rows)
+    )
+
+
+async def _budget(log_url: str, json: bool) -> int:
+    log = LogClient(log_url)
+    try:
+        ledger = await read_ledger(log)
+    finally:
+        await log.close()
+    rows: list[dict[str, Any]] = []
+    for organisation in sorted(ledger.organisations()):
+        view = ledger.budget(organisation)
+        rows.append(
+            {
+                'organisation': organisation,
+                'budget_tokens': view.budget_tokens,
+                'spent_tokens': view.spent_tokens,
+                'outstanding_tokens': view.outstanding_tokens,
+                'free_tokens': view.free_tokens,
+            }
+        )
+    if json:
+        for row in rows:
+            write_json(row)
+    else:
+        write_table(
+            ('organisation', 'budget', 'spent', 'held', 'free'),
+            [tuple(map(str, row.values())) for row in rows],
+        )
+    return EXIT_OK
+
+
+async def _explain(request_id: str, routers: tuple[str, ...]) -> int:
+    replies = await _ask(routers, 'GET', f'/explain/{request_id}')
+    found = False
+    for reply in replies:
+        if reply.status != 200:
+            continue
+        found = True
+        for decision in reply.body['decisions']:
+            at = time.strftime(
+                '%H:%M:%S', time.gmtime(decision['time_ms'] / 1000)
+            )
+            write_line(
+                f'{at}.{decision["time_ms"] % 1000:03d} {reply.address} '
+                f'{decision["step"]}: {decision["detail"]}'
+            )
+    if not found:
+        sys.stderr.write(f'no router knows request {request_id}\n')
+        return EXIT_REJECTED
+    return EXIT_OK
+
+
+async def _endpoint(
+    endpoint: str, routers: tuple[str, ...], verb: str
+) -> int:
+    replies = await _ask(routers, 'POST', f'/endpoints/{endpoint}/{verb}')
+    for reply in replies:
+        done = 'done' if reply.status == 200 else _reason(reply)
+        write_line(f'{reply.address} {done}')
+    return _worst(replies)
+
+
+async def _release(holder: str, log_url: str, confirm: str) -> int:
+    log = LogClient(log_url)
+    try:
+        ledger = await read_ledger(log)
+        allotments = list(ledger.allotments_of(holder))
+        unspent = sum(
+            item.tokens - item.spent_tokens for item in allotments
+        )
+        write_line(f'{len(allotments)} allotments, {unspent} unspent tokens')
+        if not allotments:
+            return EXIT_REJECTED
+        if confirm != holder:
+            write_line(RELEASE_RISK.format(holder=holder))
+            write_line(f'To release, add --confirm {holder}')
+            return EXIT_REJECTED
+        batch = Batch(
+            writer=f'operator-{uuid.uuid4()}',
+            seq=1,
+            records=[
+                Close(
+                    allotment=item.allotment,
+                    organisation=item.organisation,
+                    closer='operator',
+                    forced=True,
+                )
+                for item in allotments
+            ],
+        )
+        await log.append('ledger', encode(batch))
+        left = sum(1 for _ in (await read_ledger(log)).allotments_of(holder))
+    finally:
+        await log.close()
+    if left:
+        raise LogUnavailableError(f'{left} allotments are still open')
+    write_line('released')
+    return EXIT_OK
+
+
+def main() -> None:
+    """Parse arguments and run."""
+    defopt.run([status, budget, explain, drain, undrain, release])
