--- a/src/basilpond/tasks/_log_client.py
+++ b/src/basilpond/tasks/_log_client.py
@@ -39,6 +39,8 @@
         Limit of a call, to which a read adds its `wait_ms`. Short, because a
         connection can go silent for good; a retry uses a new one.
     connect_timeout_s : float
+    client : str
+        Router id, sent as ``X-Client`` for the log's own records.
     """
 
     def __init__(
@@ -47,10 +49,12 @@
         *,
         timeout_s: float = 2.0,
         connect_timeout_s: float = 1.0,
+        client: str = '',
     ) -> None:
         self.base_url = base_url
         self.timeout_s = timeout_s
         self.connect_timeout_s = connect_timeout_s
+        self.client = client
         self._session: aiohttp.ClientSession | None = None
 
     async def append(self, stream: str, payload: bytes) -> int:
@@ -107,7 +111,9 @@
     ) -> tuple[int, bytes]:
         if self._session is None:
             # Created here, because it needs the running event loop.
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                headers={'X-Client': self.client}
+            )
         url = f'{self.base_url}/v1/streams/{stream}/records'
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=self.connect_timeout_s
