--- a/src/basilpond/core/_config_fold.py
+++ b/src/basilpond/core/_config_fold.py
@@ -104,7 +104,8 @@
         self, publish: ManifestPublish, new_version: int
     ) -> PublishDecided:
         publish_id = publish.publish_id
-        if publish_id == self._publish_id:
+        document = bytes(publish.document)
+        if publish_id == self._publish_id and document == self.document:
             # Appended again after a lost acknowledgement.
             return PublishDecided(publish_id, self.version, True)
         if publish.replaces_version != self.version:
@@ -114,7 +115,6 @@
                 f'but version {self.version} is in force',
             )
             return PublishDecided(publish_id, self.version, False, str(stale))
-        document = bytes(publish.document)
         try:
             manifest = decode_manifest(document)
         except BasilpondError as error:
--- a/src/basilpond/core/tests/test_config_fold.py
+++ b/src/basilpond/core/tests/test_config_fold.py
@@ -37,6 +37,7 @@
     assert lost.reason.startswith('6002 manifest_stale: publish replaces')
     again = publish(6, 'a', 0, document(1))
     assert fold.apply(again) == PublishDecided('a', 5, True)
+    assert not fold.apply(publish(6, 'a', 0, document(2))).accepted
     assert fold.apply(publish(7, 'c', 5, document(3))).version == 8
     assert fold.document == document(3)
     assert fold.manifest.organisations[0].top_ups[0].tokens == 3
--- a/src/basilpond/tasks/_ledger_task.py
+++ b/src/basilpond/tasks/_ledger_task.py
@@ -19,7 +19,6 @@
 from ..core._ledger import HOUR_MS
 from ..core._ledger import Ledger
 from ..core._ledger_results import Result
-from ..core._records import Batch
 from ..core._records import LedgerRecord
 from ..core._records import LedgerSnapshot
 from ..core._records import decode_batch
@@ -30,23 +29,15 @@
 from ._snapshot_parts import SnapshotParts
 from ._snapshot_parts import is_last_part
 from ._snapshot_parts import split_snapshot
+from ._snapshot_schedule import SnapshotSchedule
+from ._stream_reader import StreamReader
+from ._stream_reader import read_backwards
 
 STREAM = 'ledger'
 MAX_BATCH_RECORDS = 512
 MAX_BATCH_BYTES = 256 * 1024
 MIN_INTERVAL_MS = 20
 READ_LIMIT = 256
-READ_WAIT_MS = 1000
-
-# Folding this many records takes a few milliseconds; streams are relayed in
-# between.
-RECORDS_PER_TURN = 256
-
-# Longer than a snapshot takes to be appended and read, so that the routers in
-# the order of their ids rarely append two; the rank is bounded because a late
-# snapshot is worse than two.
-SNAPSHOT_RANK_WAIT_S = 2.0
-MAX_SNAPSHOT_RANK = 10
 
 # Room for the batch's own fields around its records.
 _BATCH_FIELDS_BYTES = 512
@@ -87,8 +78,6 @@
     results : reactivex.subject.Subject
         Every `Result` of the fold in log order. Results that a snapshot skips
         are not published.
-    synced : bool
-        Whether the task has caught up with the stream once.
     """
 
     def __init__(
@@ -111,18 +100,14 @@
         self.deduplication_window_ms = deduplication_window_ms
         self.ledger = Ledger(deduplication_window_ms=deduplication_window_ms)
         self.results: Subject[Result] = Subject()
-        self.synced = False
 
         # Reader
-        self._read_ok = False
-        self._positioned = False
-        self._caught_up = False
-        self._next_offset = 0
-        self._log_time_ms = 0
-        self._log_time_read_s = 0.0
-        self._records_since_snapshot = 0
-        self._snapshot_time_ms: int | None = None
-        self._snapshot_due_s: float | None = None
+        self._reader = StreamReader(
+            log, STREAM, self, seed=f'{writer} read', limit=READ_LIMIT
+        )
+        self._schedule = SnapshotSchedule(
+            retention_ms=retention_ms, every_records=snapshot_every_records
+        )
         self._snapshot_pending = False
 
         # Writer
@@ -141,7 +126,12 @@
     @property
     def log_reachable(self) -> bool:
         """False before the first read and after a failed append or read."""
-        return self._read_ok and self._append_ok
+        return self._reader.reachable and self._append_ok
+
+    @property
+    def synced(self) -> bool:
+        """Whether the task has caught up with the stream once."""
+        return self._reader.synced
 
     def append_interval_s(self) -> float:
         """Return the least time between two appends of this router."""
@@ -199,7 +189,7 @@
         """Read and write until cancelled."""
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._read_forever())
+                group.create_task(self._reader.run())
                 group.create_task(self._write_forever())
         finally:
             for append in self._appends:
@@ -207,84 +197,44 @@
 
     # Reader
 
-    async def _read_forever(self) -> None:
-        backoff = Backoff(f'{self.writer} read')
-        while True:
-            try:
-                if not self._positioned:
-                    await self._find_position()
-                page = await self.log.read(
-                    STREAM,
-                    self._next_offset,
-                    limit=READ_LIMIT,
-                    wait_ms=READ_WAIT_MS if self._caught_up else 0,
-                )
-            except LogUnavailableError as error:
-                if self._read_ok:
-                    logging.warning('log read failed: %s', error.message)
-                self._read_ok = False
-                await asyncio.sleep(backoff.next_s())
-                continue
-            backoff.reset()
-            self._read_ok = True
-            if page.earliest_offset > self._next_offset:
-                logging.warning(
-                    'log dropped entries %d to %d before they were read',
-                    self._next_offset,
-                    page.earliest_offset - 1,
-                )
-                self._positioned = False
-                continue
-            await self._fold_page(page)
-            self._caught_up = self._next_offset >= page.next_offset
-            self.synced = self.synced or self._caught_up
-            self._take_snapshot_if_due()
-
-    async def _find_position(self) -> None:
-        """Continue at the own state, the newest snapshot or the beginning.
+    async def find_position(self, bounds: LogPage, next_offset: int) -> int:
+        """Continue at the newest snapshot, the own state or the beginning.
 
         Raises
         ------
         LogUnavailableError
-            Also when the log holds neither; another router may append a
+            Also when the log holds none of them; another router may append a
             snapshot later.
         """
-        page = await self.log.read(STREAM, 0, limit=1, wait_ms=0)
-        state = await self._find_snapshot(page)
+        state = await self._find_snapshot(bounds, next_offset)
         if state is not None:
-            self._load_snapshot(state)
-        elif page.earliest_offset > self._next_offset:
+            return self._load_snapshot(state)
+        if bounds.earliest_offset > next_offset:
             raise LogUnavailableError(
-                f'entries before {page.earliest_offset} are gone and no '
+                f'entries before {bounds.earliest_offset} are gone and no '
                 'snapshot is left'
             )
-        self._positioned = True
-        self._caught_up = False
+        return next_offset
 
-    async def _find_snapshot(self, bounds: LogPage) -> bytes | None:
+    async def _find_snapshot(
+        self, bounds: LogPage, next_offset: int
+    ) -> bytes | None:
         """Return the newest usable snapshot that is newer than the state."""
         parts = SnapshotParts()
-        end = bounds.next_offset
-        oldest = max(bounds.earliest_offset, self._next_offset)
-        while end > oldest:
-            start = max(oldest, end - READ_LIMIT)
-            page = await self.log.read(
-                STREAM, start, limit=end - start, wait_ms=0
-            )
-            for entry in reversed(page.entries):
-                for writer, record in _snapshots_in(entry):
-                    usable = record.offset >= max(
-                        page.earliest_offset - 1, self._next_offset
-                    )
-                    state = parts.add(writer, record) if usable else None
-                    if state is not None:
-                        return state
-            # A log may return fewer entries than asked for.
-            got = len(page.entries)
-            end = start if got in (0, end - start) else end - got
+        async for entry in read_backwards(
+            self.log, STREAM, bounds, next_offset, READ_LIMIT
+        ):
+            for writer, record in _snapshots_in(entry):
+                if record.offset < max(
+                    bounds.earliest_offset - 1, next_offset
+                ):
+                    continue
+                state = parts.add(writer, record)
+                if state is not None:
+                    return state
         return None
 
-    def _load_snapshot(self, state: bytes) -> None:
+    def _load_snapshot(self, state: bytes) -> int:
         try:
             ledger = Ledger.from_snapshot(
                 state, deduplication_window_ms=self.deduplication_window_ms
@@ -294,84 +244,50 @@
                 f'snapshot cannot be decoded: {error}'
             ) from error
         before, self.ledger = self.ledger, ledger
-        self._next_offset = ledger.offset + 1
-        self._set_log_time(ledger.time_ms)
-        self._records_since_snapshot = 0
-        self._snapshot_time_ms = ledger.time_ms
+        self._schedule.start_from(ledger.time_ms, self._now_s())
         logging.info('resumed from a snapshot at offset %d', ledger.offset)
         seq = ledger.writer_seq(self.writer)
         self._waiters.settle_skipped(before, ledger, seq)
         self._notice_own_batch(seq)
+        return ledger.offset + 1
 
-    async def _fold_page(self, page: LogPage) -> None:
-        since_turn = 0
-        for entry in page.entries:
-            if entry.offset < self._next_offset:
-                continue
-            self._next_offset = entry.offset + 1
-            self._set_log_time(entry.time_ms)
-            try:
-                batch = decode_batch(entry.payload)
-            except msgspec.MsgspecError as error:
-                # Every router skips it, so the states stay equal.
-                logging.error(
-                    'ledger entry %d is not a batch: %s', entry.offset, error
-                )
-                continue
-            self._fold_batch(batch, entry)
-            since_turn += len(batch.records)
-            if since_turn >= RECORDS_PER_TURN:
-                since_turn = 0
-                await asyncio.sleep(0)
-
-    def _fold_batch(self, batch: Batch, entry: LogEntry) -> None:
+    def fold_entry(self, entry: LogEntry) -> int:
+        """Fold an entry, publish its results and resolve their waiters."""
+        try:
+            batch = decode_batch(entry.payload)
+        except msgspec.MsgspecError as error:
+            # Every router skips it, so the states stay equal.
+            logging.error(
+                'ledger entry %d is not a batch: %s', entry.offset, error
+            )
+            return 0
         for result in self.ledger.apply(batch, entry.offset, entry.time_ms):
             self._waiters.resolve(result)
             self._publish(result)
-        self._records_since_snapshot += len(batch.records)
-        if self._snapshot_time_ms is None:
-            self._snapshot_time_ms = entry.time_ms
+        self._schedule.add_entry(
+            entry.time_ms, len(batch.records), self._now_s()
+        )
         for record in batch.records:
             if isinstance(record, LedgerSnapshot) and is_last_part(record):
-                self._records_since_snapshot = 0
-                self._snapshot_time_ms = entry.time_ms
+                self._schedule.add_snapshot(entry.time_ms)
                 if batch.writer == self.writer:
                     self._snapshot_pending = False
         if batch.writer == self.writer:
             self._notice_own_batch(batch.seq)
-
-    def _publish(self, result: Result) -> None:
-        try:
-            self.results.on_next(result)
-        except Exception:
-            # A subscriber's fault must not stop the fold.
-            logging.exception('a subscriber to ledger results failed')
-
-    def _notice_own_batch(self, seq: int) -> None:
-        if seq == self._last_seq and self._seen and not self._seen.done():
-            self._seen.set_result(None)
-        self._progress.set()
-
-    def _set_log_time(self, time_ms: int) -> None:
-        self._log_time_ms = max(self._log_time_ms, time_ms)
-        self._log_time_read_s = asyncio.get_running_loop().time()
-
-    # Snapshots
-
-    def _take_snapshot_if_due(self) -> None:
-        if not self._caught_up or not self._is_snapshot_due():
-            self._snapshot_due_s = None
-            return
-        now_s = asyncio.get_running_loop().time()
-        if self._snapshot_due_s is None:
-            self._snapshot_due_s = now_s
-        # Normally the first router has appended one before the next would.
-        rank = sum(1 for other in self.live_routers() if other < self.writer)
-        wait_s = SNAPSHOT_RANK_WAIT_S * min(rank, MAX_SNAPSHOT_RANK)
-        if now_s < self._snapshot_due_s + wait_s:
+        return len(batch.records)
+
+    def end_page(self) -> None:
+        """Append a snapshot when it is due and this router's turn."""
+        if (
+            not self._reader.caught_up
+            or self._snapshot_pending
+            or not self._schedule.should_take(
+                self._now_s(), self.writer, self.live_routers()
+            )
+        ):
             return
         self._snapshot_pending = True
-        offset = self._next_offset - 1
+        offset = self._reader.next_offset - 1
         state = self.ledger.to_snapshot()
         self._snapshot_queue.extend(
             encode(record) for record in split_snapshot(offset, state)
@@ -383,19 +299,21 @@
             len(self._snapshot_queue),
         )
 
-    def _is_snapshot_due(self) -> bool:
-        if self._snapshot_pending or self._snapshot_time_ms is None:
-            return False
-        now_s = asyncio.get_running_loop().time()
-        age_ms = (
-            self._log_time_ms
-            + (now_s - self._log_time_read_s) * 1000
-            - self._snapshot_time_ms
-        )
-        return (
-            age_ms >= self.retention_ms / 4
-            or self._records_since_snapshot >= self.snapshot_every_records
-        )
+    def _publish(self, result: Result) -> None:
+        try:
+            self.results.on_next(result)
+        except Exception:
+            # A subscriber's fault must not stop the fold.
+            logging.exception('a subscriber to ledger results failed')
+
+    def _notice_own_batch(self, seq: int) -> None:
+        if seq == self._last_seq and self._seen and not self._seen.done():
+            self._seen.set_result(None)
+        self._progress.set()
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
 
     # Writer
 
@@ -480,7 +398,11 @@
     async def _wait_while_reader_catches_up(
         self, seen: asyncio.Future[None]
     ) -> None:
-        while self._read_ok and not self._caught_up and not seen.done():
+        while (
+            self._reader.reachable
+            and not self._reader.caught_up
+            and not seen.done()
+        ):
             await asyncio.wait({seen}, timeout=0.05)
 
     def _is_flushed(self) -> bool:
--- /dev/null
+++ b/src/basilpond/tasks/_stream_reader.py
@@ -0,0 +1,180 @@
+"""Reads a stream of the log in order, through outages and retention."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from absl import logging
+
+from ..core._codes import LogUnavailableError
+from ..core._interfaces import Log
+from ..core._interfaces import LogEntry
+from ..core._interfaces import LogPage
+from ._backoff import Backoff
+
+READ_WAIT_MS = 1000
+
+# Folding this many records takes a few milliseconds; streams are relayed in
+# between.
+RECORDS_PER_TURN = 256
+
+
+class StreamFold(Protocol):
+    """Receiver of the entries of a stream."""
+
+    async def find_position(self, bounds: LogPage, next_offset: int) -> int:
+        """Return the offset to read from, after loading a snapshot if needed.
+
+        Parameters
+        ----------
+        bounds : LogPage
+            Earliest and next offset of the stream.
+        next_offset : int
+            First offset that the state does not contain yet.
+
+        Raises
+        ------
+        LogUnavailableError
+            If the state cannot be continued from what the log holds.
+        """
+        ...
+
+    def fold_entry(self, entry: LogEntry) -> int:
+        """Fold an entry and return the number of its records."""
+        ...
+
+    def end_page(self) -> None:
+        """Act after a read that may have returned nothing."""
+        ...
+
+
+class StreamReader:
+    """Feeds the entries of a stream to a fold, each once and in order.
+
+    Parameters
+    ----------
+    log : Log
+    stream : str
+    fold : StreamFold
+    seed : str
+        Of the back-off's jitter.
+    limit : int
+        Entries in one read.
+
+    Attributes
+    ----------
+    next_offset : int
+    reachable : bool
+        False before the first read and after a failed one.
+    caught_up : bool
+        Whether the last read reached the end of the stream.
+    synced : bool
+        Whether the end was reached once.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        stream: str,
+        fold: StreamFold,
+        *,
+        seed: str,
+        limit: int,
+    ) -> None:
+        self.log = log
+        self.stream = stream
+        self.fold = fold
+        self.limit = limit
+        self.next_offset = 0
+        self.reachable = False
+        self.caught_up = False
+        self.synced = False
+        self._backoff = Backoff(seed)
+        self._positioned = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            try:
+                page = await self._read_page()
+            except LogUnavailableError as error:
+                if self.reachable:
+                    logging.warning(
+                        'read of stream %s failed: %s',
+                        self.stream,
+                        error.message,
+                    )
+                self.reachable = False
+                await asyncio.sleep(self._backoff.next_s())
+                continue
+            self._backoff.reset()
+            self.reachable = True
+            if page.earliest_offset > self.next_offset:
+                logging.warning(
+                    'stream %s dropped entries %d to %d before they were read',
+                    self.stream,
+                    self.next_offset,
+                    page.earliest_offset - 1,
+                )
+                self._positioned = False
+                continue
+            await self._fold_page(page)
+            self.caught_up = self.next_offset >= page.next_offset
+            self.synced = self.synced or self.caught_up
+            self.fold.end_page()
+
+    async def _read_page(self) -> LogPage:
+        if not self._positioned:
+            bounds = await self.log.read(self.stream, 0, limit=1, wait_ms=0)
+            self.next_offset = await self.fold.find_position(
+                bounds, self.next_offset
+            )
+            self._positioned = True
+            self.caught_up = False
+        return await self.log.read(
+            self.stream,
+            self.next_offset,
+            limit=self.limit,
+            wait_ms=READ_WAIT_MS if self.caught_up else 0,
+        )
+
+    async def _fold_page(self, page: LogPage) -> None:
+        since_turn = 0
+        for entry in page.entries:
+            if entry.offset < self.next_offset:
+                continue
+            self.next_offset = entry.offset + 1
+            since_turn += self.fold.fold_entry(entry)
+            if since_turn >= RECORDS_PER_TURN:
+                since_turn = 0
+                await asyncio.sleep(0)
+
+
+async def read_backwards(
+    log: Log, stream: str, bounds: LogPage, first_offset: int, limit: int
+) -> AsyncIterator[LogEntry]:
+    """Yield the entries from the end of a stream down to `first_offset`.
+
+    Entries that the log drops meanwhile are left out.
+
+    Raises
+    ------
+    LogUnavailableError
+    """
+    end = bounds.next_offset
+    oldest = max(bounds.earliest_offset, first_offset)
+    while end > oldest:
+        start = max(oldest, end - limit)
+        entries: list[LogEntry] = []
+        # A log may return fewer entries than asked for.
+        while start < end:
+            page = await log.read(stream, start, limit=end - start, wait_ms=0)
+            if not page.entries:
+                break
+            entries += page.entries
+            start = page.entries[-1].offset + 1
+        for entry in reversed(entries):
+            yield entry
+        end = max(oldest, end - limit)
