--- a/src/basilpond/core/_allotments.py
+++ b/src/basilpond/core/_allotments.py
@@ -76,7 +76,7 @@
     spent_tokens: int = 0
     last_seq: int = 0
     later_seqs: set[int] | None = None
-    rejected: dict[int, EntryReason] | None = None
+    rejected: list[tuple[int, EntryReason]] | None = None
     closed_ms: int | None = None
 
     def has_applied(self, seq: int) -> bool:
@@ -88,8 +88,8 @@
     def mark_applied(self, seq: int, reason: EntryReason) -> None:
         """Remember an applied entry in constant space when without gaps."""
         if reason:
-            self.rejected = self.rejected or {}
-            self.rejected[seq] = reason
+            self.rejected = self.rejected or []
+            self.rejected.append((seq, reason))
         if seq != self.last_seq + 1:
             self.later_seqs = self.later_seqs or set()
             self.later_seqs.add(seq)
@@ -103,7 +103,7 @@
 
     def first_result(self, seq: int) -> EntryApplied:
         """Return the result of an applied entry again."""
-        reason = (self.rejected or {}).get(seq, '')
+        reason = dict(self.rejected or ()).get(seq, '')
         return EntryApplied(self.id, seq, not reason, reason, repeated=True)
 
     def view(self) -> AllotmentView:
