Lower the share of retries in an outage

Change: share 0.2 -> 0.18; the unit test bound is tightened from 1.2 times the requests plus 11 to plus 1.

--- a/src/basilpond/core/_retry_budget.py
+++ b/src/basilpond/core/_retry_budget.py
@@ -7,7 +7,8 @@
 _RATE_PER_S = 3.0
 # Below 30 requests/s the rate alone would exceed an amplification of 1.2, so
 # in an outage only this share of requests counts.
-_OUTAGE_SHARE = 0.2
+# 0.2 gave an amplification up to 1.21 in bench_routing.
+_OUTAGE_SHARE = 0.18
 _FAILURE_WEIGHT = 0.05
 _OUTAGE_FAILURE_SHARE = 0.5
 
--- a/src/basilpond/core/tests/test_limits.py
+++ b/src/basilpond/core/tests/test_limits.py
@@ -172,8 +172,8 @@
             budget.record_result(failed=True)
             if not budget.try_retry(number / rate):
                 break
-    # The burst saved before the outage is spent once.
-    assert attempts <= 1.2 * requests + 11
+    # One retry may be saved from before the outage.
+    assert attempts <= 1.2 * requests + 1
 
 
 @pytest.mark.parametrize('rate', [5, 100])
