--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -18,7 +18,7 @@
 
 _LOAD_HALF_LIFE_S = 2.0
 # Requests in flight that a whole cached prompt outweighs.
-_AFFINITY_REQUESTS = 4.0
+_AFFINITY_REQUESTS = 8.0
 _SAMPLES = 2
 # The own data centre gives way when its mean load exceeds this multiple of
 # the others' plus `_LOCAL_SLACK_REQUESTS`.
