--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -23,7 +23,7 @@
 # The own data centre gives way when its mean load exceeds this multiple of
 # the others' plus `_LOCAL_SLACK_REQUESTS`.
 _LOCAL_FACTOR = 1.25
-_LOCAL_SLACK_REQUESTS = 2.0
+_LOCAL_SLACK_REQUESTS = 1.0
 _REMOTE_SAMPLES = 8
 # Ejections are ignored when fewer of the endpoints would be left: requests
 # concentrated on them would fail too.
