--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -17,9 +17,6 @@
 from ._quarantine import Quarantine
 
 _LOAD_HALF_LIFE_S = 2.0
-# A request that waits delays the first token of the next one; a running one
-# mostly does not. In addition to its weight of 1 as a request.
-_WAITING_WEIGHT = 2.0
 # Requests in flight that a whole cached prompt outweighs.
 _AFFINITY_REQUESTS = 8.0
 _SAMPLES = 2
@@ -178,10 +175,7 @@
         state = self._states.get(endpoint)
         if state is None:
             return
-        state.others = (
-            max(0, load.running + load.waiting - state.in_flight)
-            + _WAITING_WEIGHT * load.waiting
-        )
+        state.others = max(0, load.running + load.waiting - state.in_flight)
         state.reported_s = now_s
         self.set_leaving(
             endpoint, LeavingSource.LOAD_REPORT, load.leaving, now_s
