Keep VM list polls and probes of a large fleet constant

Cause: each router read the VM list every second and probed each quarantined endpoint at the full rate; 350 routers would read 220 KB (3,500 entries of 64 bytes, computed) each second and send 175 probes a second. Change: both intervals grow with the routers, so that the fleet keeps 8 a second; VM list polls get a random offset.

--- a/src/basilpond/core/_quarantine.py
+++ b/src/basilpond/core/_quarantine.py
@@ -40,11 +40,16 @@
 
 
 class Quarantine:
-    """State of the quarantine of all endpoints."""
+    """State of the quarantine of all endpoints.
 
-    __slots__ = ('_stages',)
+    `probe_interval_factor` stretches the probe intervals, so that the probes
+    of a large fleet do not load an endpoint.
+    """
+
+    __slots__ = ('_stages', 'probe_interval_factor')
 
     def __init__(self) -> None:
+        self.probe_interval_factor = 1.0
         self._stages: dict[str, _Stage] = {}
 
     def state(self, endpoint: str, now_s: float) -> QuarantineState:
@@ -151,8 +156,7 @@
             if endpoint in endpoints
         }
 
-    @staticmethod
-    def _probe_interval_s(stage: _Stage) -> float:
-        return min(
+    def _probe_interval_s(self, stage: _Stage) -> float:
+        return self.probe_interval_factor * min(
             _MAX_PROBE_S, _BASE_PROBE_S * 2 ** min(stage.quarantines - 1, 8)
         )
--- a/src/basilpond/core/tests/test_health.py
+++ b/src/basilpond/core/tests/test_health.py
@@ -106,6 +106,15 @@
     assert set(gaps[5:]) == {60}
 
 
+def test_probe_interval_grows_with_the_fleet():
+    """Guards against probes of every router at the same rate."""
+    quarantine = Quarantine()
+    quarantine.probe_interval_factor = 44.0
+    quarantine.quarantine('e1', 0)
+    assert list(quarantine.due_probes(87)) == []
+    assert list(quarantine.due_probes(88)) == ['e1']
+
+
 @pytest.mark.parametrize(
     ('first', 'second', 'stopped'),
     [
--- a/src/basilpond/tasks/_endpoint_task.py
+++ b/src/basilpond/tasks/_endpoint_task.py
@@ -73,11 +73,16 @@
     cache_s: float = 1.0
     max_cache_s: float = 30.0
     vms_s: float = 1.0
+    # Polls of the VM list, and probes of an endpoint, by the whole fleet
+    # while each interval is 1 s. At 350 routers and 3,500 servers the list
+    # has about 220 KB, so that each router can read it every 44 s only;
+    # gossip tells it what the others read.
+    fleet_polls_per_s: float = 8.0
     probe_check_s: float = 0.5
     timeout_s: float = 1.0
     probe_timeout_s: float = 10.0
-    # A poll takes about 400 bytes both ways; a router may use 7 KB/s for all
-    # control work.
+    # A load poll takes 360 bytes of HTTP both ways; a router may use 7 KB/s
+    # for all control work.
     max_per_s: float = 12.0
     concurrency: int = 16
 
@@ -283,7 +288,15 @@
             page = await self._get(f'{self._vms_url}/vms', _VmList)
             if page is not None:
                 self._take_vms(page.vms)
-            await asyncio.sleep(self._parameters.vms_s)
+            interval_s = self._parameters.vms_s * self._fleet_factor()
+            # Spreads the routers' polls, which a common start would align.
+            await asyncio.sleep(interval_s * self._rng.uniform(0.5, 1.5))
+
+    def _fleet_factor(self) -> float:
+        """Return the factor on intervals that keeps the fleet's rate."""
+        return max(
+            1.0, self._live_routers() / self._parameters.fleet_polls_per_s
+        )
 
     def _take_vms(self, vms: Iterable[_Vm]) -> None:
         """Apply the VM list; an absent VM keeps its state, as lists lag."""
@@ -303,7 +316,9 @@
     async def _run_probes(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            due = list(self.table.quarantine.due_probes(loop.time()))
+            quarantine = self.table.quarantine
+            quarantine.probe_interval_factor = self._fleet_factor()
+            due = list(quarantine.due_probes(loop.time()))
             for name in due:
                 if name not in self._announced_quarantines:
                     self._announced_quarantines.add(name)
--- a/src/basilpond/tasks/tests/test_endpoint_task.py
+++ b/src/basilpond/tasks/tests/test_endpoint_task.py
@@ -222,3 +222,16 @@
     assert interval_s == _endpoint_task.poll_interval_s(
         0.5, 2.0, live_routers=routers, endpoints=endpoints, max_per_s=40
     )
+
+
+@pytest.mark.parametrize(('routers', 'factor'), [(1, 1.0), (352, 44.0)])
+def test_fleet_factor(routers, factor):
+    """Guards against VM list polls that exceed the control bandwidth."""
+    rng = random.Random(1)
+    task = _endpoint_task.EndpointTask(
+        _routing.EndpointTable('dc1', rng),
+        rng=rng,
+        live_routers=lambda: routers,
+        vms_url=None,
+    )
+    assert task._fleet_factor() == factor
