Add the audit of log, endpoint and caller records

Cause: the promises must be checked without the code that keeps them. Change: budgets and bills are recomputed from the ledger stream; checkers find double, missing and wrong bills, overspend, second runs, wrong answers, false refusals and untruthful not-run answers.

--- a/src/basilpond_testkit/_answers.py
+++ b/src/basilpond_testkit/_answers.py
@@ -139,3 +139,8 @@
     request = decode_request(body)
     words, _ = answer_words(request, request.output_limit_tokens())
     return prompt_tokens(request), len(words)
+
+
+def body_content_digest(body: bytes) -> str:
+    """Return the content digest of a request body, as in run records."""
+    return content_digest(decode_request(body))
--- /dev/null
+++ b/src/basilpond_testkit/audit.py
@@ -0,0 +1,710 @@
+"""Checks of the promises on the records of log, endpoints and callers.
+
+Every checker is a pure function and returns what it found, one entry for
+each violation. Bills are recomputed here from the log, independently of the
+router's fold.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from basilpond.core import _records
+from basilpond.core._codes import ResultCode
+from basilpond.core._interfaces import LogEntry
+from basilpond.core._manifest import Manifest
+
+from . import engine
+from . import service
+from . import workload
+from ._observations import Attempt
+from ._observations import Observation
+
+# Result codes that tell a caller about its own other request.
+_EXPECTED_OF_REPEATS = frozenset(
+    {
+        ResultCode.KEY_REUSED_WITH_OTHER_BODY,
+        ResultCode.CLAIM_IN_PROGRESS,
+        ResultCode.CLAIM_OUTCOME_UNKNOWN,
+        ResultCode.RERUN_LIMIT,
+    }
+)
+_OF_BUDGET = frozenset(
+    {ResultCode.BUDGET_EXHAUSTED, ResultCode.ALLOTMENT_UNAVAILABLE}
+)
+_OF_LOG = frozenset(
+    {
+        ResultCode.CLAIM_LOG_UNAVAILABLE,
+        ResultCode.LOG_UNAVAILABLE,
+        ResultCode.LOG_RATE_LIMITED,
+    }
+)
+# A router notices an outage and its end with its next poll of the log.
+_OUTAGE_MARGIN_MS = 3000
+# A configuration is in force everywhere within 5 s.
+_CONFIG_MS = 5000
+# A lost router's holds are free again when its peer has closed them.
+_RECOVERY_MS = 15_000
+# Upper bound on what a router adds to the prompt's bytes for each message.
+_MESSAGE_MARGIN_TOKENS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Allotment:
+    """An allotment; `granted` is False until its origin is in the log."""
+
+    organisation: str
+    holder: str = ''
+    journal_peer: str | None = None
+    tokens: int = 0
+    granted: bool = False
+    closed: bool = False
+    entries: set[int] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoggedBill:
+    """A bill in the log; `reason` is empty when it counts."""
+
+    offset: int
+    time_ms: int
+    bill: _records.Bill
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """Tokens of an organisation; `overspend_tokens` is the worst ever."""
+
+    budget_tokens: int = 0
+    manifest_version: int = 0
+    spent_tokens: int = 0
+    outstanding_tokens: int = 0
+    overspend_tokens: int = 0
+
+
+class Accounts:
+    """Budgets and bills, recomputed from the ledger stream.
+
+    Parameters
+    ----------
+    entries : iterable of LogEntry
+        The stream from offset 0.
+    """
+
+    def __init__(self, entries: Iterable[LogEntry]) -> None:
+        self.budgets: dict[str, Budget] = collections.defaultdict(Budget)
+        self.bills: list[LoggedBill] = []
+        self._allotments: dict[str, _Allotment] = {}
+        self._sequences: dict[str, int] = {}
+        self._billed: set[tuple[str, str]] = set()
+        for entry in entries:
+            batch = _records.decode_batch(entry.payload)
+            if batch.seq > self._sequences.get(batch.writer, 0):
+                self._sequences[batch.writer] = batch.seq
+                for record in batch.records:
+                    self._apply(record, entry)
+
+    def counted(self) -> Iterator[LoggedBill]:
+        """Yield the bills that count."""
+        return (logged for logged in self.bills if not logged.reason)
+
+    def _apply(self, record: Any, entry: LogEntry) -> None:
+        match record:
+            case _records.BudgetSet():
+                budget = self.budgets[record.organisation]
+                if record.manifest_version > budget.manifest_version:
+                    budget.budget_tokens = record.budget_tokens
+                    budget.manifest_version = record.manifest_version
+            case _records.Grant():
+                self._grant(record)
+            case _records.Close():
+                self._close(record, entry)
+            case _records.Bill() | _records.Transfer() | _records.Return():
+                self._enter(record, entry)
+            case _:
+                pass
+
+    def _grant(self, record: _records.Grant) -> None:
+        if record.allotment in self._allotments:
+            return
+        budget = self.budgets[record.organisation]
+        free = (
+            budget.budget_tokens
+            - budget.spent_tokens
+            - budget.outstanding_tokens
+        )
+        tokens = min(record.want_tokens, free)
+        if tokens < max(1, record.min_tokens):
+            return
+        budget.outstanding_tokens += tokens
+        self._allotments[record.allotment] = _Allotment(
+            record.organisation,
+            record.holder,
+            record.journal_peer,
+            tokens,
+            True,
+        )
+
+    def _close(self, record: _records.Close, entry: LogEntry) -> None:
+        allotment = self._allotments.get(record.allotment)
+        if allotment is None or allotment.closed:
+            return
+        if not (
+            record.forced
+            or allotment.journal_peer is None
+            or record.closer in (allotment.holder, allotment.journal_peer)
+        ):
+            return
+        for copy in record.entries:
+            self._enter(copy, entry)
+        allotment.closed = True
+        self._outstanding(allotment, -allotment.tokens)
+
+    def _outstanding(self, allotment: _Allotment, tokens: int) -> None:
+        allotment.tokens += tokens
+        if allotment.granted:
+            budget = self.budgets[allotment.organisation]
+            budget.outstanding_tokens += tokens
+
+    def _enter(self, record: _records.AllotmentEntry, entry: LogEntry) -> None:
+        allotment = self._allotments.get(record.allotment)
+        if allotment is None:
+            # The transfer that made it may come later.
+            allotment = _Allotment(record.organisation)
+            self._allotments[record.allotment] = allotment
+        if record.seq in allotment.entries:
+            return
+        allotment.entries.add(record.seq)
+        reason = ''
+        if allotment.closed:
+            reason = 'closed'
+        elif allotment.granted and record.tokens > allotment.tokens:
+            reason = 'overdrawn'
+        if isinstance(record, _records.Bill):
+            self._bill(record, entry, allotment, reason)
+        elif not reason:
+            self._outstanding(allotment, -record.tokens)
+            if isinstance(record, _records.Transfer):
+                self._receive(record)
+
+    def _bill(
+        self,
+        bill: _records.Bill,
+        entry: LogEntry,
+        allotment: _Allotment,
+        reason: str,
+    ) -> None:
+        identity = (bill.organisation, bill.request_id)
+        if not reason and identity in self._billed:
+            reason = 'duplicate_bill'
+        if not reason:
+            self._billed.add(identity)
+            self._outstanding(allotment, -bill.tokens)
+            budget = self.budgets[bill.organisation]
+            budget.spent_tokens += bill.tokens
+            budget.overspend_tokens = max(
+                budget.overspend_tokens,
+                budget.spent_tokens - budget.budget_tokens,
+            )
+        self.bills.append(
+            LoggedBill(entry.offset, entry.time_ms, bill, reason)
+        )
+
+    def _receive(self, record: _records.Transfer) -> None:
+        allotment = self._allotments.setdefault(
+            record.new_allotment, _Allotment(record.organisation)
+        )
+        if allotment.granted:
+            return
+        allotment.holder = record.holder
+        allotment.journal_peer = record.journal_peer
+        allotment.granted = True
+        # Bills that came before the transfer are already subtracted.
+        allotment.tokens += record.tokens
+        budget = self.budgets[record.organisation]
+        budget.outstanding_tokens += allotment.tokens
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ManifestVersion:
+    """An accepted manifest."""
+
+    version: int
+    time_ms: int
+    manifest: Manifest
+
+
+def accepted_manifests(entries: Iterable[LogEntry]) -> list[ManifestVersion]:
+    """Return the manifests of the config stream that were accepted."""
+    accepted: list[ManifestVersion] = []
+    for entry in entries:
+        record = _records.decode_config(entry.payload)
+        current = accepted[-1].version if accepted else 0
+        if not isinstance(record, _records.ManifestPublish):
+            continue
+        if record.replaces_version != current:
+            continue
+        try:
+            manifest = msgspec.json.decode(record.document, type=Manifest)
+        except msgspec.MsgspecError:
+            continue
+        accepted.append(
+            ManifestVersion(entry.offset + 1, entry.time_ms, manifest)
+        )
+    return accepted
+
+
+def _budgets(manifest: Manifest) -> dict[str, int]:
+    return {
+        organisation.id: sum(top_up.tokens for top_up in organisation.top_ups)
+        for organisation in manifest.organisations
+    }
+
+
+@dataclasses.dataclass(slots=True)
+class Evidence:
+    """All records of one run.
+
+    Parameters
+    ----------
+    accounts : Accounts
+    manifests : list of ManifestVersion
+    observations : list of Observation
+    engine_runs : list of engine.RunRecord
+    service_runs : list of service.RunRecord
+    outages_ms : list of tuple
+        Start and end of each planned outage of the log.
+    """
+
+    accounts: Accounts
+    manifests: list[ManifestVersion]
+    observations: list[Observation]
+    engine_runs: list[engine.RunRecord] = dataclasses.field(
+        default_factory=list
+    )
+    service_runs: list[service.RunRecord] = dataclasses.field(
+        default_factory=list
+    )
+    outages_ms: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+
+
+def _identity(observation: Observation) -> str:
+    return observation.key or observation.request.id
+
+
+def _same_requests(
+    observations: Iterable[Observation],
+) -> Iterator[list[Observation]]:
+    """Yield the observations of each request and its repeats."""
+    groups = collections.defaultdict(list)
+    for observation in observations:
+        request = observation.request
+        identity = (
+            request.organisation,
+            _identity(observation),
+            request.other_body,
+        )
+        groups[identity].append(observation)
+    return iter(groups.values())
+
+
+def _bills_of(evidence: Evidence) -> dict[tuple[str, str], LoggedBill]:
+    return {
+        (logged.bill.organisation, logged.bill.request_id): logged
+        for logged in evidence.accounts.counted()
+    }
+
+
+def _request_ids(group: list[Observation]) -> set[tuple[str, str]]:
+    """Return organisation and ids under which a request may be billed."""
+    organisation = group[0].request.organisation
+    ids = {observation.key for observation in group}
+    for observation in group:
+        ids.update(attempt.request_id for attempt in observation.attempts)
+    return {(organisation, request_id) for request_id in ids if request_id}
+
+
+def billed_twice(evidence: Evidence) -> list[str]:
+    """Find requests with more than one bill that counts.
+
+    A request without a key that its caller sends again is another request.
+    """
+    bills = _bills_of(evidence)
+    found = []
+    for group in _same_requests(evidence.observations):
+        ids = _request_ids(group) & bills.keys()
+        allowed = 1 if group[0].key else len(group[0].attempts)
+        if len(ids) > allowed:
+            found.append(f'{_identity(group[0])}: billed as {sorted(ids)}')
+    return found
+
+
+def complete_unbilled(evidence: Evidence) -> list[str]:
+    """Find complete answers without a bill that counts."""
+    bills = _bills_of(evidence)
+    found = []
+    for group in _same_requests(evidence.observations):
+        complete = any(
+            attempt.complete
+            for observation in group
+            for attempt in observation.attempts
+        )
+        if complete and not _request_ids(group) & bills.keys():
+            found.append(f'{_identity(group[0])}: complete without a bill')
+    return found
+
+
+def wrong_amounts(evidence: Evidence) -> list[str]:
+    """Find bills of complete answers that differ from price and usage."""
+    bills = _bills_of(evidence)
+    costs = collections.defaultdict(set)
+    for group in _same_requests(evidence.observations):
+        # A key that is used with two bodies may be billed for either.
+        for identity in _request_ids(group) & bills.keys():
+            costs[identity].add(_cost(evidence, group[0].request))
+    return [
+        f'{identity}: billed {bills[identity].bill.tokens} tokens instead of '
+        f'{sorted(expected)}'
+        for identity, expected in costs.items()
+        if bills[identity].bill.outcome == 'complete'
+        and bills[identity].bill.tokens not in expected
+    ]
+
+
+def _prices(evidence: Evidence, request: workload.Request) -> tuple[int, int]:
+    """Return the prices of a prompt and an output token of a chat."""
+    manifest = evidence.manifests[-1].manifest
+    name = workload.MODELS[request.kind]
+    (model,) = (model for model in manifest.models if model.id == name)
+    return model.prompt_price_tokens, model.output_price_tokens
+
+
+def _call_price(evidence: Evidence, request: workload.Request) -> int:
+    method, path, _ = request.http()
+    path = path.removeprefix(f'/v1/services/{workload.SERVICE}')
+    for offered in evidence.manifests[-1].manifest.services:
+        for route in offered.routes:
+            prefix = route.path.removesuffix('*')
+            matches = (
+                path.startswith(prefix)
+                if route.path.endswith('/*')
+                else path == route.path
+            )
+            if route.method == method and matches:
+                return route.call_price_tokens
+    raise ValueError(f'{request.id}: no route for {method} {path}')
+
+
+def _cost(evidence: Evidence, request: workload.Request) -> int:
+    """Return what a complete answer costs, in budget tokens."""
+    if not request.is_chat:
+        return _call_price(evidence, request)
+    *_, body = request.http()
+    prompt_price, output_price = _prices(evidence, request)
+    prompt_tokens, output_tokens = engine.expected_usage(body)
+    return prompt_price * prompt_tokens + output_price * output_tokens
+
+
+def _bound(evidence: Evidence, request: workload.Request) -> int:
+    """Return an upper bound on what admission holds."""
+    if not request.is_chat:
+        return _call_price(evidence, request)
+    *_, body = request.http()
+    prompt_price, output_price = _prices(evidence, request)
+    prompt_tokens = len(body) + 2 * _MESSAGE_MARGIN_TOKENS
+    return prompt_price * prompt_tokens + output_price * request.max_tokens
+
+
+def overspend_tokens(evidence: Evidence) -> int:
+    """Return the tokens spent over the organisations' budgets.
+
+    The budgets in the ledger must also be those of the accepted manifests.
+    """
+    published = {
+        version.version: _budgets(version.manifest)
+        for version in evidence.manifests
+    }
+    total = 0
+    for organisation, budget in evidence.accounts.budgets.items():
+        paid = published.get(budget.manifest_version, {}).get(organisation, 0)
+        total += max(0, budget.overspend_tokens, budget.spent_tokens - paid)
+    return total
+
+
+def non_idempotent_twice(evidence: Evidence) -> list[str]:
+    """Find non-idempotent calls that ran more than once.
+
+    The workload gives each such call a body and target of its own, so the
+    check does not depend on a router that forwards the key.
+    """
+    by_key = collections.Counter(
+        run.idempotency_key for run in evidence.service_runs
+    )
+    by_body = collections.Counter(
+        (
+            run.call,
+            '' if run.call == 'booking' else run.target,
+            run.body_digest,
+        )
+        for run in evidence.service_runs
+    )
+    twice = [f'key {key}' for key, runs in by_key.items() if key and runs > 1]
+    twice += [' '.join(call) for call, runs in by_body.items() if runs > 1]
+    return twice
+
+
+def wrong_or_partial_answers(evidence: Evidence) -> list[str]:
+    """Find complete answers that differ, and others that are no prefix."""
+    found = []
+    for observation in evidence.observations:
+        request = observation.request
+        for attempt in observation.attempts:
+            if attempt.done and not 200 <= attempt.status < 300:
+                continue
+            if request.is_chat:
+                right = _chat_is_right(request, attempt)
+            else:
+                right = not attempt.complete or _call_is_right(
+                    request, attempt
+                )
+            if not right:
+                found.append(f'{request.id}: {attempt.text[:80]!r}')
+    return found
+
+
+def _chat_is_right(request: workload.Request, attempt: Attempt) -> bool:
+    *_, body = request.http()
+    expected = engine.expected_answer(body)
+    if attempt.complete:
+        return attempt.text == expected
+    return expected.startswith(attempt.text)
+
+
+def _call_is_right(request: workload.Request, attempt: Attempt) -> bool:
+    try:
+        answer = msgspec.json.decode(attempt.text, type=dict)
+    except msgspec.MsgspecError:
+        return False
+    wanted = {
+        'claim': {'spot': request.target, 'tag': request.text},
+        'release': {'spot': request.target, 'tag': request.text},
+        'spot_status': {'spot': request.target},
+        'booking': {'festival': request.text},
+        'order_status': {'order': request.target},
+    }[request.kind]
+    return wanted.items() <= answer.items()
+
+
+def false_refusals(evidence: Evidence) -> list[str]:
+    """Find refusals of requests that budget and endpoints could serve.
+
+    A refusal for lack of budget is true when less than the request's bound
+    is left of the paid budget, after what was billed and what requests in
+    flight may cost. A refusal that names the log is explained by an outage.
+    """
+    found = []
+    bills = _bills_of(evidence)
+    for observation in evidence.observations:
+        request = observation.request
+        for attempt in observation.attempts:
+            if attempt.outcome != 'not-run':
+                continue
+            code = attempt.code
+            if code in _EXPECTED_OF_REPEATS or (
+                code in _OF_LOG and _in_outage(evidence, attempt)
+            ):
+                continue
+            if code in _OF_BUDGET and _exhausted(
+                evidence, bills, request, attempt.ended_ms
+            ):
+                continue
+            found.append(
+                f'{request.id}: refused with {code} by {attempt.router}'
+            )
+    return found
+
+
+def _in_outage(evidence: Evidence, attempt: Attempt) -> bool:
+    return any(
+        start_ms - _OUTAGE_MARGIN_MS
+        <= attempt.ended_ms
+        <= end_ms + _OUTAGE_MARGIN_MS
+        for start_ms, end_ms in evidence.outages_ms
+    )
+
+
+def _exhausted(
+    evidence: Evidence,
+    bills: dict[tuple[str, str], LoggedBill],
+    request: workload.Request,
+    time_ms: int,
+) -> bool:
+    paid = 0
+    for version in evidence.manifests:
+        if version.time_ms + _CONFIG_MS <= time_ms or paid == 0:
+            paid = _budgets(version.manifest).get(request.organisation, 0)
+    committed = 0
+    for group in _same_requests(evidence.observations):
+        other = group[0].request
+        if other.organisation == request.organisation:
+            committed += _committed(evidence, bills, group, time_ms)
+    return paid - committed < _bound(evidence, request)
+
+
+def _committed(
+    evidence: Evidence,
+    bills: dict[tuple[str, str], LoggedBill],
+    group: list[Observation],
+    time_ms: int,
+) -> int:
+    """Return the tokens that a request keeps from others at a time."""
+    attempts = [
+        attempt
+        for observation in group
+        for attempt in observation.attempts
+        if attempt.outcome != 'not-run' and attempt.sent_ms <= time_ms
+    ]
+    held = 0
+    for attempt in attempts:
+        lost = not attempt.outcome
+        free_ms = attempt.ended_ms + (_RECOVERY_MS if lost else 0)
+        if time_ms < free_ms:
+            held += _bound(evidence, group[0].request)
+    if held or not attempts:
+        return held
+    ids = _request_ids(group) & bills.keys()
+    return sum(bills[identity].bill.tokens for identity in ids)
+
+
+def untruthful_not_run(evidence: Evidence) -> list[str]:
+    """Find not-run answers to attempts that an endpoint ran.
+
+    A run belongs to an attempt when the run's id contains the request id that
+    only this attempt has. Where ids do not tell, it does when the run started
+    during the attempt, and during no other attempt of the same request that
+    may have run.
+    """
+    found = []
+    for group in _same_requests(evidence.observations):
+        runs = list(_runs_of(evidence, group))
+        attempts = [a for o in group for a in o.attempts]
+        ids = collections.Counter(a.request_id for a in attempts)
+        may_run = [a for a in attempts if a.outcome != 'not-run']
+        for attempt in attempts:
+            if attempt.outcome != 'not-run':
+                continue
+            own_id = attempt.request_id
+            for run_id, start_ms in runs:
+                if own_id and ids[own_id] == 1 and own_id in run_id:
+                    ran = True
+                else:
+                    ran = _during(attempt, start_ms) and not any(
+                        _during(other, start_ms) for other in may_run
+                    )
+                if ran:
+                    found.append(f'{group[0].request.id}: ran as {run_id}')
+    return found
+
+
+def _during(attempt: Attempt, time_ms: int) -> bool:
+    return attempt.sent_ms <= time_ms <= attempt.ended_ms
+
+
+def _runs_of(
+    evidence: Evidence, group: list[Observation]
+) -> Iterator[tuple[str, int]]:
+    """Yield id and start of the endpoints' runs of a request."""
+    request = group[0].request
+    *_, body = request.http()
+    if request.is_chat:
+        digest = engine.content_digest(body)
+        for run in evidence.engine_runs:
+            if run.content_digest == digest:
+                yield run.attempt_id, run.received_ms
+        return
+    digest = service.body_digest(body)
+    for run in evidence.service_runs:
+        if run.call == request.kind and run.body_digest == digest:
+            yield run.request_id, run.time_ms
+
+
+class Report(msgspec.Struct):
+    """Counts of one run; `found` names the violations."""
+
+    requests: int = 0
+    complete: int = 0
+    not_run: int = 0
+    failed: int = 0
+    unknown: int = 0
+    abandoned: int = 0
+    billed: int = 0
+    billed_twice: int = 0
+    complete_unbilled: int = 0
+    wrong_amounts: int = 0
+    overspend_tokens: int = 0
+    non_idempotent_twice: int = 0
+    wrong_or_partial_answers: int = 0
+    false_refusals: int = 0
+    untruthful_not_run: int = 0
+    found: list[str] = []
+
+    def broken(self) -> list[str]:
+        """Return the names of the broken promises."""
+        zero = (
+            'billed_twice',
+            'complete_unbilled',
+            'wrong_amounts',
+            'overspend_tokens',
+            'non_idempotent_twice',
+            'wrong_or_partial_answers',
+            'untruthful_not_run',
+        )
+        broken = [name for name in zero if getattr(self, name)]
+        if self.false_refusals > 0.001 * self.requests:
+            broken.append('false_refusals')
+        return broken
+
+
+_CHECKERS = (
+    billed_twice,
+    complete_unbilled,
+    wrong_amounts,
+    non_idempotent_twice,
+    wrong_or_partial_answers,
+    false_refusals,
+    untruthful_not_run,
+)
+
+
+def check(evidence: Evidence) -> Report:
+    """Run every checker."""
+    report = Report(
+        requests=len(evidence.observations),
+        billed=sum(1 for _ in evidence.accounts.counted()),
+        overspend_tokens=overspend_tokens(evidence),
+    )
+    for observation in evidence.observations:
+        name = _final_outcome(observation)
+        setattr(report, name, getattr(report, name) + 1)
+    for checker in _CHECKERS:
+        found = checker(evidence)
+        setattr(report, checker.__name__, len(found))
+        report.found += [f'{checker.__name__}: {line}' for line in found]
+    return report
+
+
+def _final_outcome(observation: Observation) -> str:
+    last = observation.attempts[-1]
+    if last.abandoned:
+        return 'abandoned'
+    if last.complete:
+        return 'complete'
+    name = last.outcome.replace('-', '_')
+    return name if name in ('not_run', 'failed') else 'unknown'
--- a/src/basilpond_testkit/engine.py
+++ b/src/basilpond_testkit/engine.py
@@ -24,10 +24,18 @@
 from . import _answers
 from . import _frames
 from . import _program
+from ._answers import body_content_digest as content_digest
 from ._answers import expected_answer
 from ._answers import expected_usage
 
-__all__ = ['Engine', 'EngineSettings', 'expected_answer', 'expected_usage']
+__all__ = [
+    'Engine',
+    'EngineSettings',
+    'RunRecord',
+    'content_digest',
+    'expected_answer',
+    'expected_usage',
+]
 
 _Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
--- a/src/basilpond_testkit/service.py
+++ b/src/basilpond_testkit/service.py
@@ -162,7 +162,7 @@
                 request_id=request.headers.get('X-Request-Id', ''),
                 call=call,
                 target=target,
-                body_digest=xxhash.xxh3_128_hexdigest(await request.read()),
+                body_digest=body_digest(await request.read()),
                 time_ms=_program.now_ms(),
                 status=status,
             )
@@ -244,6 +244,11 @@
         return _program.json_response({})
 
 
+def body_digest(body: bytes) -> str:
+    """Return the digest of a body, as in run records."""
+    return xxhash.xxh3_128_hexdigest(body)
+
+
 async def _field(request: web.Request, name: str) -> str:
     """Return a text field of the body, or respond 400."""
     body = await _program.decode_body(request, dict[str, Any])
