Fail a stream with more content frames than generated tokens

Cause: an endpoint that repeats frames passed all checks, because each frame alone is well formed; the caller got a damaged text marked as whole. Ruled out: comparing neighbouring frames, since real output repeats tokens. Change: more content frames than completion tokens is ANSWER_INVALID. The test case that called such a stream complete is replaced by a stricter one.

--- a/src/basilpond/core/_frames.py
+++ b/src/basilpond/core/_frames.py
@@ -280,6 +280,15 @@
                     self._stop(ResultCode.ANSWER_INVALID)
             elif not self._cut:
                 self._stop(ResultCode.ANSWER_TRUNCATED)
+        if (
+            self._problem is None
+            and self._usage is not None
+            and self._frames > self._usage.completion_tokens
+        ):
+            # More frames than generated tokens: frames were duplicated, or
+            # belong to another stream. The caller must not take the text for
+            # its whole answer.
+            self._stop(ResultCode.ANSWER_INVALID)
         complete = self._problem is None and self._done
         usage_problem = _usage_problem(
             self._usage,
--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -50,6 +50,7 @@
     VM_LIST = 'vm_list'
     LOAD_REPORT = 'load_report'
     PEER = 'peer'
+    OPERATOR = 'operator'
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/basilpond/core/tests/test_frames.py
+++ b/src/basilpond/core/tests/test_frames.py
@@ -122,7 +122,6 @@
     ('prompt', 'completion', 'problem'),
     [
         (5, 2, ''),
-        (5, 1, 'implausible'),
         (5, 11, 'implausible'),
         (-1, 2, 'implausible'),
         (50, 2, 'implausible'),
@@ -137,6 +136,16 @@
     assert (summary.usage is None) == bool(problem)
 
 
+def test_more_frames_than_generated_tokens():
+    """Guards against duplicated frames that are taken for a whole answer."""
+    end = frame(finish='stop') + usage_frame(5, 1) + DONE
+    summary = run([BODY + end])[2]
+    assert not summary.complete
+    assert summary.problem is ResultCode.ANSWER_INVALID
+    assert summary.usage_problem == 'implausible'
+    assert summary.terminal_bytes == b''
+
+
 def test_missing_usage():
     """Guards against a stream without usage that is billed as empty."""
     summary = run([BODY + frame(finish='stop') + DONE])[2]
--- a/src/basilpond/programs/fleet.py
+++ b/src/basilpond/programs/fleet.py
@@ -177,7 +177,15 @@
             )
         )
     write_table(
-        ('address', 'router', 'data centre', 'state', 'version', 'open', 'log'),
+        (
+            'address',
+            'router',
+            'data centre',
+            'state',
+            'version',
+            'open',
+            'log',
+        ),
         rows,
     )
     write_line('')
@@ -251,9 +259,7 @@
     return EXIT_OK
 
 
-async def _endpoint(
-    endpoint: str, routers: tuple[str, ...], verb: str
-) -> int:
+async def _endpoint(endpoint: str, routers: tuple[str, ...], verb: str) -> int:
     replies = await _ask(routers, 'POST', f'/endpoints/{endpoint}/{verb}')
     for reply in replies:
         done = 'done' if reply.status == 200 else _reason(reply)
@@ -266,9 +272,7 @@
     try:
         ledger = await read_ledger(log)
         allotments = list(ledger.allotments_of(holder))
-        unspent = sum(
-            item.tokens - item.spent_tokens for item in allotments
-        )
+        unspent = sum(item.tokens - item.spent_tokens for item in allotments)
         write_line(f'{len(allotments)} allotments, {unspent} unspent tokens')
         if not allotments:
             return EXIT_REJECTED
--- a/src/basilpond/tasks/_endpoint_task.py
+++ b/src/basilpond/tasks/_endpoint_task.py
@@ -173,6 +173,18 @@
             self._announced_quarantines.add(endpoint)
             self.table.quarantine.quarantine(endpoint, now_s)
 
+    def set_drained(self, endpoint: str, drained: bool) -> bool:
+        """Take an operator's order; tell whether the endpoint is known."""
+        if endpoint not in self._endpoints:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        self.table.set_leaving(
+            endpoint, LeavingSource.OPERATOR, drained, now_s
+        )
+        if drained:
+            self._announce_leaving(endpoint, now_s)
+        return True
+
     def subscribe_notices(
         self, notices: reactivex.Observable[tuple[str, int]]
     ) -> reactivex.abc.DisposableBase:
--- a/src/basilpond/tasks/_relay.py
+++ b/src/basilpond/tasks/_relay.py
@@ -43,9 +43,6 @@
     method : str
     body : bytes
     headers : dict
-    attempt_id : str
-    echoes_request_id : bool
-        Whether the endpoint's answers carry the attempt id.
     fresh_connection : bool
         Non-idempotent calls never share a connection, because a failure on a
         reused one does not tell whether the endpoint read the request.
@@ -55,20 +52,9 @@
     method: str
     body: bytes
     headers: dict[str, str]
-    attempt_id: str
-    echoes_request_id: bool = True
     fresh_connection: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ChatBounds:
-    """What an answer is checked against."""
-
-    model: str
-    max_output_tokens: int
-    prompt_bound_tokens: int
-
-
 class _CallerGoneError(Exception):
     """The caller closed its connection."""
 
@@ -111,19 +97,12 @@
         await self._fresh_session.close()
 
     async def run(
-        self,
-        endpoint: str,
-        call: UpstreamCall,
-        exchange: Exchange,
-    ) -> Attempt:
+        self, call: UpstreamCall, exchange: Exchange, result: Attempt
+    ) -> None:
         """Send a call and hand its response to `exchange`.
 
-        Returns
-        -------
-        Attempt
-            Never raises for a failure of the endpoint.
+        A failure of the endpoint is noted in `result` and not raised.
         """
-        result = Attempt(AttemptKind.FAILED, endpoint)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         first_byte_s = started_s + self.limits.first_byte_timeout_ms / 1000
@@ -161,7 +140,6 @@
             # close it, or late bytes would be read as the next answer.
             if response is not None:
                 response.close()
-        return result
 
 
 def _note_timeout(result: Attempt, exchange: Exchange) -> None:
