--- a/src/basilpond/tasks/_dispatcher.py
+++ b/src/basilpond/tasks/_dispatcher.py
@@ -6,6 +6,8 @@
 from collections.abc import Collection
 import dataclasses
 
+from reactivex.subject import Subject
+
 from ..core import Attempt
 from ..core import AttemptKind
 from ..core import AttemptVerdict
@@ -54,6 +56,8 @@
             max_size=limits.queue_requests
         )
         self.retries = RetryBudget()
+        # Counted keys, for the peers.
+        self.crash_keys: Subject[str] = Subject()
 
     async def place(self, call: CallerRequest, query: RouteQuery) -> str:
         """Return the endpoint for an attempt; count it as in flight.
@@ -142,7 +146,10 @@
     def note_crash(self, call: CallerRequest) -> None:
         """Count an attempt that ended with a lost connection."""
         now_s = asyncio.get_running_loop().time()
-        self.crashes.record(*_crash_keys(call), now_s)
+        keys = _crash_keys(call)
+        self.crashes.record(*keys, now_s)
+        for key in keys:
+            self.crash_keys.on_next(key)
 
     async def _wait(
         self, call: CallerRequest, query: RouteQuery, now_s: float
