Check a chunk of one frame without a second call

Cause: most chunks at a steady rate hold one frame, and the general path splits and counts for several. Change: feed() validates a single short frame itself.

--- a/src/basilpond/core/_frames.py
+++ b/src/basilpond/core/_frames.py
@@ -183,6 +183,7 @@
     """
 
     __slots__ = (
+        '_after_quote',
         '_attempt_id',
         '_choice_keys',
         '_content_bytes',
@@ -196,9 +197,12 @@
         '_id',
         '_max_output_tokens',
         '_model',
+        '_one_max_bytes',
+        '_one_min_bytes',
         '_prefix',
         '_problem',
         '_prompt_bound_tokens',
+        '_quote_at',
         '_separator',
         '_suffix',
         '_tail',
@@ -225,6 +229,10 @@
         self._prefix = b''
         self._suffix = b''
         self._separator = b''
+        self._one_min_bytes = 0
+        self._one_max_bytes = 0
+        self._quote_at = 0
+        self._after_quote = 0
         self._tail = b''
         self._frames = 0
         self._content_bytes = 0
@@ -252,6 +260,25 @@
         if prefix and data.startswith(prefix):
             suffix = self._suffix
             if data.endswith(suffix):
+                size = len(data)
+                # One frame with a short content; the bytes cannot hold
+                # another separator.
+                if self._one_min_bytes <= size <= self._one_max_bytes:
+                    try:
+                        text = _decode_str(
+                            data[self._quote_at : size - self._after_quote]
+                        )
+                    except (msgspec.DecodeError, UnicodeDecodeError):
+                        return self._feed_events(data)
+                    if text:
+                        if self._frames >= self._max_output_tokens:
+                            return self._feed_events(data)
+                        self._frames += 1
+                        self._content_bytes += (
+                            len(text) if text.isascii() else len(text.encode())
+                        )
+                    self._tail = b''
+                    return StreamStep(data)
                 if self._match(data):
                     self._tail = b''
                     return StreamStep(data)
@@ -510,6 +537,10 @@
         self._prefix = event[:start]
         self._suffix = event[end:]
         self._separator = self._suffix + self._prefix
+        self._one_min_bytes = len(self._separator)
+        self._one_max_bytes = min(MAX_EVENT_BYTES, 2 * self._one_min_bytes)
+        self._quote_at = start - 1
+        self._after_quote = len(self._suffix) - 1
 
     def _stop(self, code: ResultCode) -> None:
         self._problem = code
