--- /dev/null
+++ b/src/basilpond/core/_pricing.py
@@ -0,0 +1,265 @@
+"""Upper bound on the cost of a chat request, and cost of a response.
+
+All amounts are whole budget tokens, all prices budget tokens per token.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+from ._codes import Outcome
+from ._codes import RefusalError
+from ._codes import ResultCode
+
+# A tokenizer may add a few tokens around the text, so an honest usage report
+# can exceed the bytes of short content.
+COMPLETION_SLACK_TOKENS = 8
+
+# Largest value of a budget in the manifest; a larger bound cannot be held.
+MAX_COST_TOKENS = 10**15
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChatBound:
+    """Upper bound on one chat request.
+
+    Parameters
+    ----------
+    prompt_tokens, output_tokens : int
+        Bounds in tokens of the model.
+    cost_tokens : int
+        Amount to hold, in budget tokens.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    cost_tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Usage:
+    """Usage as an endpoint reported it; any value is possible."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ResponseCost:
+    """Cost of a response and the counts it is based on.
+
+    `from_usage` is False when the router's own counts were used.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    cost_tokens: int
+    from_usage: bool
+
+
+def _invalid_field(message: str) -> RefusalError:
+    return RefusalError(
+        ResultCode.INVALID_FIELD,
+        message,
+        outcome=Outcome.NOT_RUN,
+        http_status=400,
+    )
+
+
+def text_bytes(value: Any) -> int:
+    """Return the UTF-8 bytes of all keys and strings in parsed JSON.
+
+    Raises
+    ------
+    RefusalError
+        `INVALID_FIELD` if a string has no UTF-8 form (a lone surrogate).
+    """
+    total = 0
+    pending = [value]
+    while pending:
+        part = pending.pop()
+        if isinstance(part, str):
+            try:
+                total += len(part.encode())
+            except UnicodeEncodeError:
+                raise _invalid_field(
+                    'text contains a lone surrogate'
+                ) from None
+        elif isinstance(part, Mapping):
+            pending.extend(part)
+            pending.extend(part.values())
+        elif isinstance(part, Sequence):
+            pending.extend(part)
+        elif part is not None:
+            # Numbers and booleans; their JSON text bounds their tokens.
+            total += len(str(part))
+    return total
+
+
+def prompt_bound_tokens(
+    messages: Sequence[Any],
+    *,
+    margin_tokens_per_message: int,
+    other_prompt_parts: Any = None,
+) -> int:
+    """Return an upper bound on the tokens of a prompt.
+
+    A byte-level tokenizer emits at most one token per UTF-8 byte; the margin
+    covers the chat template's tokens around each message.
+
+    Parameters
+    ----------
+    messages : sequence
+        Parsed JSON; strings of any field count, such as ``name`` and
+        ``tool_calls``.
+    margin_tokens_per_message : int
+    other_prompt_parts : Any, optional
+        Parsed JSON that a template also puts into the prompt, such as
+        ``tools``.
+
+    Raises
+    ------
+    RefusalError
+        `INVALID_FIELD` if a message refers to content whose size the router
+        cannot know.
+    """
+    for message in messages:
+        _check_content(message)
+    return (
+        text_bytes(messages)
+        + text_bytes(other_prompt_parts)
+        + margin_tokens_per_message * max(1, len(messages))
+    )
+
+
+def _check_content(message: Any) -> None:
+    """Refuse content that an endpoint would fetch from elsewhere."""
+    if not isinstance(message, Mapping):
+        raise _invalid_field('messages must contain objects')
+    content = message.get('content')
+    if content is None or isinstance(content, str):
+        return
+    if not isinstance(content, list):
+        raise _invalid_field('content must be a string or a list of parts')
+    for part in content:
+        if not isinstance(part, Mapping):
+            raise _invalid_field('content parts must be objects')
+        image = part.get('image_url')
+        if image is None:
+            continue
+        url = image.get('url') if isinstance(image, Mapping) else image
+        if not isinstance(url, str) or not url.startswith('data:'):
+            raise _invalid_field('image_url must be a data URL')
+
+
+def chat_bound(
+    *,
+    prompt_tokens: int,
+    requested_output_tokens: int | None,
+    max_output_tokens: int,
+    prompt_price_tokens: int,
+    output_price_tokens: int,
+) -> ChatBound:
+    """Return the amount to hold for a chat request.
+
+    Parameters
+    ----------
+    prompt_tokens : int
+        Result of `prompt_bound_tokens`.
+    requested_output_tokens : int or None
+        Output limit of the request; None means the model's limit.
+    max_output_tokens : int
+        Output limit of the model.
+    prompt_price_tokens, output_price_tokens : int
+
+    Raises
+    ------
+    RefusalError
+        `INVALID_FIELD` if the output limit or the cost is out of range.
+    """
+    output_tokens = (
+        max_output_tokens
+        if requested_output_tokens is None
+        else requested_output_tokens
+    )
+    if isinstance(output_tokens, bool) or not isinstance(output_tokens, int):
+        raise _invalid_field('max_tokens must be an integer')
+    if not 1 <= output_tokens <= max_output_tokens:
+        raise _invalid_field(
+            f'max_tokens={output_tokens}; allowed 1 to {max_output_tokens}'
+        )
+    cost_tokens = (
+        prompt_tokens * prompt_price_tokens
+        + output_tokens * output_price_tokens
+    )
+    if not 0 <= cost_tokens <= MAX_COST_TOKENS:
+        raise _invalid_field(
+            f'cost bound is {cost_tokens} budget tokens; '
+            f'allowed 0 to {MAX_COST_TOKENS}'
+        )
+    return ChatBound(prompt_tokens, output_tokens, cost_tokens)
+
+
+def response_cost(
+    bound: ChatBound,
+    *,
+    usage: Usage | None,
+    content_frames: int,
+    content_bytes: int,
+    prompt_price_tokens: int,
+    output_price_tokens: int,
+) -> ResponseCost:
+    """Return the cost of a response, at most the held amount.
+
+    The endpoint's usage counts when it is plausible: content frames <=
+    completion tokens <= content bytes + `COMPLETION_SLACK_TOKENS`, and prompt
+    tokens <= bound. Otherwise the router counts one token per content frame
+    and the bound of the prompt.
+
+    Parameters
+    ----------
+    bound : ChatBound
+    usage : Usage or None
+        None when the endpoint reported none, for example because the stream
+        was cancelled.
+    content_frames, content_bytes : int
+        Relayed frames with content, and the UTF-8 bytes of that content.
+    prompt_price_tokens, output_price_tokens : int
+    """
+    from_usage = usage is not None and is_plausible(
+        usage,
+        bound,
+        content_frames=content_frames,
+        content_bytes=content_bytes,
+    )
+    if from_usage:
+        prompt_tokens = usage.prompt_tokens
+        output_tokens = usage.completion_tokens
+    else:
+        prompt_tokens = bound.prompt_tokens
+        output_tokens = content_frames
+    cost_tokens = (
+        prompt_tokens * prompt_price_tokens
+        + output_tokens * output_price_tokens
+    )
+    return ResponseCost(
+        prompt_tokens,
+        output_tokens,
+        min(cost_tokens, bound.cost_tokens),
+        from_usage,
+    )
+
+
+def is_plausible(
+    usage: Usage, bound: ChatBound, *, content_frames: int, content_bytes: int
+) -> bool:
+    """Return whether a reported usage agrees with what was relayed."""
+    return (
+        content_frames
+        <= usage.completion_tokens
+        <= content_bytes + COMPLETION_SLACK_TOKENS
+        and 0 <= usage.prompt_tokens <= bound.prompt_tokens
+    )
