--- /dev/null
+++ b/src/basilpond/core/_accounts.py
@@ -0,0 +1,468 @@
+"""The router's own allotments: holds, entries, transfers and refill decisions.
+
+An allotment's tokens are either free, held for a running request, or debited
+by an entry. `Accounts` never debits and holds more than the tokens of the
+allotment, whatever the log and the peers do; the fold of the ledger enforces
+the same for all routers together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import enum
+import itertools
+
+import msgspec
+
+from ._records import AllotmentEntry
+from ._records import Bill
+from ._records import Close
+from ._records import Grant
+from ._records import Return
+from ._records import Transfer
+
+
+class AllotmentState(enum.Enum):
+    """What an allotment may still be used for.
+
+    `OPEN` takes holds; `RETIRING` only ends the holds it has; `SEALED` also
+    takes no entries, because its journal peer closes it; `CLOSED` is final.
+    """
+
+    OPEN = 'open'
+    RETIRING = 'retiring'
+    SEALED = 'sealed'
+    CLOSED = 'closed'
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Allotment:
+    """Allotment of this router; `origin` is the record that created it."""
+
+    id: str
+    organisation: str
+    tokens: int
+    journal_peer: str | None
+    origin: Grant | Transfer
+    debited_tokens: int = 0
+    held_tokens: int = 0
+    holds: int = 0
+    next_seq: int = 1
+    state: AllotmentState = AllotmentState.OPEN
+    unlogged: dict[int, AllotmentEntry] = dataclasses.field(
+        default_factory=dict
+    )
+    in_fold: bool = False
+
+    @property
+    def free_tokens(self) -> int:
+        """Tokens for new holds; 0 unless the allotment is open."""
+        if self.state is not AllotmentState.OPEN:
+            return 0
+        return self.tokens - self.debited_tokens - self.held_tokens
+
+    @property
+    def takes_entries(self) -> bool:
+        """Whether the holder may still number entries on it."""
+        return self.state in (AllotmentState.OPEN, AllotmentState.RETIRING)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Hold:
+    """Tokens that are reserved for one request; ends once."""
+
+    organisation: str
+    tokens: int
+    allotment: Allotment
+    ended: bool = False
+
+
+class BillDraft(msgspec.Struct, frozen=True, kw_only=True):
+    """Bill without its allotment; fields as in `Bill`."""
+
+    request_id: str
+    tokens: int
+    outcome: str
+    body_digest: str
+    endpoint: str
+    keyed: bool = False
+    answer_status: int = 0
+    answer: str | None = None
+
+
+Usable = Callable[[Allotment], bool]
+
+
+def _always(allotment: Allotment) -> bool:
+    return True
+
+
+class Accounts:
+    """Allotments of one router, by organisation.
+
+    Parameters
+    ----------
+    holder : str
+        Incarnation id of the router.
+    """
+
+    def __init__(self, holder: str) -> None:
+        self.holder = holder
+        self._allotments: dict[str, Allotment] = {}
+        self._by_organisation: dict[str, dict[str, Allotment]] = {}
+        # Ids of ended allotments, kept so that a transfer that is received
+        # again has no effect; some 100 bytes each.
+        self._ended: set[str] = set()
+        self._numbers = itertools.count(1)
+
+    def new_allotment_id(self) -> str:
+        """Return an id that no other router or earlier call uses."""
+        return f'{self.holder}/{next(self._numbers)}'
+
+    def add(
+        self, allotment: str, tokens: int, origin: Grant | Transfer
+    ) -> bool:
+        """Add a granted or transferred allotment; False if it is known."""
+        if allotment in self._allotments or allotment in self._ended:
+            return False
+        account = Allotment(
+            allotment,
+            origin.organisation,
+            tokens,
+            origin.journal_peer,
+            origin,
+        )
+        self._allotments[allotment] = account
+        self._by_organisation.setdefault(origin.organisation, {})[
+            allotment
+        ] = account
+        return True
+
+    def is_known(self, allotment: str) -> bool:
+        """Return whether the allotment was ever added."""
+        return allotment in self._allotments or allotment in self._ended
+
+    def get(self, allotment: str) -> Allotment | None:
+        """Return an allotment that has not ended."""
+        return self._allotments.get(allotment)
+
+    def allotments(
+        self, organisation: str | None = None
+    ) -> Iterator[Allotment]:
+        """Iterate over a copy of the allotments that have not ended."""
+        if organisation is None:
+            return iter(list(self._allotments.values()))
+        return iter(list(self._by_organisation.get(organisation, {}).values()))
+
+    def free_tokens(self, organisation: str, usable: Usable = _always) -> int:
+        """Return the free tokens on usable allotments."""
+        return sum(
+            account.free_tokens
+            for account in self.allotments(organisation)
+            if usable(account)
+        )
+
+    def hold(
+        self, organisation: str, tokens: int, usable: Usable = _always
+    ) -> Hold | None:
+        """Reserve tokens on one allotment; None if none has room.
+
+        Raises
+        ------
+        ValueError
+            If `tokens` is negative.
+        """
+        if tokens < 0:
+            raise ValueError(f'tokens={tokens}; must be at least 0')
+        account = self._best_fit(organisation, tokens, usable)
+        if account is None:
+            return None
+        account.held_tokens += tokens
+        account.holds += 1
+        return Hold(organisation, tokens, account)
+
+    def release(self, hold: Hold) -> bool:
+        """End a hold without an entry; False if it has ended before."""
+        if hold.ended:
+            return False
+        self._end(hold)
+        return True
+
+    def settle(
+        self, hold: Hold, draft: BillDraft, usable: Usable = _always
+    ) -> Bill | None:
+        """End a hold with a bill on its allotment.
+
+        When somebody else has sealed or closed the allotment, the bill goes
+        on another one. None if that has no room.
+
+        Raises
+        ------
+        ValueError
+            If the hold has ended or the bill exceeds it.
+        """
+        if hold.ended:
+            raise ValueError('hold has ended')
+        if not 0 <= draft.tokens <= hold.tokens:
+            raise ValueError(
+                f'draft.tokens={draft.tokens}; allowed 0 to {hold.tokens}'
+            )
+        self._end(hold)
+        if hold.allotment.takes_entries:
+            return self._bill(hold.allotment, draft)
+        return self.bill_elsewhere(hold.organisation, draft, usable)
+
+    def bill_elsewhere(
+        self, organisation: str, draft: BillDraft, usable: Usable = _always
+    ) -> Bill | None:
+        """Bill without a hold, on any open allotment with room."""
+        account = self._best_fit(organisation, draft.tokens, usable)
+        if account is None:
+            return None
+        return self._bill(account, draft)
+
+    def transfer(
+        self,
+        organisation: str,
+        need_tokens: int,
+        *,
+        holder: str,
+        journal_peer: str | None,
+        usable: Usable = _always,
+    ) -> Transfer | None:
+        """Move at least `need_tokens` from one allotment to another holder.
+
+        The new allotment gets half of the free tokens when that is more.
+        """
+        account = max(
+            (
+                account
+                for account in self.allotments(organisation)
+                if account.free_tokens >= max(1, need_tokens)
+                and usable(account)
+            ),
+            key=lambda account: account.free_tokens,
+            default=None,
+        )
+        if account is None:
+            return None
+        entry = Transfer(
+            allotment=account.id,
+            seq=account.next_seq,
+            organisation=organisation,
+            tokens=max(need_tokens, account.free_tokens // 2),
+            new_allotment=self.new_allotment_id(),
+            holder=holder,
+            journal_peer=journal_peer,
+        )
+        return self._add_entry(account, entry)
+
+    def give_back(self, organisation: str, tokens: int) -> list[Return]:
+        """Return up to `tokens` free tokens, small remainders first."""
+        entries = []
+        for account in sorted(
+            self.allotments(organisation),
+            key=lambda account: account.free_tokens,
+        ):
+            amount = min(account.free_tokens, tokens)
+            if amount > 0:
+                entries.append(self._return(account, amount))
+                tokens -= amount
+        return entries
+
+    def retire(self, allotment: str) -> Return | None:
+        """Stop holds on an allotment and return its free tokens."""
+        account = self._allotments.get(allotment)
+        if account is None or account.state is not AllotmentState.OPEN:
+            return None
+        entry = None
+        if account.free_tokens > 0:
+            entry = self._return(account, account.free_tokens)
+        account.state = AllotmentState.RETIRING
+        return entry
+
+    def seal(self, allotment: str) -> None:
+        """Stop holds and entries: the journal peer closes the allotment."""
+        account = self._allotments.get(allotment)
+        if account is not None and account.takes_entries:
+            account.state = AllotmentState.SEALED
+
+    def close(self, allotment: str) -> None:
+        """Note that the fold has closed an allotment."""
+        account = self._allotments.pop(allotment, None)
+        if account is None:
+            return
+        account.state = AllotmentState.CLOSED
+        self._ended.add(allotment)
+        accounts = self._by_organisation[account.organisation]
+        del accounts[allotment]
+        if not accounts:
+            del self._by_organisation[account.organisation]
+
+    def close_finished(self) -> list[Close]:
+        """Close the allotments that serve no purpose any more.
+
+        An allotment ends here when it is retiring, sealed or empty, no hold
+        is on it, and all its entries are in the log.
+        """
+        records = []
+        for account in self.allotments():
+            if account.holds or account.unlogged or account.free_tokens:
+                continue
+            records.append(
+                Close(account.id, account.organisation, self.holder)
+            )
+            self.close(account.id)
+        return records
+
+    def entry_applied(
+        self, allotment: str, seq: int, *, accepted: bool, refunded: bool
+    ) -> None:
+        """Note that the fold has decided on an entry.
+
+        A refunded bill leaves its tokens on the allotment.
+        """
+        account = self._allotments.get(allotment)
+        if account is None:
+            return
+        entry = account.unlogged.pop(seq, None)
+        if entry is not None and refunded and not accepted:
+            account.debited_tokens -= entry.tokens
+
+    def _best_fit(
+        self, organisation: str, tokens: int, usable: Usable
+    ) -> Allotment | None:
+        # The smallest allotment that fits keeps the larger ones for requests
+        # with a larger bound.
+        return min(
+            (
+                account
+                for account in self._by_organisation.get(
+                    organisation, {}
+                ).values()
+                if account.state is AllotmentState.OPEN
+                and account.free_tokens >= tokens
+                and usable(account)
+            ),
+            key=lambda account: account.free_tokens,
+            default=None,
+        )
+
+    def _end(self, hold: Hold) -> None:
+        hold.ended = True
+        hold.allotment.held_tokens -= hold.tokens
+        hold.allotment.holds -= 1
+
+    def _bill(self, account: Allotment, draft: BillDraft) -> Bill:
+        entry = Bill(
+            allotment=account.id,
+            seq=account.next_seq,
+            organisation=account.organisation,
+            request_id=draft.request_id,
+            tokens=draft.tokens,
+            outcome=draft.outcome,
+            body_digest=draft.body_digest,
+            endpoint=draft.endpoint,
+            keyed=draft.keyed,
+            answer_status=draft.answer_status,
+            answer=draft.answer,
+        )
+        return self._add_entry(account, entry)
+
+    def _return(self, account: Allotment, tokens: int) -> Return:
+        entry = Return(
+            account.id, account.next_seq, account.organisation, tokens
+        )
+        return self._add_entry(account, entry)
+
+    @staticmethod
+    def _add_entry(account: Allotment, entry):
+        account.debited_tokens += entry.tokens
+        account.next_seq += 1
+        account.unlogged[entry.seq] = entry
+        return entry
+
+
+@dataclasses.dataclass(slots=True)
+class Demand:
+    """Recent requests of one organisation, for refill decisions.
+
+    Parameters
+    ----------
+    bound_tokens : int
+        Typical upper bound of a request; the default applies until the first
+        request.
+    last_hold_s : float
+        Time of the last request.
+    standing : bool
+        Keep an allotment without requests, for the time when the log is down.
+    """
+
+    bound_tokens: int
+    last_hold_s: float = float('-inf')
+    standing: bool = False
+    quiet_until_s: float = float('-inf')
+
+    # Requests whose bounds the target covers at least.
+    TARGET_REQUESTS = 4
+
+    def note_hold(self, tokens: int, now_s: float) -> None:
+        """Note a request; large bounds count at once and fade slowly."""
+        self.bound_tokens = max(
+            tokens, 1, self.bound_tokens - self.bound_tokens // 16
+        )
+        self.last_hold_s = now_s
+
+    def is_active(self, now_s: float, idle_s: float) -> bool:
+        """Return whether the organisation needs an allotment here."""
+        return self.standing or now_s - self.last_hold_s < idle_s
+
+    def target_tokens(self, budget_free_tokens: int, routers: int) -> int:
+        """Return the free tokens that this router should have.
+
+        Half of an even share, at least a few requests' bounds, but never more
+        than an even share: at the end of a budget the bounds of all routers
+        together exceed it.
+
+        Parameters
+        ----------
+        budget_free_tokens : int
+        routers : int
+            Live routers, this one included.
+        """
+        share_tokens = budget_free_tokens // routers
+        return max(
+            share_tokens // 2,
+            min(self.TARGET_REQUESTS * self.bound_tokens, share_tokens),
+        )
+
+    def want_tokens(
+        self,
+        *,
+        free_tokens: int,
+        waiting_tokens: int,
+        budget_free_tokens: int,
+        routers: int,
+        now_s: float,
+    ) -> int:
+        """Return the tokens to ask for; 0 for none.
+
+        Parameters
+        ----------
+        free_tokens : int
+            Free tokens on this router's usable allotments.
+        waiting_tokens : int
+            Sum of the bounds of requests that wait for tokens.
+        budget_free_tokens : int
+            Tokens that the log can grant.
+        routers : int
+        now_s : float
+        """
+        target = self.target_tokens(budget_free_tokens, routers)
+        if waiting_tokens:
+            return max(waiting_tokens, target - free_tokens)
+        if now_s < self.quiet_until_s or 2 * free_tokens >= target:
+            return 0
+        return target - free_tokens
--- a/src/basilpond/core/_allotments.py
+++ b/src/basilpond/core/_allotments.py
@@ -227,6 +227,10 @@
         for allotment in tuple(self._by_holder.get(holder, {}).values()):
             yield allotment.view()
 
+    def holders(self) -> Iterator[str]:
+        """Return the holders of open allotments."""
+        return iter(tuple(self._by_holder))
+
     def entry_result(self, allotment: str, seq: int) -> EntryApplied | None:
         """Return the result of an entry that was applied before."""
         found = self._find(allotment)
--- a/src/basilpond/core/_ledger.py
+++ b/src/basilpond/core/_ledger.py
@@ -131,6 +131,10 @@
         """Return the open allotments of a holder, oldest first."""
         return self._allotments.allotments_of(holder)
 
+    def holders(self) -> Iterator[str]:
+        """Return the holders of open allotments."""
+        return self._allotments.holders()
+
     def entry_result(self, allotment: str, seq: int) -> EntryApplied | None:
         """Return the result of an allotment entry that was applied."""
         return self._allotments.entry_result(allotment, seq)
