Add budget task: holds, commits, refills, recovery and claims

Cause: routers must spend from allotments without asking the log for each request, survive log outages, and never overspend or bill twice.

--- /dev/null
+++ b/src/basilpond/tasks/_budget_task.py
@@ -0,0 +1,478 @@
+"""Budget task: holds, bills and claims of this router.
+
+Owns the router's accounts, the copies that it keeps for other routers, and
+everything that waits for the log or a peer on their behalf. The parts are in
+`_refill`, `_commit`, `_recovery`, `_claims` and `_budget_copies`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+from typing import Any
+
+from absl import logging
+
+from .. import protocol
+from ..core import _records
+from ..core._accounts import Accounts
+from ..core._accounts import BillDraft
+from ..core._accounts import Hold
+from ..core._codes import BasilpondError
+from ..core._codes import RefusalError
+from ..core._codes import ResultCode
+from ..core._journal import Journal
+from ..core._journal import JournalFullError
+from ..core._journal import JournalMessageError
+from ..core._ledger_results import AllotmentClosed
+from ..core._ledger_results import EntryApplied
+from ..core._manifest import Manifest
+from ._budget_copies import BudgetCopies
+from ._budget_interfaces import BudgetSettings
+from ._budget_interfaces import ClaimVerdict
+from ._budget_interfaces import LedgerWriter
+from ._budget_interfaces import Members
+from ._budget_interfaces import Peers
+from ._budget_interfaces import Settlement
+from ._claims import Claims
+from ._commit import Committer
+from ._commit import PendingEntry
+from ._recovery import Recovery
+from ._refill import Refill
+
+# How long a bill that has lost its allotment may wait for tokens elsewhere.
+REBILL_TIMEOUT_S = 60.0
+
+# Interval at which `drain` looks for the end of holds and entries.
+DRAIN_POLL_S = 0.02
+
+# Copies whose results a snapshot has skipped are looked up this often.
+RECONCILE_S = 10.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Billing:
+    """Bill of one request, until the fold has decided on it for good."""
+
+    organisation: str
+    draft: BillDraft
+    outcome: asyncio.Future[Settlement]
+
+    def decide(self, settlement: Settlement) -> None:
+        """Tell the waiting caller, unless it has been told."""
+        if not self.outcome.done():
+            self.outcome.set_result(settlement)
+
+
+class BudgetTask:
+    """Budgets as this router sees them.
+
+    Parameters
+    ----------
+    ledger_task : LedgerWriter
+    members : Members
+    peers : Peers
+    incarnation : str
+        Incarnation id of this router, ``<router_id>~<start time ms>``.
+    settings : BudgetSettings
+    """
+
+    def __init__(
+        self,
+        ledger_task: LedgerWriter,
+        members: Members,
+        peers: Peers,
+        *,
+        incarnation: str,
+        settings: BudgetSettings,
+    ) -> None:
+        self.incarnation = incarnation
+        self.settings = settings
+        self._ledger_task = ledger_task
+        self._members = members
+        router_id = incarnation.rpartition('~')[0]
+        self._accounts = Accounts(incarnation)
+        self._journal = Journal(incarnation, max_bytes=settings.journal_bytes)
+        self._committer = Committer(
+            ledger_task, members, peers, self._accounts, settings
+        )
+        self._refill = Refill(
+            ledger_task,
+            members,
+            peers,
+            self._accounts,
+            self._committer,
+            settings,
+        )
+        self._recovery = Recovery(
+            ledger_task,
+            members,
+            self._journal,
+            incarnation=incarnation,
+            router_id=router_id,
+            settings=settings,
+        )
+        self._claims = Claims(ledger_task, members, incarnation)
+        self._budget_copies = BudgetCopies(
+            ledger_task, members, router_id=router_id, settings=settings
+        )
+        self._background: set[asyncio.Task[None]] = set()
+        self._reconciled_s = float('-inf')
+
+    # Requests
+
+    async def hold(
+        self, organisation: str, tokens: int, *, timeout_s: float
+    ) -> Hold:
+        """Reserve the upper bound of a request.
+
+        Raises
+        ------
+        RefusalError
+            `BUDGET_EXHAUSTED`, `ALLOTMENT_UNAVAILABLE` or `DRAINING`, always
+            with outcome `NOT_RUN`.
+        """
+        return await self._refill.hold(
+            organisation, tokens, timeout_s=timeout_s
+        )
+
+    def release(self, hold: Hold) -> bool:
+        """End the hold of a request that did not run.
+
+        Returns False, without effect, if the hold has ended before.
+        """
+        released = self._accounts.release(hold)
+        if released:
+            self._refill.wake(hold.organisation)
+        return released
+
+    async def settle(
+        self, hold: Hold, draft: BillDraft, *, timeout_s: float
+    ) -> Settlement:
+        """Bill a request that ran, and wait until the bill is committed.
+
+        After the timeout or a cancellation the bill stays on its way: the
+        request ran, so it is billed even when its caller gets no response.
+
+        Raises
+        ------
+        ValueError
+            If the hold has ended or the bill exceeds it.
+        """
+        bill = self._accounts.settle(hold, draft, self._committer.is_usable)
+        billing = _Billing(
+            hold.organisation,
+            draft,
+            asyncio.get_running_loop().create_future(),
+        )
+        self._submit_bill(billing, bill)
+        self._refill.wake(hold.organisation)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(billing.outcome)
+        except TimeoutError:
+            return Settlement(committed=False)
+
+    async def claim(
+        self,
+        organisation: str,
+        request_id: str,
+        body_digest: str,
+        *,
+        timeout_s: float,
+    ) -> ClaimVerdict:
+        """Claim the right to run a non-idempotent request.
+
+        Raises
+        ------
+        RefusalError
+            `CLAIM_LOG_UNAVAILABLE`, with outcome `NOT_RUN`.
+        """
+        return await self._claims.claim(
+            organisation, request_id, body_digest, timeout_s=timeout_s
+        )
+
+    async def abandon_claim(self, organisation: str, request_id: str) -> None:
+        """State that a claimed request was never sent; does not wait."""
+        self._claims.abandon(organisation, request_id)
+
+    def recorded_bill(
+        self, organisation: str, request_id: str
+    ) -> _records.Bill | None:
+        """Return the bill that counts for a keyed request."""
+        return self._ledger_task.ledger.recorded_bill(organisation, request_id)
+
+    def set_budgets(self, manifest: Manifest, version: int) -> None:
+        """Take the budgets of a new manifest."""
+        self._budget_copies.set_budgets(manifest, version)
+        self._refill.set_standing(
+            [organisation.id for organisation in manifest.organisations]
+        )
+
+    # Peers
+
+    def serve_journal_append(self, message: Any) -> Any:
+        """Keep copies for another router.
+
+        Raises
+        ------
+        BasilpondError
+            `PEER_UNAVAILABLE` if the copies were not kept.
+        """
+        try:
+            sealed = self._journal.append(
+                message.holder,
+                message.entries,
+                is_closed=self._is_closed_in_fold,
+            )
+        except (JournalFullError, JournalMessageError) as error:
+            raise BasilpondError(
+                ResultCode.PEER_UNAVAILABLE, str(error)
+            ) from error
+        return protocol.JournalReply(sealed=sealed)
+
+    async def serve_ask_allotment(self, message: Any) -> Any:
+        """Give free tokens to another router."""
+        return await self._refill.serve_ask(message)
+
+    # Life cycle
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        subscription = self._ledger_task.results.subscribe(
+            on_next=self._note_result
+        )
+        try:
+            while True:
+                self._tick()
+                await asyncio.sleep(self.settings.tick_s)
+        finally:
+            subscription.dispose()
+            self._refill.stop()
+            self._committer.stop()
+            self._recovery.stop()
+            for task in list(self._background):
+                task.cancel()
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Refuse new holds, log all entries and close all allotments.
+
+        Returns
+        -------
+        bool
+            Whether nothing of this router, nor a copy for another one, waits
+            for the log any more.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        self._refill.stop_waiters()
+        for account in self._accounts.allotments():
+            self._refill.retire(account.id)
+        while not self._is_drained():
+            if loop.time() >= deadline_s:
+                return False
+            self._close_finished()
+            await asyncio.sleep(DRAIN_POLL_S)
+        return await self._ledger_task.flush(
+            max(0.0, deadline_s - loop.time())
+        )
+
+    def _is_drained(self) -> bool:
+        return (
+            not self._committer.unlogged
+            and not self._journal.used_bytes
+            and next(self._accounts.allotments(), None) is None
+        )
+
+    # Bills
+
+    def _submit_bill(
+        self, billing: _Billing, bill: _records.Bill | None
+    ) -> None:
+        if bill is None:
+            self._spawn(self._bill_after_grant(billing))
+            return
+        pending = self._committer.submit(bill)
+        pending.commit.add_done_callback(
+            lambda commit: self._note_commit(billing, commit)
+        )
+        pending.log.add_done_callback(
+            lambda _: self._note_decided(billing, pending)
+        )
+
+    async def _bill_after_grant(self, billing: _Billing) -> None:
+        """Bill on tokens that are yet to come; the request has run."""
+        draft = billing.draft
+        try:
+            hold = await self._refill.hold(
+                billing.organisation, draft.tokens, timeout_s=REBILL_TIMEOUT_S
+            )
+        except RefusalError as error:
+            logging.error(
+                'request %s ran but cannot be billed: %s',
+                draft.request_id,
+                error,
+            )
+            billing.decide(Settlement(committed=False))
+            return
+        bill = self._accounts.settle(hold, draft, self._committer.is_usable)
+        self._submit_bill(billing, bill)
+
+    def _note_commit(
+        self, billing: _Billing, commit: asyncio.Future[str]
+    ) -> None:
+        if not commit.cancelled() and commit.result() == 'journal':
+            billing.decide(Settlement(committed=True, via='journal'))
+
+    def _note_decided(self, billing: _Billing, pending: PendingEntry) -> None:
+        """Act on the fold's decision on a bill."""
+        if pending.log.cancelled() or pending.log.exception() is not None:
+            billing.decide(Settlement(committed=False))
+            return
+        result = pending.log.result()
+        if result.accepted:
+            billing.decide(Settlement(committed=True, via='log'))
+        elif result.reason == 'duplicate_bill':
+            billing.decide(
+                Settlement(committed=True, duplicate=True, via='log')
+            )
+        elif result.reason == 'closed':
+            # Somebody else closed the allotment, and neither this entry nor
+            # a copy of it came before the close. Nothing is billed yet.
+            self._accounts.close(pending.entry.allotment)
+            self._submit_bill(
+                billing,
+                self._accounts.bill_elsewhere(
+                    billing.organisation,
+                    billing.draft,
+                    self._committer.is_usable,
+                ),
+            )
+        else:
+            self._note_undecidable(billing, pending.entry, result.reason)
+
+    def _note_undecidable(
+        self, billing: _Billing, entry: _records.Bill, reason: str
+    ) -> None:
+        """Handle a result that does not tell whether the bill counts."""
+        recorded = None
+        if entry.keyed:
+            recorded = self.recorded_bill(entry.organisation, entry.request_id)
+        if recorded is None:
+            logging.error(
+                'bill of request %s was not accepted: %s',
+                entry.request_id,
+                reason,
+            )
+            billing.decide(Settlement(committed=False))
+            return
+        own = (recorded.allotment, recorded.seq) == (
+            entry.allotment,
+            entry.seq,
+        )
+        billing.decide(
+            Settlement(committed=True, duplicate=not own, via='log')
+        )
+
+    # Folded results
+
+    def _note_result(self, result: Any) -> None:
+        if isinstance(result, EntryApplied):
+            view = self._ledger_task.ledger.allotment(result.allotment)
+            is_open_here = (
+                view is not None
+                and not view.closed
+                and view.journal_peer == self.incarnation
+            )
+            self._journal.note_decided(
+                result.allotment,
+                result.seq,
+                open_holder=view.holder if is_open_here else None,
+            )
+        elif isinstance(result, AllotmentClosed):
+            self._accounts.close(result.allotment)
+            view = self._ledger_task.ledger.allotment(result.allotment)
+            if view is not None and view.journal_peer == self.incarnation:
+                self._journal.note_closed(
+                    result.allotment, by_holder=result.closer == view.holder
+                )
+        self._refill.wake()
+
+    def _is_closed_in_fold(self, allotment: str) -> bool:
+        view = self._ledger_task.ledger.allotment(allotment)
+        return view is not None and view.closed
+
+    # Periodic checks
+
+    def _tick(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._compare_with_fold()
+        if now_s - self._reconciled_s >= RECONCILE_S:
+            self._reconciled_s = now_s
+            self._drop_skipped_copies()
+        if self._ledger_task.log_reachable:
+            self._retire_without_peer()
+        self._close_finished()
+        self._refill.tick()
+        self._recovery.tick()
+        self._budget_copies.tick()
+
+    def _compare_with_fold(self) -> None:
+        """Adopt and close what a lost reply or a snapshot has hidden."""
+        ledger = self._ledger_task.ledger
+        for view in ledger.allotments_of(self.incarnation):
+            account = self._accounts.get(view.allotment)
+            if account is not None:
+                account.in_fold = True
+            elif not self._accounts.is_known(view.allotment):
+                # The reply with this transfer was lost. No entry of the
+                # allotment exists, so all of its tokens are unspent.
+                origin = _records.Grant(
+                    view.allotment,
+                    view.organisation,
+                    view.tokens,
+                    0,
+                    self.incarnation,
+                    view.journal_peer,
+                )
+                self._accounts.add(view.allotment, view.tokens, origin)
+                self._refill.wake(view.organisation)
+        for account in self._accounts.allotments():
+            view = ledger.allotment(account.id)
+            if account.in_fold and (view is None or view.closed):
+                self._accounts.close(account.id)
+
+    def _drop_skipped_copies(self) -> None:
+        ledger = self._ledger_task.ledger
+        for allotment, _, seqs in self._journal.allotments():
+            view = ledger.allotment(allotment)
+            if view is not None and view.closed:
+                self._journal.note_closed(allotment, by_holder=False)
+                continue
+            for seq in seqs:
+                if ledger.entry_result(allotment, seq) is not None:
+                    self._journal.note_decided(
+                        allotment, seq, open_holder=None
+                    )
+
+    def _retire_without_peer(self) -> None:
+        """Retire allotments that could not commit during a log outage."""
+        available = self._committer.choose_journal_peer(lambda _: 0)
+        for account in self._accounts.allotments():
+            peer = account.journal_peer
+            if (
+                available is not None
+                if peer is None
+                else self._members.is_lost(peer)
+            ):
+                self._refill.retire(account.id)
+
+    def _close_finished(self) -> None:
+        for record in self._accounts.close_finished():
+            self._ledger_task.submit(record)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/src/basilpond/tasks/_commit.py
@@ -0,0 +1,338 @@
+"""Commit of allotment entries: log first, journal peer while it is silent.
+
+Every entry goes to the log and, as a copy, to the journal peer of its
+allotment at once. The log decides; a copy that the peer has acknowledged
+commits an entry only while the log has not responded for `log_patience_ms`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from absl import logging
+
+from .. import protocol
+from ..core import _records
+from ..core._accounts import Accounts
+from ..core._accounts import Allotment
+from ..core._codes import BasilpondError
+from ._budget_interfaces import BudgetSettings
+from ._budget_interfaces import LedgerWriter
+from ._budget_interfaces import Members
+from ._budget_interfaces import MemberView
+from ._budget_interfaces import Peers
+
+# Bounds on one JournalAppend; a frame may have 1 MiB.
+MAX_MESSAGE_ENTRIES = 512
+MAX_MESSAGE_BYTES = 512 * 1024
+
+# Between attempts to reach a journal peer.
+FIRST_RETRY_S = 0.05
+LAST_RETRY_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class PendingEntry:
+    """Entry that the own fold has not decided on yet.
+
+    Parameters
+    ----------
+    entry : AllotmentEntry
+    origin : Grant or Transfer
+        Record that created the entry's allotment.
+    encoded : bytes
+    log : Future
+        Result of the own fold.
+    commit : Future of str
+        Done with 'log' or 'journal' when the first of them has decided. 'log'
+        says nothing about acceptance; see `log`.
+    acknowledged : bool
+        The journal peer keeps a copy.
+    patience_over : bool
+        The log has not responded within its time.
+    """
+
+    entry: _records.AllotmentEntry
+    origin: _records.Grant | _records.Transfer
+    encoded: bytes
+    log: asyncio.Future[Any]
+    commit: asyncio.Future[str]
+    acknowledged: bool = False
+    patience_over: bool = False
+
+
+class _JournalSender:
+    """Delivers copies to one journal peer, one message at a time."""
+
+    def __init__(self, peer: str, committer: Committer) -> None:
+        self.peer = peer
+        self.failing = False
+        self._committer = committer
+        self._queue: dict[PendingEntry, None] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def add(self, pending: PendingEntry) -> None:
+        self._queue[pending] = None
+        if self._task is None:
+            self._task = asyncio.ensure_future(self._run())
+
+    def discard(self, pending: PendingEntry) -> None:
+        self._queue.pop(pending, None)
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        retry_s = FIRST_RETRY_S
+        try:
+            while self._queue:
+                if self._committer.members.is_lost(self.peer):
+                    # The copies of a restarted peer are gone; the log gets
+                    # the entries from this router.
+                    self._queue.clear()
+                    return
+                if await self._deliver():
+                    self.failing = False
+                    retry_s = FIRST_RETRY_S
+                else:
+                    self.failing = True
+                    await asyncio.sleep(retry_s)
+                    retry_s = min(2 * retry_s, LAST_RETRY_S)
+        finally:
+            self._task = None
+            self.failing = False
+
+    async def _deliver(self) -> bool:
+        batch = []
+        size = 0
+        for pending in self._queue:
+            size += len(pending.encoded)
+            if batch and (
+                len(batch) == MAX_MESSAGE_ENTRIES or size > MAX_MESSAGE_BYTES
+            ):
+                break
+            batch.append(pending)
+        reply = await self._committer.call_journal_peer(self.peer, batch)
+        if reply is None:
+            return False
+        sealed = set(reply.sealed)
+        for pending in batch:
+            self.discard(pending)
+            if pending.entry.allotment in sealed:
+                self._committer.note_sealed(pending.entry.allotment)
+            else:
+                self._committer.note_acknowledged(pending)
+        return True
+
+
+class Committer:
+    """Sends entries to the log and to journal peers.
+
+    Parameters
+    ----------
+    ledger_task : LedgerWriter
+    members : Members
+    peers : Peers
+    accounts : Accounts
+    settings : BudgetSettings
+    """
+
+    def __init__(
+        self,
+        ledger_task: LedgerWriter,
+        members: Members,
+        peers: Peers,
+        accounts: Accounts,
+        settings: BudgetSettings,
+    ) -> None:
+        self.members = members
+        self._ledger_task = ledger_task
+        self._peers = peers
+        self._accounts = accounts
+        self._settings = settings
+        self._senders: dict[str, _JournalSender] = {}
+        self._pending: set[PendingEntry] = set()
+        self.unlogged_bytes = 0
+
+    @property
+    def unlogged(self) -> int:
+        """Number of entries that the own fold has not decided on."""
+        return len(self._pending)
+
+    def submit(self, entry: _records.AllotmentEntry) -> PendingEntry:
+        """Send an entry of an own allotment to the log and a journal peer."""
+        loop = asyncio.get_running_loop()
+        account = self._accounts.get(entry.allotment)
+        if account is None:
+            raise ValueError(f'allotment {entry.allotment} has ended')
+        pending = PendingEntry(
+            entry,
+            account.origin,
+            _records.encode(entry),
+            self._ledger_task.submit(entry),
+            loop.create_future(),
+        )
+        self._pending.add(pending)
+        self.unlogged_bytes += len(pending.encoded)
+        pending.log.add_done_callback(
+            lambda _: self._note_log_response(pending)
+        )
+        # A Return lost with its holder goes back to the budget by the Close
+        # all the same, so only bills and transfers are copied.
+        if account.journal_peer is not None and not isinstance(
+            entry, _records.Return
+        ):
+            loop.call_later(
+                self._settings.log_patience_ms / 1000,
+                self._note_patience_over,
+                pending,
+            )
+            self._sender(account.journal_peer).add(pending)
+        return pending
+
+    def is_usable(self, allotment: Allotment) -> bool:
+        """Return whether a bill on the allotment could be committed now."""
+        if self._ledger_task.log_reachable:
+            return True
+        peer = allotment.journal_peer
+        return (
+            peer is not None
+            and self.unlogged_bytes < self._settings.unlogged_bytes
+            and self.is_peer_available(peer)
+        )
+
+    def is_peer_available(self, incarnation_id: str) -> bool:
+        """Return whether a journal peer can take copies."""
+        sender = self._senders.get(incarnation_id)
+        return (
+            not self.members.is_lost(incarnation_id)
+            and self.find_member(incarnation_id) is not None
+            and not (sender is not None and sender.failing)
+        )
+
+    def find_member(self, incarnation_id: str) -> MemberView | None:
+        """Return a live member by its incarnation."""
+        for member in self.members.live():
+            if member.incarnation_id == incarnation_id:
+                return member
+        return None
+
+    def choose_journal_peer(self, in_use: Callable[[str], int]) -> str | None:
+        """Return the least used router of the own data centre.
+
+        Parameters
+        ----------
+        in_use : callable
+            Number of the organisation's allotments that name a peer.
+        """
+        candidates = [
+            member.incarnation_id
+            for member in self.members.live()
+            if member.data_centre == self._settings.data_centre
+        ]
+        available = [
+            peer for peer in candidates if self.is_peer_available(peer)
+        ]
+        return min(
+            available or candidates,
+            key=lambda peer: (in_use(peer), peer),
+            default=None,
+        )
+
+    async def call_journal_peer(
+        self, peer: str, batch: list[PendingEntry]
+    ) -> Any:
+        """Deliver copies; None if the peer did not acknowledge them."""
+        member = self.find_member(peer)
+        if member is None:
+            return None
+        records = []
+        introduced = set()
+        for pending in batch:
+            if pending.entry.allotment not in introduced:
+                introduced.add(pending.entry.allotment)
+                records.append(_records.encode(pending.origin))
+            records.append(pending.encoded)
+        frame = protocol.Frame(
+            call_id=0,
+            is_reply=False,
+            journal_append=protocol.JournalAppend(
+                holder=self._accounts.holder, entries=records
+            ),
+        )
+        try:
+            reply = await self._peers.call(
+                member, frame, timeout_s=self._settings.peer_timeout_s
+            )
+        except BasilpondError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'journal peer %s did not take copies: %s',
+                10,
+                peer,
+                error,
+            )
+            return None
+        return reply.journal_reply
+
+    def note_sealed(self, allotment: str) -> None:
+        """Stop using an allotment that its journal peer has sealed.
+
+        Its entries stay undecided until the own fold has seen the close: a
+        copy or an append of them may have arrived before it.
+        """
+        logging.warning('journal peer sealed allotment %s', allotment)
+        self._accounts.seal(allotment)
+
+    def note_acknowledged(self, pending: PendingEntry) -> None:
+        """Note that the journal peer keeps a copy."""
+        pending.acknowledged = True
+        self._commit_by_journal(pending)
+
+    def stop(self) -> None:
+        """Stop delivering copies."""
+        for sender in self._senders.values():
+            sender.stop()
+
+    def _sender(self, peer: str) -> _JournalSender:
+        sender = self._senders.get(peer)
+        if sender is None:
+            sender = self._senders[peer] = _JournalSender(peer, self)
+        return sender
+
+    def _note_patience_over(self, pending: PendingEntry) -> None:
+        pending.patience_over = True
+        self._commit_by_journal(pending)
+
+    def _commit_by_journal(self, pending: PendingEntry) -> None:
+        if pending.commit.done():
+            return
+        if not (pending.acknowledged and pending.patience_over):
+            return
+        # A peer that is lost by now may have lost the copy with it.
+        if self.members.is_lost(pending.origin.journal_peer):
+            return
+        pending.commit.set_result('journal')
+
+    def _note_log_response(self, pending: PendingEntry) -> None:
+        self._pending.discard(pending)
+        self.unlogged_bytes -= len(pending.encoded)
+        peer = pending.origin.journal_peer
+        if peer is not None and peer in self._senders:
+            self._senders[peer].discard(pending)
+        if pending.log.cancelled() or pending.log.exception() is not None:
+            pending.commit.cancel()
+            return
+        result = pending.log.result()
+        self._accounts.entry_applied(
+            pending.entry.allotment,
+            pending.entry.seq,
+            accepted=result.accepted,
+            refunded=result.reason == 'duplicate_bill',
+        )
+        if not pending.commit.done():
+            pending.commit.set_result('log')
--- /dev/null
+++ b/src/basilpond/tasks/_refill.py
@@ -0,0 +1,703 @@
+"""Grants, transfers and requests that wait for tokens.
+
+Each organisation with waiting requests has one worker. A round of it tries
+the steps in the order of their cost: the free tokens of the budget, this
+router's own small remainders, then those of the peers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Any
+
+from absl import logging
+import msgspec
+
+from .. import protocol
+from ..core import _records
+from ..core._accounts import Accounts
+from ..core._accounts import Demand
+from ..core._accounts import Hold
+from ..core._codes import BasilpondError
+from ..core._codes import Outcome
+from ..core._codes import RefusalError
+from ..core._codes import ResultCode
+from ._budget_interfaces import BudgetSettings
+from ._budget_interfaces import LedgerWriter
+from ._budget_interfaces import Members
+from ._budget_interfaces import MemberView
+from ._budget_interfaces import Peers
+from ._commit import Committer
+
+# Between rounds without progress. A round costs an append and calls to peers,
+# so the interval grows while holds of other requests bind the tokens.
+FIRST_ROUND_S = 0.05
+LAST_ROUND_S = 1.0
+LEAST_ROUND_S = 0.01
+
+# A grant decided later than this still counts; the worker only stops waiting
+# for it and asks the peers.
+GRANT_PATIENCE_S = 0.5
+
+# Peers asked at a time; the fold tells which of them have tokens.
+ASK_PEERS = 3
+
+# Peers that a router without a folded ledger asks in one round.
+ASK_UNKNOWN_PEERS = 6
+
+_transfer_decoder = msgspec.json.Decoder(_records.Transfer)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    tokens: int
+    future: asyncio.Future[Hold]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Organisation:
+    demand: Demand
+    waiters: list[_Waiter] = dataclasses.field(default_factory=list)
+    wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    worker: asyncio.Task[None] | None = None
+    grant: asyncio.Future[Any] | None = None
+    denied: bool = False
+
+    def smallest_tokens(self) -> int:
+        """Return the smallest waiting bound, at least 1."""
+        return max(1, min(waiter.tokens for waiter in self.waiters))
+
+    def waiting_tokens(self) -> int:
+        """Return the sum of the waiting bounds."""
+        return sum(max(1, waiter.tokens) for waiter in self.waiters)
+
+
+class Refill:
+    """Keeps allotments filled and queues requests while they are not.
+
+    Parameters
+    ----------
+    ledger_task : LedgerWriter
+    members : Members
+    peers : Peers
+    accounts : Accounts
+    committer : Committer
+    settings : BudgetSettings
+    """
+
+    def __init__(
+        self,
+        ledger_task: LedgerWriter,
+        members: Members,
+        peers: Peers,
+        accounts: Accounts,
+        committer: Committer,
+        settings: BudgetSettings,
+    ) -> None:
+        self._ledger_task = ledger_task
+        self._members = members
+        self._peers = peers
+        self._accounts = accounts
+        self._committer = committer
+        self._settings = settings
+        self._organisations: dict[str, _Organisation] = {}
+        self.draining = False
+
+    # Holds
+
+    async def hold(
+        self, organisation: str, tokens: int, *, timeout_s: float
+    ) -> Hold:
+        """Reserve tokens; wait for a grant or a transfer if needed.
+
+        Raises
+        ------
+        RefusalError
+            `BUDGET_EXHAUSTED`, `ALLOTMENT_UNAVAILABLE` or `DRAINING`, always
+            with outcome `NOT_RUN`.
+        """
+        if self.draining:
+            raise _refusal(ResultCode.DRAINING, 'router is stopping', 503)
+        loop = asyncio.get_running_loop()
+        state = self._state(organisation)
+        state.demand.note_hold(tokens, loop.time())
+        hold = self._accounts.hold(
+            organisation, tokens, self._committer.is_usable
+        )
+        if hold is not None:
+            self.refill(organisation)
+            return hold
+        if self._is_exhausted(organisation, tokens):
+            raise self._exhausted(organisation)
+        waiter = _Waiter(tokens, loop.create_future())
+        state.waiters.append(waiter)
+        state.wake.set()
+        if state.worker is None:
+            state.worker = asyncio.ensure_future(
+                self._work(organisation, state)
+            )
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await waiter.future
+        except TimeoutError:
+            if _has_hold(waiter.future):
+                return waiter.future.result()
+            raise self._timeout(organisation, tokens) from None
+        except asyncio.CancelledError:
+            if _has_hold(waiter.future):
+                self._accounts.release(waiter.future.result())
+            raise
+        finally:
+            if waiter in state.waiters:
+                state.waiters.remove(waiter)
+
+    def wake(self, organisation: str | None = None) -> None:
+        """Note that tokens may have become free."""
+        if organisation is not None:
+            state = self._organisations.get(organisation)
+            states = [] if state is None else [(organisation, state)]
+        else:
+            states = list(self._organisations.items())
+        for name, state in states:
+            if state.waiters:
+                self._serve(name, state)
+                state.wake.set()
+
+    def stop_waiters(self) -> None:
+        """Refuse all waiting requests because the router stops."""
+        self.draining = True
+        for state in self._organisations.values():
+            for waiter in state.waiters:
+                if not waiter.future.done():
+                    waiter.future.set_exception(
+                        _refusal(
+                            ResultCode.DRAINING, 'router is stopping', 503
+                        )
+                    )
+
+    def stop(self) -> None:
+        """Cancel the workers."""
+        for state in self._organisations.values():
+            if state.worker is not None:
+                state.worker.cancel()
+
+    # Stock
+
+    def set_standing(self, organisations: list[str]) -> None:
+        """Keep an allotment for each organisation, if there are few."""
+        if len(organisations) > self._settings.standing_organisations:
+            organisations = []
+        for state in self._organisations.values():
+            state.demand.standing = False
+        for organisation in organisations:
+            self._state(organisation).demand.standing = True
+
+    def tick(self) -> None:
+        """Refill the organisations that need it; return idle allotments."""
+        now_s = asyncio.get_running_loop().time()
+        for organisation, state in list(self._organisations.items()):
+            if state.demand.is_active(now_s, self._settings.idle_s):
+                self.refill(organisation)
+            elif not state.waiters:
+                self._return_idle(organisation, state)
+
+    def refill(self, organisation: str) -> None:
+        """Ask the log for stock if the free tokens are below their target."""
+        state = self._state(organisation)
+        ledger_task = self._ledger_task
+        if (
+            self.draining
+            or state.grant is not None
+            or not (ledger_task.log_reachable and ledger_task.synced)
+        ):
+            return
+        view = ledger_task.ledger.budget(organisation)
+        if view is None or view.free_tokens < 1:
+            return
+        routers = 1 + len(self._members.live())
+        want = state.demand.want_tokens(
+            free_tokens=self._accounts.free_tokens(
+                organisation, self._committer.is_usable
+            ),
+            waiting_tokens=0,
+            budget_free_tokens=view.free_tokens,
+            routers=routers,
+            now_s=asyncio.get_running_loop().time(),
+        )
+        # Less than a request's bound cannot serve a request.
+        least = state.demand.bound_tokens
+        if want and view.free_tokens >= least * routers:
+            self._request_grant(organisation, state, max(want, least), least)
+        elif self._needs_second_peer(organisation, view.free_tokens, routers):
+            self._request_grant(organisation, state, 2 * least, least)
+
+    def _needs_second_peer(
+        self, organisation: str, budget_free_tokens: int, routers: int
+    ) -> bool:
+        """Return whether the loss of one peer would stop the organisation.
+
+        True with allotments on one journal peer only, another peer at hand,
+        and enough of the budget left that no other router misses the tokens.
+        """
+        state = self._state(organisation)
+        if budget_free_tokens < 8 * state.demand.bound_tokens * routers:
+            return False
+        accounts = [
+            account
+            for account in self._accounts.allotments(organisation)
+            if account.free_tokens >= state.demand.bound_tokens
+        ]
+        used = {account.journal_peer for account in accounts} - {None}
+        if len(used) > 1 or not accounts:
+            return False
+        peer = self._committer.choose_journal_peer(
+            lambda candidate: int(candidate in used)
+        )
+        return peer is not None and peer not in used
+
+    def _return_idle(self, organisation: str, state: _Organisation) -> None:
+        for account in self._accounts.allotments(organisation):
+            self.retire(account.id)
+        if state.worker is None and state.grant is None:
+            del self._organisations[organisation]
+
+    def retire(self, allotment: str) -> None:
+        """Stop using an allotment and return its free tokens."""
+        entry = self._accounts.retire(allotment)
+        if entry is not None:
+            self._committer.submit(entry)
+
+    # Worker
+
+    async def _work(self, organisation: str, state: _Organisation) -> None:
+        round_s = FIRST_ROUND_S
+        try:
+            while True:
+                state.wake.clear()
+                self._serve(organisation, state)
+                if not state.waiters:
+                    return
+                if await self._round(organisation, state):
+                    round_s = FIRST_ROUND_S
+                    continue
+                await self._wait(organisation, state, round_s)
+                round_s = min(2 * round_s, LAST_ROUND_S)
+        except Exception:
+            # Waiting requests end by their timeouts; the next one starts a
+            # new worker.
+            logging.exception('refill of %s failed', organisation)
+        finally:
+            state.worker = None
+
+    async def _wait(
+        self, organisation: str, state: _Organisation, round_s: float
+    ) -> None:
+        """Wait for the next round; a fitting grant ends the wait early."""
+        try:
+            # The random part keeps routers from drawing on the same
+            # remainder in step.
+            async with asyncio.timeout(round_s * random.uniform(0.5, 1)):
+                await asyncio.sleep(LEAST_ROUND_S)
+                while state.waiters and not self._can_grant(
+                    organisation, state.smallest_tokens()
+                ):
+                    state.wake.clear()
+                    await state.wake.wait()
+                    self._serve(organisation, state)
+        except TimeoutError:
+            pass
+
+    def _serve(self, organisation: str, state: _Organisation) -> None:
+        """Give holds to the waiting requests that fit, oldest first."""
+        for waiter in list(state.waiters):
+            if waiter.future.done():
+                state.waiters.remove(waiter)
+                continue
+            hold = self._accounts.hold(
+                organisation, waiter.tokens, self._committer.is_usable
+            )
+            if hold is not None:
+                state.waiters.remove(waiter)
+                waiter.future.set_result(hold)
+            elif self._is_exhausted(organisation, waiter.tokens):
+                state.waiters.remove(waiter)
+                waiter.future.set_exception(self._exhausted(organisation))
+
+    async def _round(self, organisation: str, state: _Organisation) -> bool:
+        """Try to get tokens for the waiting requests; True on progress."""
+        ledger_task = self._ledger_task
+        if not (ledger_task.log_reachable and ledger_task.synced):
+            return await self._ask_for_transfer(organisation, state)
+        need = state.smallest_tokens()
+        if self._grantable_tokens(organisation) >= need:
+            return await self._grant(organisation, state, need)
+        own = self._accounts.free_tokens(organisation)
+        missing = need - self._grantable_tokens(organisation) - own
+        returned = 0
+        if missing > 0:
+            returned = await self._ask_peers(
+                organisation,
+                max(missing, state.waiting_tokens() - own),
+                enough_tokens=missing,
+            )
+            if not state.waiters:
+                return True
+        if returned < missing:
+            # The peers' remainders are in the budget now, and another round
+            # may find the rest there.
+            return False
+        for entry in self._accounts.give_back(organisation, own):
+            self._committer.submit(entry)
+        return await self._grant(organisation, state, need)
+
+    def _can_grant(self, organisation: str, tokens: int) -> bool:
+        return (
+            self._ledger_task.log_reachable
+            and self._ledger_task.synced
+            and self._grantable_tokens(organisation) >= tokens
+        )
+
+    def _grantable_tokens(self, organisation: str) -> int:
+        view = self._ledger_task.ledger.budget(organisation)
+        return 0 if view is None else view.free_tokens
+
+    async def _grant(
+        self, organisation: str, state: _Organisation, need: int
+    ) -> bool:
+        """Ask the log for a grant; True if it was granted in time."""
+        if state.grant is None:
+            now_s = asyncio.get_running_loop().time()
+            want = state.demand.want_tokens(
+                free_tokens=self._accounts.free_tokens(
+                    organisation, self._committer.is_usable
+                ),
+                waiting_tokens=state.waiting_tokens(),
+                budget_free_tokens=max(
+                    0, self._grantable_tokens(organisation)
+                ),
+                routers=1 + len(self._members.live()),
+                now_s=now_s,
+            )
+            self._request_grant(organisation, state, max(want, need), need)
+        await asyncio.wait([state.grant], timeout=GRANT_PATIENCE_S)
+        return state.grant is None and not state.denied
+
+    def _request_grant(
+        self,
+        organisation: str,
+        state: _Organisation,
+        want_tokens: int,
+        min_tokens: int,
+    ) -> None:
+        record = _records.Grant(
+            allotment=self._accounts.new_allotment_id(),
+            organisation=organisation,
+            want_tokens=want_tokens,
+            min_tokens=min_tokens,
+            holder=self._accounts.holder,
+            journal_peer=self._journal_peer(organisation),
+        )
+        state.grant = self._ledger_task.submit(record)
+        state.grant.add_done_callback(
+            lambda future: self._note_granted(state, record, future)
+        )
+
+    def _journal_peer(self, organisation: str) -> str | None:
+        used = collections.Counter(
+            account.journal_peer
+            for account in self._accounts.allotments(organisation)
+        )
+        return self._committer.choose_journal_peer(used.__getitem__)
+
+    def _note_granted(
+        self,
+        state: _Organisation,
+        record: _records.Grant,
+        future: asyncio.Future[Any],
+    ) -> None:
+        state.grant = None
+        if future.cancelled() or future.exception() is not None:
+            return
+        granted = future.result().granted_tokens
+        state.denied = granted < 1
+        if granted > 0:
+            self._accounts.add(record.allotment, granted, record)
+            if self.draining:
+                self.retire(record.allotment)
+        else:
+            state.demand.quiet_until_s = (
+                asyncio.get_running_loop().time() + self._settings.quiet_s
+            )
+        self.wake(record.organisation)
+
+    # Peers
+
+    async def _ask_for_transfer(
+        self, organisation: str, state: _Organisation
+    ) -> bool:
+        """Ask peers one by one, until one transfers an allotment."""
+        need = state.smallest_tokens()
+        for member in self._candidates(organisation, own_first=True):
+            if not state.waiters:
+                return True
+            await self._ask(member, organisation, need)
+            self._serve(organisation, state)
+            if not state.waiters:
+                return True
+            if self._ledger_task.log_reachable and self._ledger_task.synced:
+                return True
+        return False
+
+    async def _ask_peers(
+        self, organisation: str, need_tokens: int, *, enough_tokens: int
+    ) -> int:
+        """Ask peers until they have returned enough; return the sum."""
+        candidates = self._candidates(organisation, own_first=False)
+        returned = 0
+        while candidates and returned < enough_tokens:
+            group = candidates[:ASK_PEERS]
+            del candidates[:ASK_PEERS]
+            returned += sum(
+                await asyncio.gather(
+                    *(
+                        self._ask(member, organisation, need_tokens - returned)
+                        for member in group
+                    )
+                )
+            )
+        return returned
+
+    def _candidates(
+        self, organisation: str, *, own_first: bool
+    ) -> list[MemberView]:
+        """Return the peers that may have tokens, the most likely first.
+
+        Parameters
+        ----------
+        organisation : str
+        own_first : bool
+            Prefer the own data centre: while this router cannot reach the
+            log, peers beside it probably cannot either, and a peer that can
+            would return its tokens to the budget, out of reach.
+        """
+        live = list(self._members.live())
+        random.shuffle(live)
+        if not self._ledger_task.synced:
+            candidates = live[:ASK_UNKNOWN_PEERS]
+            remaining = dict.fromkeys(
+                (member.incarnation_id for member in candidates), 0
+            )
+        else:
+            remaining = {
+                member.incarnation_id: self._remaining_tokens(
+                    organisation, member.incarnation_id
+                )
+                for member in live
+            }
+            # A transfer during an outage is not in the fold.
+            candidates = [
+                member
+                for member in live
+                if remaining[member.incarnation_id] > 0
+                or not self._ledger_task.log_reachable
+            ]
+        candidates.sort(
+            key=lambda member: (
+                own_first and member.data_centre != self._settings.data_centre,
+                -remaining[member.incarnation_id],
+            )
+        )
+        return candidates
+
+    def _remaining_tokens(self, organisation: str, holder: str) -> int:
+        return sum(
+            view.tokens - view.spent_tokens
+            for view in self._ledger_task.ledger.allotments_of(holder)
+            if view.organisation == organisation and not view.closed
+        )
+
+    async def _ask(
+        self, member: MemberView, organisation: str, need_tokens: int
+    ) -> int:
+        """Ask one peer; return what it returned to the budget."""
+        frame = protocol.Frame(
+            call_id=0,
+            is_reply=False,
+            ask_allotment=protocol.AskAllotment(
+                organisation=organisation,
+                need_tokens=max(1, need_tokens),
+                holder=self._accounts.holder,
+                journal_peer=self._journal_peer(organisation),
+            ),
+        )
+        try:
+            reply = await self._peers.call(
+                member, frame, timeout_s=self._settings.peer_timeout_s
+            )
+        except BasilpondError:
+            return 0
+        reply = reply.ask_allotment_reply
+        if reply is None:
+            return 0
+        if reply.transfer is not None:
+            self._receive_transfer(reply.transfer)
+        return max(0, reply.returned_tokens)
+
+    def _receive_transfer(self, data: bytes) -> None:
+        try:
+            transfer = _transfer_decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            logging.error('malformed transfer from a peer: %s', error)
+            return
+        if transfer.holder != self._accounts.holder:
+            logging.error('transfer for another holder, %s', transfer.holder)
+            return
+        self._accounts.add(transfer.new_allotment, transfer.tokens, transfer)
+
+    async def serve_ask(self, message: Any) -> Any:
+        """Give free tokens to a peer.
+
+        With the log, they go back to the budget, so that remainders of
+        several routers merge. Without it, the peer gets a transfer, which is
+        sent only after it is committed: the receiver may spend it at once.
+        """
+        state = self._organisations.get(message.organisation)
+        reply = protocol.AskAllotmentReply(returned_tokens=0)
+        if message.need_tokens < 1:
+            return reply
+        if state is not None and state.waiters:
+            # Two routers that both miss a part of their next request would
+            # wait for each other; the one with the lower id goes first.
+            if self._accounts.holder < message.holder:
+                return reply
+        elif state is not None:
+            state.demand.quiet_until_s = (
+                asyncio.get_running_loop().time() + self._settings.quiet_s
+            )
+        if self._ledger_task.log_reachable:
+            reply.returned_tokens = await self._return_for_peer(message)
+        else:
+            reply.transfer = await self._transfer_to_peer(message)
+        return reply
+
+    async def _return_for_peer(self, message: Any) -> int:
+        free = self._accounts.free_tokens(message.organisation)
+        amount = min(free, max(message.need_tokens, free // 2))
+        pending = [
+            self._committer.submit(entry)
+            for entry in self._accounts.give_back(message.organisation, amount)
+        ]
+        if not pending:
+            return 0
+        # The asker gives up after its own timeout; the tokens go back to the
+        # budget in any case.
+        await asyncio.wait(
+            [item.log for item in pending],
+            timeout=self._settings.peer_timeout_s / 2,
+        )
+        return sum(
+            item.entry.tokens
+            for item in pending
+            if item.log.done() and item.log.result().accepted
+        )
+
+    async def _transfer_to_peer(self, message: Any) -> bytes | None:
+        entry = self._accounts.transfer(
+            message.organisation,
+            message.need_tokens,
+            holder=message.holder,
+            journal_peer=message.journal_peer,
+            usable=self._committer.is_usable,
+        )
+        if entry is None:
+            return None
+        pending = self._committer.submit(entry)
+        committed = await self._is_committed(
+            pending.commit, lambda: pending.log.result().accepted
+        )
+        return pending.encoded if committed else None
+
+    async def _is_committed(
+        self, commit: asyncio.Future[str], accepted: Callable[[], bool]
+    ) -> bool:
+        done, _ = await asyncio.wait(
+            [commit], timeout=self._settings.peer_timeout_s * 0.8
+        )
+        if not done:
+            return False
+        return commit.result() == 'journal' or accepted()
+
+    # Refusals
+
+    def _state(self, organisation: str) -> _Organisation:
+        state = self._organisations.get(organisation)
+        if state is None:
+            state = self._organisations[organisation] = _Organisation(
+                Demand(self._settings.initial_bound_tokens)
+            )
+        return state
+
+    def _is_exhausted(self, organisation: str, tokens: int) -> bool:
+        """Return whether no router can serve the request any more.
+
+        Only with the log, because a top-up may be unread otherwise.
+        """
+        ledger_task = self._ledger_task
+        if not (ledger_task.log_reachable and ledger_task.synced):
+            return False
+        view = ledger_task.ledger.budget(organisation)
+        return view is not None and (
+            view.budget_tokens - view.spent_tokens < max(1, tokens)
+        )
+
+    @staticmethod
+    def _exhausted(organisation: str) -> RefusalError:
+        return _refusal(
+            ResultCode.BUDGET_EXHAUSTED,
+            f'budget of {organisation} is exhausted',
+            402,
+        )
+
+    def _timeout(self, organisation: str, tokens: int) -> RefusalError:
+        ledger_task = self._ledger_task
+        if (
+            ledger_task.log_reachable
+            and ledger_task.ledger.budget(organisation) is not None
+            and self._grantable_tokens(organisation) < tokens
+        ):
+            return _refusal(
+                ResultCode.BUDGET_EXHAUSTED,
+                f'rest of the budget of {organisation} is held by requests '
+                'that still run',
+                402,
+                retry_after_s=1,
+            )
+        return _refusal(
+            ResultCode.ALLOTMENT_UNAVAILABLE,
+            f'no allotment for {organisation} in time',
+            503,
+            retry_after_s=1,
+        )
+
+
+def _has_hold(future: asyncio.Future[Hold]) -> bool:
+    return future.done() and not future.cancelled() and not future.exception()
+
+
+def _refusal(
+    code: ResultCode,
+    message: str,
+    http_status: int,
+    retry_after_s: int | None = None,
+) -> RefusalError:
+    return RefusalError(
+        code,
+        message,
+        outcome=Outcome.NOT_RUN,
+        http_status=http_status,
+        retry_after_s=retry_after_s,
+    )
