--- a/src/basilpond_testkit/_observations.py
+++ b/src/basilpond_testkit/_observations.py
@@ -29,6 +29,8 @@
         the body otherwise.
     abandoned : bool
         The caller hung up.
+    refused : bool
+        No connection to a router could be opened.
     retry_after_s : int
     """
 
@@ -42,6 +44,7 @@
     text: str = ''
     done: bool = False
     abandoned: bool = False
+    refused: bool = False
     retry_after_s: int = 0
 
     @property
@@ -49,6 +52,11 @@
         """Whether the caller takes the answer for whole."""
         return self.done and 200 <= self.status < 300
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the caller knows that the request did not run."""
+        return self.refused or self.outcome == 'not-run'
+
 
 class Observation(msgspec.Struct):
     """A line of the workload with its attempts, in order."""
--- a/src/basilpond_testkit/audit.py
+++ b/src/basilpond_testkit/audit.py
@@ -444,20 +444,20 @@
     The workload gives each such call a body and target of its own, so the
     check does not depend on a router that forwards the key.
     """
-    by_key = collections.Counter(
-        run.idempotency_key for run in evidence.service_runs
-    )
-    by_body = collections.Counter(
-        (
-            run.call,
-            '' if run.call == 'booking' else run.target,
-            run.body_digest,
-        )
-        for run in evidence.service_runs
-    )
-    twice = [f'key {key}' for key, runs in by_key.items() if key and runs > 1]
-    twice += [' '.join(call) for call, runs in by_body.items() if runs > 1]
-    return twice
+    by_body: collections.Counter[str] = collections.Counter()
+    bodies_of_key = collections.defaultdict(set)
+    for run in evidence.service_runs:
+        # The target of a booking is the order that this run made.
+        target = '' if run.call == 'booking' else run.target
+        body = f'{run.call} {target} {run.body_digest}'
+        by_body[body] += 1
+        if run.idempotency_key:
+            bodies_of_key[run.idempotency_key].add(body)
+    return [body for body, runs in by_body.items() if runs > 1] + [
+        f'key {key}'
+        for key, bodies in bodies_of_key.items()
+        if len(bodies) > 1
+    ]
 
 
 def wrong_or_partial_answers(evidence: Evidence) -> list[str]:
@@ -513,6 +513,8 @@
     bills = _bills_of(evidence)
     for observation in evidence.observations:
         request = observation.request
+        if observation.attempts[-1].refused:
+            found.append(f'{request.id}: no router took it')
         for attempt in observation.attempts:
             if attempt.outcome != 'not-run':
                 continue
@@ -569,7 +571,7 @@
         attempt
         for observation in group
         for attempt in observation.attempts
-        if attempt.outcome != 'not-run' and attempt.sent_ms <= time_ms
+        if not attempt.not_run and attempt.sent_ms <= time_ms
     ]
     held = 0
     for attempt in attempts:
@@ -596,7 +598,7 @@
         runs = list(_runs_of(evidence, group))
         attempts = [a for o in group for a in o.attempts]
         ids = collections.Counter(a.request_id for a in attempts)
-        may_run = [a for a in attempts if a.outcome != 'not-run']
+        may_run = [a for a in attempts if not a.not_run]
         for attempt in attempts:
             if attempt.outcome != 'not-run':
                 continue
@@ -706,5 +708,6 @@
         return 'abandoned'
     if last.complete:
         return 'complete'
-    name = last.outcome.replace('-', '_')
-    return name if name in ('not_run', 'failed') else 'unknown'
+    if last.not_run:
+        return 'not_run'
+    return 'failed' if last.outcome == 'failed' else 'unknown'
