Wire the router's tasks

Cause: the parts had no common owner. Change: Router builds and stops all tasks; budget task tells holder and free tokens; an expired key is refused as unknown, because an earlier call may have run. Membership and operator server are not in yet.

--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -18,6 +18,10 @@
 from ._frames import StreamCheck
 from ._frames import StreamSummary
 from ._frames import WholeCheck
+from ._idempotency import DEDUPLICATION_WINDOW_S
+from ._idempotency import body_digest
+from ._idempotency import parse_issued_key
+from ._idempotency import parse_key
 from ._interfaces import Log
 from ._interfaces import LogEntry
 from ._interfaces import LogPage
@@ -36,8 +40,15 @@
 from ._manifest_index import ManifestIndex
 from ._manifest_index import key_sha256
 from ._prefix_affinity import prefix_digests
+from ._pricing import ChatBound
+from ._pricing import Usage
+from ._pricing import chat_bound
+from ._pricing import prompt_bound_tokens
+from ._pricing import response_cost
 from ._records import Batch
 from ._records import Bill
+from ._records import Close
+from ._records import LedgerSnapshot
 from ._records import ManifestPublish
 from ._records import decode_batch
 from ._records import encode
@@ -60,15 +71,19 @@
     'BasilpondError',
     'Batch',
     'Bill',
+    'ChatBound',
     'ChatRequest',
+    'Close',
     'ConfigFold',
     'CrashCounter',
+    'DEDUPLICATION_WINDOW_S',
     'Decision',
     'DecisionTrail',
     'Endpoint',
     'EndpointTable',
     'InvalidFieldError',
     'Ledger',
+    'LedgerSnapshot',
     'Log',
     'LogEntry',
     'LogPage',
@@ -90,10 +105,13 @@
     'Service',
     'StreamCheck',
     'StreamSummary',
+    'Usage',
     'Waiting',
     'WholeCheck',
+    'body_digest',
     'budget_tokens',
     'build_terminal',
+    'chat_bound',
     'check_manifest',
     'convert_fields',
     'decode_batch',
@@ -105,5 +123,9 @@
     'length_terminal',
     'manifest_schema',
     'parse_chat_request',
+    'parse_issued_key',
+    'parse_key',
     'prefix_digests',
+    'prompt_bound_tokens',
+    'response_cost',
 ]
--- a/src/basilpond/core/_idempotency.py
+++ b/src/basilpond/core/_idempotency.py
@@ -14,6 +14,8 @@
 # Allows for clocks of callers that are ahead of the router's.
 MAX_FUTURE_MS = 5 * 60 * 1000
 DIGEST_BYTES = 16
+# Every router's fold uses the same window, so it is no setting.
+DEDUPLICATION_WINDOW_S = 86_400
 
 _PRINTABLE_ASCII = re.compile(r'[\x20-\x7e]{1,128}')
 _UUID = re.compile(r'[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}')
@@ -27,10 +29,10 @@
     issued_ms: int | None = None
 
 
-def _refuse(code: ResultCode, message: str) -> RefusalError:
-    return RefusalError(
-        code, message, outcome=Outcome.NOT_RUN, http_status=400
-    )
+def _refuse(
+    code: ResultCode, message: str, outcome: Outcome = Outcome.NOT_RUN
+) -> RefusalError:
+    return RefusalError(code, message, outcome=outcome, http_status=400)
 
 
 def parse_key(text: str) -> IdempotencyKey:
@@ -104,6 +106,8 @@
             ResultCode.KEY_EXPIRED,
             f'Idempotency-Key is {wall_time_ms - issued_ms} ms old; '
             f'allowed 0 to {deduplication_window_s * 1000}',
+            # An earlier call with the key may have run; nobody remembers.
+            Outcome.UNKNOWN,
         )
     return IdempotencyKey(value, issued_ms)
 
--- a/src/basilpond/tasks/_budget_task.py
+++ b/src/basilpond/tasks/_budget_task.py
@@ -203,6 +203,18 @@
         """Return the bill that counts for a keyed request."""
         return self._ledger_task.ledger.recorded_bill(organisation, request_id)
 
+    def holder_of(self, bill: _records.Bill) -> str:
+        """Return the incarnation id of the router that issued a bill."""
+        view = self._ledger_task.ledger.allotment(bill.allotment)
+        if view is not None:
+            return view.holder
+        # An ended allotment is named after the router that opened it.
+        return bill.allotment.rpartition('/')[0]
+
+    def free_tokens(self, organisation: str) -> int:
+        """Return the tokens for new holds on this router."""
+        return self._accounts.free_tokens(organisation)
+
     def set_budgets(self, manifest: Manifest, version: int) -> None:
         """Take the budgets of a new manifest."""
         self._budget_copies.set_budgets(manifest, version)
--- a/src/basilpond/tasks/_router.py
+++ b/src/basilpond/tasks/_router.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 import random
 import time
+from typing import Any
 
 from absl import logging
 
@@ -62,6 +63,7 @@
         limits = settings.limits
         self.incarnation = f'{section.id}~{int(time.time() * 1000)}'
         self.ready = False
+        self.draining = False
         self._index: ManifestIndex | None = None
         self._tasks: set[asyncio.Task] = set()
         self._failed = asyncio.Event()
@@ -178,6 +180,7 @@
             )
         )
         self.gossip.crash_notices.subscribe(self._take_crash_notice)
+        self.dispatcher.crash_keys.subscribe(self.gossip.notice_crash)
         for run in (
             self.gossip.run(),
             self.config_task.run(),
@@ -263,7 +266,7 @@
         self.gossip.announce(manifest_version=version, ready=True)
         logging.info('manifest version %d is in force', version)
 
-    def _take_crash_notice(self, notice: CrashNotice) -> None:
+    def _take_crash_notice(self, notice: Any) -> None:
         self.crashes.merge(
             notice.peer,
             notice.body_digest,
--- a/src/basilpond/tasks/tests/test_relay.py
+++ b/src/basilpond/tasks/tests/test_relay.py
@@ -37,9 +37,11 @@
 
 
 async def set_fault(url, **order):
-    async with aiohttp.ClientSession() as session:
-        async with session.post(f'{url}/control/faults', json=order) as answer:
-            assert answer.status < 300
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f'{url}/control/faults', json=order) as answer,
+    ):
+        assert answer.status < 300
 
 
 def upstream(url, *, stream, attempt_id='attempt-1', max_tokens=20):
