--- a/src/basilpond/protocol/_codec.py
+++ b/src/basilpond/protocol/_codec.py
@@ -236,7 +236,9 @@
 def _fits(field_type: int, spec: Any, value: Any) -> bool:
     if field_type in _INTEGER_BITS:
         limit = 1 << (_INTEGER_BITS[field_type] - 1)
-        return type(value) is int and -limit <= value < limit
+        if not isinstance(value, int) or isinstance(value, bool):
+            return False
+        return -limit <= value < limit
     if field_type == TType.BOOL:
         return type(value) is bool
     if field_type == TType.STRING:
