--- a/src/basilpond/tasks/__init__.py
+++ b/src/basilpond/tasks/__init__.py
@@ -1,1 +1,8 @@
 """Asyncio tasks; each owns its sockets and its state."""
+
+from ._gossip_task import GossipTask
+from ._peer_client import PeerClient
+from ._peer_client import PeerUnavailableError
+from ._peer_server import PeerServer
+
+__all__ = ['GossipTask', 'PeerClient', 'PeerServer', 'PeerUnavailableError']
