--- /dev/null
+++ b/src/basilpond/telemetry/_traces.py
@@ -0,0 +1,106 @@
+"""Traces with a span for each hop, in W3C trace context.
+
+Without `start_traces` all spans are no-ops, and the context of an incoming
+request is still passed on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import MutableMapping
+import contextlib
+import sys
+from typing import TextIO
+
+from opentelemetry import context as otel_context
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+
+_PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+_HEADERS = ('traceparent', 'tracestate')
+
+
+def extract_context(headers: Mapping[str, str]) -> otel_context.Context:
+    """Return the trace context of incoming headers, empty if there is none.
+
+    Malformed headers count as none.
+    """
+    # The propagator looks up lower-case names; header names have any case.
+    carrier = {
+        name.lower(): value
+        for name, value in headers.items()
+        if name.lower() in _HEADERS
+    }
+    return _PROPAGATOR.extract(carrier, otel_context.Context())
+
+
+def inject_context(
+    headers: MutableMapping[str, str],
+    context: otel_context.Context | None = None,
+) -> None:
+    """Add the trace context to outgoing headers; default: the current one."""
+    _PROPAGATOR.inject(headers, context)
+
+
+@contextlib.contextmanager
+def hop_span(
+    name: str,
+    parent: otel_context.Context | None = None,
+    **attributes: str | int | float | bool,
+) -> Iterator[trace.Span]:
+    """Open a span for one hop and make it the current one.
+
+    Parameters
+    ----------
+    name : str
+    parent : Context, optional
+        From `extract_context`; default: the current context.
+    """
+    tracer = trace.get_tracer('basilpond')
+    with tracer.start_as_current_span(
+        name, context=parent, attributes=attributes
+    ) as span:
+        yield span
+
+
+def start_traces(
+    service_name: str, stream: TextIO | None = None
+) -> Callable[[], None]:
+    """Write the spans of this process to a stream, one JSON object a line.
+
+    Parameters
+    ----------
+    service_name : str
+    stream : file object, optional
+        Default: standard error; VMs have no disk.
+
+    Returns
+    -------
+    callable
+        Writes the spans that wait and stops.
+
+    Raises
+    ------
+    ImportError
+        The package's extra `traces` is not installed.
+    """
+    # Imported here: routers without traces run without the SDK.
+    from opentelemetry.sdk.resources import Resource
+    from opentelemetry.sdk.trace import TracerProvider
+    from opentelemetry.sdk.trace.export import BatchSpanProcessor
+    from opentelemetry.sdk.trace.export import ConsoleSpanExporter
+
+    provider = TracerProvider(
+        resource=Resource.create({'service.name': service_name}),
+        # The program stops it; a second stop at exit would log a warning.
+        shutdown_on_exit=False,
+    )
+    exporter = ConsoleSpanExporter(
+        out=stream or sys.stderr,
+        formatter=lambda span: span.to_json(indent=None) + '\n',
+    )
+    provider.add_span_processor(BatchSpanProcessor(exporter))
+    trace.set_tracer_provider(provider)
+    return provider.shutdown
