Add HTTP server for operators

Cause: operators need the state of a router, reasons for the outcome of a request, and orders to drain endpoints. Change: OperatorApi serves health checks without a key, and state, explain, drain, undrain and a read-only status page with the operator key.

--- /dev/null
+++ b/src/basilpond/tasks/_operator_api.py
@@ -0,0 +1,260 @@
+"""HTTP server for operators, on its own port."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import hashlib
+import hmac
+import html
+from typing import Any
+from typing import Protocol
+
+from absl import logging
+from aiohttp import web
+import msgspec
+
+from ..core._codes import ResultCode
+
+# Keys of the state with a table on the status page, and its title.
+_TABLES = (
+    ('budgets', 'Budgets'),
+    ('endpoints', 'Endpoints'),
+    ('members', 'Members'),
+)
+_STYLE = (
+    'body{font:14px sans-serif;margin:2em}'
+    'table{border-collapse:collapse}'
+    'th,td{border:1px solid #bbb;padding:.2em .6em;text-align:left}'
+)
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class StateSource(Protocol):
+    """What the router tells operators, and does for them."""
+
+    def state(self) -> dict[str, Any]:
+        """Return the state as JSON values.
+
+        `budgets`, `endpoints` and `members` are lists of flat objects; other
+        keys are free.
+        """
+        ...
+
+    def explain(self, request_id: str) -> list[dict[str, Any]] | None:
+        """Return the steps of a request; None when it is not known."""
+        ...
+
+    def ready(self) -> bool:
+        """Return whether the router accepts requests."""
+        ...
+
+    def drain(self, endpoint: str) -> bool:
+        """Give an endpoint no new work; return whether it is known."""
+        ...
+
+    def undrain(self, endpoint: str) -> bool:
+        """Give a drained endpoint work again; return whether it is known."""
+        ...
+
+
+class OperatorApi:
+    """Server of the health checks, the state and the operators' orders.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    source : StateSource
+    key_sha256 : str
+        SHA-256 of the operator key, in hexadecimal. Empty: no key fits.
+    """
+
+    def __init__(
+        self, host: str, port: int, source: StateSource, key_sha256: str
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._source = source
+        self._key_sha256 = key_sha256
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def port(self) -> int:
+        """Port in use; differs from the parameter when that is 0."""
+        return self._runner.addresses[0][1]
+
+    async def start(self) -> None:
+        """Open the listening socket."""
+        app = web.Application(middlewares=[self._guard])
+        app.add_routes(
+            [
+                web.get('/', self._get_page),
+                web.get('/healthz', self._get_health),
+                web.get('/readyz', self._get_readiness),
+                web.get('/state', self._get_state),
+                web.get('/explain/{request_id}', self._get_explanation),
+                web.post('/endpoints/{endpoint}/drain', self._post_drain),
+                web.post('/endpoints/{endpoint}/undrain', self._post_undrain),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self._port).start()
+
+    async def close(self) -> None:
+        """Finish the responses in progress and close the socket."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Check the operator key; respond to all failures with a code."""
+        if request.path not in ('/healthz', '/readyz') and not self._has_key(
+            request
+        ):
+            return _error(
+                401,
+                ResultCode.OPERATOR_KEY_REQUIRED,
+                'send the operator key in Authorization: Bearer',
+                headers={'WWW-Authenticate': 'Bearer'},
+            )
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            return _error(
+                error.status, ResultCode.UNKNOWN_PATH, error.reason.lower()
+            )
+        except Exception:
+            logging.exception('operator request failed')
+            return _error(500, ResultCode.INTERNAL_ERROR, 'internal error')
+
+    def _has_key(self, request: web.Request) -> bool:
+        scheme, _, key = request.headers.get('Authorization', '').partition(
+            ' '
+        )
+        digest = hashlib.sha256(key.encode('utf-8', 'replace')).hexdigest()
+        # Both sides as bytes: the comparison of texts is limited to ASCII.
+        same = hmac.compare_digest(
+            digest.encode(), self._key_sha256.lower().encode()
+        )
+        return same and scheme.lower() == 'bearer'
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        return _json({'status': 'ok'})
+
+    async def _get_readiness(self, request: web.Request) -> web.Response:
+        if self._source.ready():
+            return _json({'status': 'ready'})
+        return _error(503, ResultCode.NOT_READY, 'router is not ready')
+
+    async def _get_state(self, request: web.Request) -> web.Response:
+        return _json(self._source.state())
+
+    async def _get_explanation(self, request: web.Request) -> web.Response:
+        request_id = request.match_info['request_id']
+        steps = self._source.explain(request_id)
+        if steps is None:
+            return _error(
+                404, ResultCode.UNKNOWN_PATH, 'request id is not known here'
+            )
+        return _json({'request_id': request_id, 'steps': steps})
+
+    async def _post_drain(self, request: web.Request) -> web.Response:
+        return self._order(request, self._source.drain)
+
+    async def _post_undrain(self, request: web.Request) -> web.Response:
+        return self._order(request, self._source.undrain)
+
+    def _order(
+        self, request: web.Request, order: Callable[[str], bool]
+    ) -> web.Response:
+        endpoint = request.match_info['endpoint']
+        if not order(endpoint):
+            return _error(
+                404, ResultCode.NO_ENDPOINT, 'endpoint is not in the manifest'
+            )
+        return _json({'endpoint': endpoint, 'order': order.__name__})
+
+    async def _get_page(self, request: web.Request) -> web.Response:
+        return web.Response(
+            text=render_page(self._source.state()),
+            content_type='text/html',
+            headers={
+                # The page shows names that others chose.
+                'Content-Security-Policy': (
+                    "default-src 'none'; style-src 'unsafe-inline'"
+                ),
+                'Cache-Control': 'no-store',
+            },
+        )
+
+
+def render_page(state: dict[str, Any]) -> str:
+    """Return the status page of a state as HTML."""
+    facts = [
+        {'name': name, 'value': value}
+        for name, value in state.items()
+        if not isinstance(value, list | dict)
+    ]
+    sections = [_table('Router', facts)]
+    sections.extend(
+        _table(title, state.get(name) or ()) for name, title in _TABLES
+    )
+    return (
+        '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">'
+        f'<title>basilpond</title><style>{_STYLE}</style></head><body>'
+        f'<h1>basilpond</h1>{"".join(sections)}</body></html>'
+    )
+
+
+def _table(title: str, rows: Iterable[dict[str, Any]]) -> str:
+    rows = list(rows)
+    if not rows:
+        return f'<h2>{title}</h2><p>none</p>'
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    head = ''.join(f'<th>{html.escape(name)}</th>' for name in columns)
+    body = ''.join(
+        '<tr>'
+        + ''.join(
+            f'<td>{html.escape(str(row.get(name, "")))}</td>'
+            for name in columns
+        )
+        + '</tr>'
+        for row in rows
+    )
+    return f'<h2>{title}</h2><table><tr>{head}</tr>{body}</table>'
+
+
+def _json(
+    value: Any, status: int = 200, headers: dict[str, str] | None = None
+) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value),
+        status=status,
+        headers=headers,
+        content_type='application/json',
+    )
+
+
+def _error(
+    status: int,
+    code: ResultCode,
+    message: str,
+    headers: dict[str, str] | None = None,
+) -> web.Response:
+    return _json(
+        {
+            'error': {
+                'code': int(code),
+                'message': message,
+                'type': code.name.lower(),
+            }
+        },
+        status,
+        headers,
+    )
