--- a/src/basilpond/programs/fleet.py
+++ b/src/basilpond/programs/fleet.py
@@ -245,7 +245,7 @@
         if reply.status != 200:
             continue
         found = True
-        for decision in reply.body['decisions']:
+        for decision in reply.body['steps']:
             at = time.strftime(
                 '%H:%M:%S', time.gmtime(decision['time_ms'] / 1000)
             )
