--- a/src/basilpond_testkit/_fleet.py
+++ b/src/basilpond_testkit/_fleet.py
@@ -22,20 +22,40 @@
 from . import workload
 
 HOST = '127.0.0.1'
-DATA_CENTRES = {'nl-west-1': 3, 'nl-west-2': 3, 'nl-west-3': 2}
-ENGINES_PER_DATA_CENTRE = 3
 _START_TIMEOUT_S = 30
 _STOP_TIMEOUT_S = 20
-_PLENTY_TOKENS = 2_000_000
+_PLENTY_TOKENS = 1_000_000_000
 # About a third of what the organisation's part of the workload costs.
 EXHAUSTED = 'lanterne-catania'
 EXHAUSTED_TOKENS = 2500
 TOP_UP_TOKENS = 200_000
-DEPLOYMENTS = {
-    'wagen': ('wagen-chat',),
-    'lanterne': ('lanterna-pattern', 'lanterna-counter'),
-}
-MODELS = tuple(model for models in DEPLOYMENTS.values() for model in models)
+MODELS = tuple(sorted(set(workload.MODELS.values())))
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Plan:
+    """Size of a fleet.
+
+    Parameters
+    ----------
+    data_centres : dict
+        Name to number of routers.
+    engine_models : tuple of tuple of str
+        Models of each engine of a data centre.
+    engine : dict
+        Settings of all engines.
+    """
+
+    data_centres: dict[str, int]
+    engine_models: tuple[tuple[str, ...], ...]
+    engine: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+DEMO_PLAN = Plan(
+    {'nl-west-1': 3, 'nl-west-2': 3, 'nl-west-3': 2},
+    (('wagen-chat',), ('lanterna-counter', 'lanterna-pattern'), MODELS),
+    {'first_token_ms': 80},
+)
 
 
 class StartError(Exception):
@@ -95,11 +115,16 @@
     folder : pathlib.Path
         Settings, manifest and log lines go here.
     session : aiohttp.ClientSession
+    plan : Plan
     """
 
     def __init__(
-        self, folder: pathlib.Path, session: aiohttp.ClientSession
+        self,
+        folder: pathlib.Path,
+        session: aiohttp.ClientSession,
+        plan: Plan = DEMO_PLAN,
     ) -> None:
+        self._plan = plan
         self._folder = folder
         self._session = session
         self._children: dict[str, subprocess.Popen] = {}
@@ -128,9 +153,10 @@
         self._router_count = 0
 
     async def start(self) -> None:
-        """Start everything and publish the first manifest."""
+        """Start everything that does not run yet and publish a manifest."""
         self._start_platform()
-        self._start_endpoints()
+        if not self.engines:
+            self._start_endpoints()
         await self._wait_for(
             [
                 f'{self.log_url}/control/stats',
@@ -143,7 +169,7 @@
         await self.publish()
         plan = [
             data_centre
-            for data_centre, count in DATA_CENTRES.items()
+            for data_centre, count in self._plan.data_centres.items()
             for _ in range(count)
         ]
         ports = free_ports(3 * len(plan))
@@ -164,23 +190,19 @@
             self._spawn_stand_in(program, program, {'http': http, **tables})
 
     def _start_endpoints(self) -> None:
-        data_centres = list(DATA_CENTRES)
-        engines = ENGINES_PER_DATA_CENTRE * len(data_centres)
-        ports = iter(free_ports(engines + len(data_centres)))
-        served = (DEPLOYMENTS['wagen'], DEPLOYMENTS['lanterne'], MODELS)
-        for data_centre in data_centres:
-            for number in range(ENGINES_PER_DATA_CENTRE):
+        plan = self._plan
+        engines = len(plan.engine_models) * len(plan.data_centres)
+        ports = iter(free_ports(engines + len(plan.data_centres)))
+        for data_centre in plan.data_centres:
+            for number, models in enumerate(plan.engine_models, start=1):
                 engine = Endpoint(
-                    f'{data_centre}-engine-{number + 1}',
+                    f'{data_centre}-engine-{number}',
                     data_centre,
                     next(ports),
-                    served[number],
+                    models,
                 )
                 self.engines.append(engine)
-                settings = {
-                    'models': list(engine.models),
-                    'first_token_ms': 80,
-                }
+                settings = {'models': list(models), **plan.engine}
                 self._start_endpoint('engine', engine, settings)
             desk = Endpoint(f'{data_centre}-desk', data_centre, next(ports))
             self.services.append(desk)
@@ -223,6 +245,22 @@
         self.routers.append(router)
         return router
 
+    async def start_endpoints(self) -> None:
+        """Start engines and services only."""
+        self._start_endpoints()
+        await self._wait_for(f'{engine.url}/load' for engine in self.engines)
+
+    async def start_stand_in(
+        self, module: str, name: str, tables: dict[str, dict[str, Any]]
+    ) -> str:
+        """Start another program of the test kit; return its address."""
+        (port,) = free_ports(1)
+        http = {'host': HOST, 'port': port}
+        self._spawn_stand_in(module, name, {'http': http, **tables})
+        url = f'http://{HOST}:{port}'
+        await self._wait_for([f'{url}/control/ready'])
+        return url
+
     def _spawn_stand_in(
         self, module: str, name: str, tables: dict[str, dict[str, Any]]
     ) -> None:
@@ -384,6 +422,10 @@
         data_centre = router.id.rpartition('-')[0]
         return self._start_router(data_centre, *free_ports(3))
 
+    def process_id(self, name: str) -> int:
+        """Return the process id of a child."""
+        return self._children[name].pid
+
     async def stop_routers(self) -> list[str]:
         """Stop the routers gracefully; return those that did not end well."""
         names = [router.id for router in self.routers]
