--- /dev/null
+++ b/src/basilpond/tasks/_ledger_task.py
@@ -0,0 +1,424 @@
+"""Reader and group-commit writer of the ``ledger`` stream."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Collection
+
+from absl import logging
+import msgspec
+from reactivex.subject import Subject
+
+from ..core._codes import LogRateLimitedError
+from ..core._codes import LogUnavailableError
+from ..core._interfaces import Log
+from ..core._interfaces import LogEntry
+from ..core._interfaces import LogPage
+from ..core._ledger import HOUR_MS
+from ..core._ledger import Ledger
+from ..core._ledger_results import Result
+from ..core._records import LedgerRecord
+from ..core._records import LedgerSnapshot
+from ..core._records import decode_batch
+from ..core._records import encode
+from ._backoff import Backoff
+from ._ledger_waiters import Waiter
+from ._ledger_waiters import Waiters
+from ._snapshot_parts import SnapshotParts
+from ._snapshot_parts import is_last_part
+from ._snapshot_parts import split_snapshot
+from ._snapshot_schedule import SnapshotSchedule
+from ._stream_reader import StreamReader
+from ._stream_reader import read_backwards
+
+STREAM = 'ledger'
+MAX_BATCH_RECORDS = 512
+MAX_BATCH_BYTES = 256 * 1024
+MIN_INTERVAL_MS = 20
+READ_LIMIT = 256
+
+# Room for the batch's own fields around its records.
+_BATCH_FIELDS_BYTES = 512
+
+
+class _RawBatch(msgspec.Struct):
+    """Batch of records that are encoded already."""
+
+    writer: str
+    seq: int
+    records: list[msgspec.Raw]
+
+
+class LedgerTask:
+    """Owner of the folded ledger and the only writer of its stream.
+
+    Parameters
+    ----------
+    log : Log
+    writer : str
+        Incarnation id of this router.
+    live_routers : callable
+        Returns the incarnation ids of the live routers, with or without this
+        one.
+    append_budget_per_s : int
+        Appends that all routers together may make.
+    retention_ms : int
+        Time that the log keeps entries; snapshots are taken at a quarter.
+    snapshot_every_records : int
+        Records after which a snapshot is taken earlier.
+    deduplication_window_ms : int
+
+    Attributes
+    ----------
+    ledger : Ledger
+        Folded state, read only for others. Replaced when the task resumes
+        from a snapshot, so don't keep a reference.
+    results : reactivex.subject.Subject
+        Every `Result` of the fold in log order. Results that a snapshot skips
+        are not published.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        writer: str,
+        *,
+        live_routers: Callable[[], Collection[str]],
+        append_budget_per_s: int = 200,
+        retention_ms: int = 48 * HOUR_MS,
+        snapshot_every_records: int = 50_000,
+        deduplication_window_ms: int = 24 * HOUR_MS,
+    ) -> None:
+        self.log = log
+        self.writer = writer
+        self.live_routers = live_routers
+        self.append_budget_per_s = append_budget_per_s
+        self.retention_ms = retention_ms
+        self.snapshot_every_records = snapshot_every_records
+        self.deduplication_window_ms = deduplication_window_ms
+        self.ledger = Ledger(deduplication_window_ms=deduplication_window_ms)
+        self.results: Subject[Result] = Subject()
+
+        # Reader
+        self._reader = StreamReader(
+            log, STREAM, self, seed=f'{writer} read', limit=READ_LIMIT
+        )
+        self._schedule = SnapshotSchedule(
+            retention_ms=retention_ms, every_records=snapshot_every_records
+        )
+        self._snapshot_pending = False
+
+        # Writer
+        self._append_ok = True
+        self._queue: collections.deque[tuple[Waiter, bytes]] = (
+            collections.deque()
+        )
+        self._snapshot_queue: collections.deque[bytes] = collections.deque()
+        self._queued = asyncio.Event()
+        self._waiters = Waiters()
+        self._last_seq = 0
+        self._seen: asyncio.Future[None] | None = None
+        self._progress = asyncio.Event()
+        self._appends: set[asyncio.Task[int]] = set()
+
+    @property
+    def log_reachable(self) -> bool:
+        """False before the first read and after a failed append or read."""
+        return self._reader.reachable and self._append_ok
+
+    @property
+    def synced(self) -> bool:
+        """Whether the task has caught up with the stream once."""
+        return self._reader.synced
+
+    def append_interval_s(self) -> float:
+        """Return the least time between two appends of this router."""
+        live = len({self.writer, *self.live_routers()})
+        interval_ms = max(
+            MIN_INTERVAL_MS, 1000 * live / self.append_budget_per_s
+        )
+        return interval_ms / 1000
+
+    def submit(self, record: LedgerRecord) -> asyncio.Future[Result]:
+        """Append a record with the next batch.
+
+        Returns
+        -------
+        asyncio.Future
+            Done when the own reader has folded the record; never times out.
+            An entry on an allotment whose transfer is not in the log waits
+            for the transfer. Cancelling the future does not stop the append.
+
+        Raises
+        ------
+        ValueError
+            If the record is larger than a batch.
+        """
+        encoded = encode(record)
+        if len(encoded) > MAX_BATCH_BYTES - _BATCH_FIELDS_BYTES:
+            raise ValueError(
+                f'record has {len(encoded)} bytes, more than a batch of '
+                f'{MAX_BATCH_BYTES} bytes can hold'
+            )
+        waiter = Waiter(record, asyncio.get_running_loop().create_future())
+        self._waiters.add(waiter)
+        self._queue.append((waiter, encoded))
+        self._queued.set()
+        return waiter.future
+
+    async def flush(self, timeout_s: float) -> bool:
+        """Wait until every submitted record is in the log and folded.
+
+        Returns
+        -------
+        bool
+            False when the time ran out.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self._is_flushed():
+                    self._progress.clear()
+                    await self._progress.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Read and write until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._reader.run())
+                group.create_task(self._write_forever())
+        finally:
+            for append in self._appends:
+                append.cancel()
+
+    # Reader
+
+    async def find_position(self, bounds: LogPage, next_offset: int) -> int:
+        """Continue at the newest snapshot, the own state or the beginning.
+
+        Raises
+        ------
+        LogUnavailableError
+            Also when the log holds none of them; another router may append a
+            snapshot later.
+        """
+        state = await self._find_snapshot(bounds, next_offset)
+        if state is not None:
+            return self._load_snapshot(state)
+        if bounds.earliest_offset > next_offset:
+            raise LogUnavailableError(
+                f'entries before {bounds.earliest_offset} are gone and no '
+                'snapshot is left'
+            )
+        return next_offset
+
+    async def _find_snapshot(
+        self, bounds: LogPage, next_offset: int
+    ) -> bytes | None:
+        """Return the newest usable snapshot that is newer than the state."""
+        parts = SnapshotParts()
+        async for entry in read_backwards(
+            self.log, STREAM, bounds, next_offset, READ_LIMIT
+        ):
+            for writer, record in _snapshots_in(entry):
+                if record.offset < max(
+                    bounds.earliest_offset - 1, next_offset
+                ):
+                    continue
+                state = parts.add(writer, record)
+                if state is not None:
+                    return state
+        return None
+
+    def _load_snapshot(self, state: bytes) -> int:
+        try:
+            ledger = Ledger.from_snapshot(
+                state, deduplication_window_ms=self.deduplication_window_ms
+            )
+        except msgspec.MsgspecError as error:
+            raise LogUnavailableError(
+                f'snapshot cannot be decoded: {error}'
+            ) from error
+        before, self.ledger = self.ledger, ledger
+        self._schedule.start_from(ledger.time_ms, self._now_s())
+        logging.info('resumed from a snapshot at offset %d', ledger.offset)
+        seq = ledger.writer_seq(self.writer)
+        self._waiters.settle_skipped(before, ledger, seq)
+        self._notice_own_batch(seq)
+        return ledger.offset + 1
+
+    def fold_entry(self, entry: LogEntry) -> int:
+        """Fold an entry, publish its results and resolve their waiters."""
+        try:
+            batch = decode_batch(entry.payload)
+        except msgspec.MsgspecError as error:
+            # Every router skips it, so the states stay equal.
+            logging.error(
+                'ledger entry %d is not a batch: %s', entry.offset, error
+            )
+            return 0
+        for result in self.ledger.apply(batch, entry.offset, entry.time_ms):
+            self._waiters.resolve(result)
+            self._publish(result)
+        self._schedule.add_entry(
+            entry.time_ms, len(batch.records), self._now_s()
+        )
+        for record in batch.records:
+            if isinstance(record, LedgerSnapshot) and is_last_part(record):
+                self._schedule.add_snapshot(entry.time_ms)
+                if batch.writer == self.writer:
+                    self._snapshot_pending = False
+        if batch.writer == self.writer:
+            self._notice_own_batch(batch.seq)
+        return len(batch.records)
+
+    def end_page(self) -> None:
+        """Append a snapshot when it is due and this router's turn."""
+        if (
+            not self._reader.caught_up
+            or self._snapshot_pending
+            or not self._schedule.should_take(
+                self._now_s(), self.writer, self.live_routers()
+            )
+        ):
+            return
+        self._snapshot_pending = True
+        offset = self._reader.next_offset - 1
+        state = self.ledger.to_snapshot()
+        self._snapshot_queue.extend(
+            encode(record) for record in split_snapshot(offset, state)
+        )
+        self._queued.set()
+        logging.info(
+            'appending a snapshot at offset %d in %d parts',
+            offset,
+            len(self._snapshot_queue),
+        )
+
+    def _publish(self, result: Result) -> None:
+        try:
+            self.results.on_next(result)
+        except Exception:
+            # A subscriber's fault must not stop the fold.
+            logging.exception('a subscriber to ledger results failed')
+
+    def _notice_own_batch(self, seq: int) -> None:
+        if seq == self._last_seq and self._seen and not self._seen.done():
+            self._seen.set_result(None)
+        self._progress.set()
+
+    @staticmethod
+    def _now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+    # Writer
+
+    async def _write_forever(self) -> None:
+        backoff = Backoff(f'{self.writer} append')
+        loop = asyncio.get_running_loop()
+        next_append_s = loop.time()
+        while True:
+            await self._queued.wait()
+            # Collect what is submitted meanwhile.
+            await asyncio.sleep(max(0.0, next_append_s - loop.time()))
+            payload = self._next_batch()
+            next_append_s = loop.time() + self.append_interval_s()
+            await self._append_until_logged(payload, backoff)
+
+    def _next_batch(self) -> bytes:
+        self._last_seq += 1
+        self._seen = asyncio.get_running_loop().create_future()
+        records: list[msgspec.Raw] = []
+        room_bytes = MAX_BATCH_BYTES - _BATCH_FIELDS_BYTES
+        # Every other batch starts with a part of a waiting snapshot, so that
+        # neither holds up the other under load.
+        if self._snapshot_queue and (
+            self._last_seq % 2 == 0 or not self._queue
+        ):
+            part = self._snapshot_queue.popleft()
+            room_bytes -= len(part) + 1
+            records.append(msgspec.Raw(part))
+        while self._queue and len(records) < MAX_BATCH_RECORDS:
+            waiter, encoded = self._queue[0]
+            # One byte more for the comma.
+            room_bytes -= len(encoded) + 1
+            if room_bytes < 0 and records:
+                break
+            self._queue.popleft()
+            waiter.batch_seq = self._last_seq
+            records.append(msgspec.Raw(encoded))
+        if not self._queue and not self._snapshot_queue:
+            self._queued.clear()
+        return encode(_RawBatch(self.writer, self._last_seq, records))
+
+    async def _append_until_logged(
+        self, payload: bytes, backoff: Backoff
+    ) -> None:
+        """Append a batch until it is acknowledged or the reader has seen it.
+
+        An append that got no clear response may have taken effect, so the
+        reader gets some time to see it. Appending it again is harmless,
+        because the fold applies the batch once.
+        """
+        seen = self._seen
+        while not seen.done():
+            append = asyncio.ensure_future(self.log.append(STREAM, payload))
+            self._appends.add(append)
+            append.add_done_callback(self._end_append)
+            await asyncio.wait(
+                {append, seen}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if seen.done():
+                break
+            try:
+                append.result()
+            except LogRateLimitedError:
+                await asyncio.wait({seen}, timeout=backoff.next_s())
+            except LogUnavailableError as error:
+                if self._append_ok:
+                    logging.warning('log append failed: %s', error.message)
+                self._append_ok = False
+                await asyncio.wait({seen}, timeout=backoff.next_s())
+                await self._wait_while_reader_catches_up(seen)
+            else:
+                break
+        self._append_ok = True
+        backoff.reset()
+
+    def _end_append(self, append: asyncio.Task[int]) -> None:
+        self._appends.discard(append)
+        if not append.cancelled():
+            # Marks an error as retrieved when the reader saw the batch first.
+            append.exception()
+
+    async def _wait_while_reader_catches_up(
+        self, seen: asyncio.Future[None]
+    ) -> None:
+        while (
+            self._reader.reachable
+            and not self._reader.caught_up
+            and not seen.done()
+        ):
+            await asyncio.wait({seen}, timeout=0.05)
+
+    def _is_flushed(self) -> bool:
+        return not self._queue and (self._seen is None or self._seen.done())
+
+
+def _snapshots_in(entry: LogEntry) -> list[tuple[str, LedgerSnapshot]]:
+    # A cheap test first: most entries hold no snapshot.
+    if '"ledger_snapshot"' not in entry.payload:
+        return []
+    try:
+        batch = decode_batch(entry.payload)
+    except msgspec.MsgspecError:
+        return []
+    return [
+        (batch.writer, record)
+        for record in batch.records
+        if isinstance(record, LedgerSnapshot)
+    ]
