Let the relay benchmark leave the router out

Cause: the router's program exists before the router can start, so a search for the module says nothing.

--- a/src/basilpond_testkit/bench.py
+++ b/src/basilpond_testkit/bench.py
@@ -1,7 +1,7 @@
 """Benchmark of the relay: one JSON line per figure.
 
-The same load goes straight to the engines, through a bare pass-through and,
-where it exists, through one router. Engines, load clients and relay are
+The same load goes straight to the engines, through a bare pass-through and
+through one router. Engines, load clients and relay are
 processes of their own; each relay is a single thread, so it has one core.
 """
 
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
-import importlib.util
 import os
 import pathlib
 import statistics
@@ -205,11 +204,7 @@
         yield f'{prefix}_memory', measured.memory_mb, 'MB'
 
 
-def _has_router() -> bool:
-    return importlib.util.find_spec('basilpond.programs.router') is not None
-
-
-async def _targets(fleet: _fleet.Fleet) -> list[Target]:
+async def _targets(fleet: _fleet.Fleet, router: bool) -> list[Target]:
     """Start the relays; return them after the engines themselves."""
     await fleet.start_endpoints()
     urls = [engine.url for engine in fleet.engines]
@@ -221,30 +216,25 @@
     targets.append(
         Target('passthrough', [url], fleet.process_id('passthrough'))
     )
-    if _has_router():
+    if router:
         await fleet.start()
-        (router,) = fleet.routers
+        (relay,) = fleet.routers
         key = next(iter(fleet.keys.values()))
-        targets.append(
-            Target(
-                'router',
-                [router.url],
-                fleet.process_id(router.id),
-                f'Bearer {key}',
-            )
-        )
-    else:
-        logging.warning('the router does not exist; measuring without it')
+        pid = fleet.process_id(relay.id)
+        targets.append(Target('router', [relay.url], pid, f'Bearer {key}'))
     return targets
 
 
 async def _run(
-    folder: pathlib.Path, measure_s: float, write: Callable[[Figure], None]
+    folder: pathlib.Path,
+    measure_s: float,
+    router: bool,
+    write: Callable[[Figure], None],
 ) -> None:
     async with aiohttp.ClientSession() as session:
         fleet = _fleet.Fleet(folder, session, _PLAN)
         try:
-            targets = await _targets(fleet)
+            targets = await _targets(fleet, router)
             for target in targets[1:]:
                 idle_mb = _memory_mb(target.pid)
                 write((f'{target.name}_idle_memory', idle_mb, 'MB'))
@@ -267,17 +257,19 @@
     sys.stdout.flush()
 
 
-def run(*, measure_s: float = 10.0) -> None:
+def run(*, measure_s: float = 10.0, router: bool = True) -> None:
     """Measure the relay.
 
     Parameters
     ----------
     measure_s : float
         Measured time of each phase, after its warm-up.
+    router : bool
+        Whether to measure a router besides the bare pass-through.
     """
     _program.start_logging()
     with tempfile.TemporaryDirectory() as folder:
-        asyncio.run(_run(pathlib.Path(folder), measure_s, _write))
+        asyncio.run(_run(pathlib.Path(folder), measure_s, router, _write))
 
 
 def main() -> None:
