--- a/src/basilpond/tasks/tests/test_budget_task.py
+++ b/src/basilpond/tasks/tests/test_budget_task.py
@@ -88,6 +88,10 @@
         assert duplicate.committed and duplicate.duplicate
         counted, view = world.accepted_bills()
         assert counted == {'a': 1} and view.spent_tokens == 10
+        for account in r2.budget._accounts.allotments():
+            view = r2.ledger_task.ledger.allotment(account.id)
+            free = account.tokens - account.debited_tokens
+            assert view.remaining_tokens == free
 
 
 @on_paused_clock
@@ -250,25 +254,65 @@
         assert world.accepted_bills()[0] == {'a': 1, 'b': 1}
 
 
+@pytest.mark.parametrize('committed', [True, False])
 @on_paused_clock
-async def test_lost_transfer_reply_is_adopted_from_the_log():
-    """Guards against tokens that strand with a lost reply."""
-    async with make_world('r1~1', 'r2~1') as (world, r1, r2):
+async def test_transfer_whose_reply_or_commit_is_missing(committed):
+    """Guards against tokens that strand with a lost reply, and against a
+    transfer that the receiver spends but its donor may lose.
+    """
+    async with make_world('r1~1', 'r2~1', 'r3~1') as (world, r1, r2, r3):
         await r1.serve_request('a')
-        r1.link.faults.down = r2.link.faults.down = True
-        await asyncio.sleep(3)
-        world.lose_replies.update({('r1~1', 'r2~1'), ('r2~1', 'r1~1')})
-        refused = asyncio.ensure_future(refusal(r2.hold(9000)))
-        await refused
+        others = [r2, r3] if r2.calls['journal_append'] else [r3, r2]
+        peer, receiver = others
+        world.log.faults.down = True
+        if committed:
+            world.lose_replies.add((r1.name, receiver.name))
+        else:
+            world.cuts.add(frozenset((r1.name, peer.name)))
+        code = await refusal(receiver.hold(timeout_s=5))
+        assert code == _codes.ResultCode.ALLOTMENT_UNAVAILABLE
         world.lose_replies.clear()
-        r1.link.faults.down = r2.link.faults.down = False
+        world.cuts.clear()
+        world.log.faults.down = False
         await asyncio.sleep(5)
-        views = list(r2.ledger_task.ledger.allotments_of('r2~1'))
+        views = list(receiver.ledger_task.ledger.allotments_of(receiver.name))
+        assert views
         assert {view.allotment for view in views} == {
-            account.id for account in r2.budget._accounts.allotments()
+            account.id for account in receiver.budget._accounts.allotments()
         }
 
 
+@on_paused_clock
+async def test_copy_of_a_lost_peer_does_not_commit():
+    """Guards against a commit on a copy that is lost with its keeper."""
+    async with make_world('r1~1', 'r2~1') as (world, r1, r2):
+        hold = await r1.hold()
+        world.log.faults.down = True
+        waiting = asyncio.ensure_future(r1.settle(hold, 'a', wait_s=2))
+        await asyncio.sleep(0.1)
+        assert r2.calls['journal_append'] == 1
+        world.set_lost(r2)
+        assert not (await waiting).committed
+
+
+@on_paused_clock
+async def test_two_waiting_routers_merge_their_remainders():
+    """Guards against routers that wait for each other's remainder."""
+    async with make_world('r1~1', 'r2~1', budget_tokens=60) as (_, r1, r2):
+        holds = [await r.hold(30) for r in (r1, r2)]
+        waiting = [
+            asyncio.ensure_future(r.hold(50, timeout_s=8)) for r in (r1, r2)
+        ]
+        await asyncio.sleep(0.5)
+        for router, hold in zip((r1, r2), holds, strict=True):
+            router.budget.release(hold)
+        done, _ = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        assert done.pop().exception() is None
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+
 @on_paused_clock
 async def test_tail_of_a_budget_over_several_routers():
     """Guards against false refusals while remainders are spread out."""
