Accept images by address and count each as the model's largest

Ruled out: fetching the image, which would put a third party on the path. Change: the manifest tells the most prompt tokens of an image per model. Conclusion: the bound is safe as long as the declared size is.

--- a/src/basilpond/core/_manifest.py
+++ b/src/basilpond/core/_manifest.py
@@ -52,12 +52,16 @@
 class Model(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
 ):
-    """Model with its prices in budget tokens per prompt and output token."""
+    """Model with its prices in budget tokens per prompt and output token.
+
+    `image_tokens` is the most prompt tokens that one image can become.
+    """
 
     id: Name
     prompt_price_tokens: Price = 1
     output_price_tokens: Price = 1
     max_output_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 4096
+    image_tokens: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 2048
 
 
 class Route(
--- a/src/basilpond/core/_pricing.py
+++ b/src/basilpond/core/_pricing.py
@@ -21,6 +21,8 @@
 # Largest value of a budget in the manifest; a larger bound cannot be held.
 MAX_COST_TOKENS = 10**15
 
+IMAGE_SCHEMES = ('data:', 'http://', 'https://')
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ChatBound:
@@ -103,12 +105,15 @@
     messages: Sequence[Any],
     *,
     margin_tokens_per_message: int,
+    image_tokens: int,
     other_prompt_parts: Any = None,
 ) -> int:
     """Return an upper bound on the tokens of a prompt.
 
     A byte-level tokenizer emits at most one token per UTF-8 byte; the margin
-    covers the chat template's tokens around each message.
+    covers the chat template's tokens around each message. The size of an
+    image that an endpoint fetches is not known here, so every image counts as
+    the model's largest.
 
     Parameters
     ----------
@@ -116,6 +121,8 @@
         Parsed JSON; strings of any field count, such as ``name`` and
         ``tool_calls``.
     margin_tokens_per_message : int
+    image_tokens : int
+        Most prompt tokens that the model makes of one image.
     other_prompt_parts : Any, optional
         Parsed JSON that a template also puts into the prompt, such as
         ``tools``.
@@ -123,36 +130,52 @@
     Raises
     ------
     RefusalError
-        `INVALID_FIELD` if a message refers to content whose size the router
-        cannot know.
+        `INVALID_FIELD` if a message is malformed.
     """
-    for message in messages:
-        _check_content(message)
+    images = sum(_count_images(message) for message in messages)
     return (
-        text_bytes(messages)
+        text_bytes([_without_images(message) for message in messages])
         + text_bytes(other_prompt_parts)
+        + images * image_tokens
         + margin_tokens_per_message * max(1, len(messages))
     )
 
 
-def _check_content(message: Any) -> None:
-    """Refuse content that an endpoint would fetch from elsewhere."""
+def _is_image(part: Any) -> bool:
+    return isinstance(part, Mapping) and part.get('image_url') is not None
+
+
+def _without_images(message: Mapping) -> Mapping:
+    content = message.get('content')
+    if not isinstance(content, list):
+        return message
+    return {
+        **message,
+        'content': [part for part in content if not _is_image(part)],
+    }
+
+
+def _count_images(message: Any) -> int:
+    """Check the content of a message and count its images."""
     if not isinstance(message, Mapping):
         raise _invalid_field('messages must contain objects')
     content = message.get('content')
     if content is None or isinstance(content, str):
-        return
+        return 0
     if not isinstance(content, list):
         raise _invalid_field('content must be a string or a list of parts')
+    images = 0
     for part in content:
         if not isinstance(part, Mapping):
             raise _invalid_field('content parts must be objects')
-        image = part.get('image_url')
-        if image is None:
+        if not _is_image(part):
             continue
+        image = part['image_url']
         url = image.get('url') if isinstance(image, Mapping) else image
-        if not isinstance(url, str) or not url.startswith('data:'):
-            raise _invalid_field('image_url must be a data URL')
+        if not isinstance(url, str) or not url.startswith(IMAGE_SCHEMES):
+            raise _invalid_field('image_url must be a data, http or https URL')
+        images += 1
+    return images
 
 
 def chat_bound(
--- a/src/basilpond/programs/fleet.py
+++ b/src/basilpond/programs/fleet.py
@@ -306,3 +306,7 @@
 def main() -> None:
     """Parse arguments and run."""
     defopt.run([status, budget, explain, drain, undrain, release])
+
+
+if __name__ == '__main__':
+    main()
--- a/src/basilpond/programs/manifest.py
+++ b/src/basilpond/programs/manifest.py
@@ -30,6 +30,8 @@
 from ._output import write_table
 
 PUBLISH_TIMEOUT_S = 30.0
+# Stands for the version in force, which the log tells.
+IN_FORCE = -1
 
 
 def schema() -> None:
@@ -65,7 +67,7 @@
     file: Path,
     *,
     log_url: str,
-    replaces: int | None = None,
+    replaces: int = IN_FORCE,
     timeout_s: float = PUBLISH_TIMEOUT_S,
 ) -> None:
     """Publish a manifest; it is rejected when another one came first.
@@ -85,7 +87,7 @@
     run_command(_publish(file, log_url, replaces, timeout_s))
 
 
-def status(*routers: str, log_url: str | None = None) -> None:
+def status(*routers: str, log_url: str = '') -> None:
     """Print the version in force in the log and at each router.
 
     The operator key is read from BASILPOND_OPERATOR_KEY.
@@ -135,14 +137,14 @@
 
 
 async def _publish(
-    file: Path, log_url: str, replaces: int | None, timeout_s: float
+    file: Path, log_url: str, replaces: int, timeout_s: float
 ) -> int:
     # Written without spaces, because every router keeps it.
     document = msgspec.json.encode(decode_manifest(_read_file(file)))
     log = LogClient(log_url)
     publisher = ManifestPublisher(log)
     try:
-        if replaces is None:
+        if replaces == IN_FORCE:
             replaces = (await publisher.read()).version
         decided = await publisher.publish(
             document, replaces, timeout_s=timeout_s
@@ -160,10 +162,10 @@
     return EXIT_OK if decided.accepted else EXIT_REJECTED
 
 
-async def _status(routers: tuple[str, ...], log_url: str | None) -> int:
+async def _status(routers: tuple[str, ...], log_url: str) -> int:
     rows = []
     code = EXIT_OK
-    if log_url is not None:
+    if log_url:
         try:
             version = str((await _in_force(log_url)).version)
         except LogUnavailableError:
@@ -190,3 +192,7 @@
 def main() -> None:
     """Parse arguments and run."""
     defopt.run([schema, check, diff, publish, status])
+
+
+if __name__ == '__main__':
+    main()
--- a/src/basilpond/programs/router.py
+++ b/src/basilpond/programs/router.py
@@ -48,3 +48,7 @@
 def main() -> None:
     """Parse arguments and run."""
     defopt.run(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/basilpond/programs/tests/test_commands.py
@@ -0,0 +1,38 @@
+import subprocess
+import sys
+
+import pytest
+
+
+def run_program(name, *arguments):
+    return subprocess.run(
+        [sys.executable, '-m', f'basilpond.programs.{name}', *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ('name', 'command'),
+    [
+        ('router', None),
+        ('manifest', 'schema'),
+        ('manifest', 'check'),
+        ('manifest', 'diff'),
+        ('manifest', 'publish'),
+        ('manifest', 'status'),
+        ('fleet', 'status'),
+        ('fleet', 'budget'),
+        ('fleet', 'explain'),
+        ('fleet', 'drain'),
+        ('fleet', 'release'),
+    ],
+)
+def test_help_is_printed(name, command):
+    """Guards against a signature that the argument parser can't read."""
+    arguments = [command] if command else []
+    done = run_program(name, *arguments, '--help')
+    assert done.returncode == 0, done.stderr
+    assert 'usage' in done.stdout
--- a/src/basilpond/tasks/_chat_service.py
+++ b/src/basilpond/tasks/_chat_service.py
@@ -73,6 +73,7 @@
         prompt_tokens = prompt_bound_tokens(
             chat.messages,
             margin_tokens_per_message=self.limits.margin_tokens_per_message,
+            image_tokens=model.image_tokens,
             other_prompt_parts=chat.other_prompt_parts,
         )
         return chat_bound(
