--- a/src/basilpond/core/tests/test_ledger.py
+++ b/src/basilpond/core/tests/test_ledger.py
@@ -214,6 +214,31 @@
     assert s.amounts() == (0, 0)
 
 
+@pytest.mark.parametrize(
+    ('closer', 'keep_ms'),
+    [('h', _ledger.CLOSED_BY_HOLDER_KEEP_MS), ('p', WINDOW_MS)],
+)
+def test_closed_allotment_rejects_at_once_while_kept(closer, keep_ms):
+    """Guards against a holder that waits a day for a late entry's result."""
+    s = granted()
+    s.put(Close('a', 'o', closer))
+    s.time_ms = keep_ms
+    assert s.put(bill('a', 9, 10)) == [EntryApplied('a', 9, False, 'closed')]
+    s.time_ms += 1
+    assert s.put(bill('a', 9, 10)) == []
+
+
+def test_writers_are_forgotten_in_the_order_of_their_last_batch():
+    """Guards against sequence numbers that stay behind a busy writer."""
+    ledger = _ledger.Ledger()
+    times_ms = {'w1': 0, 'w2': 0, 'w3': WINDOW_MS}
+    for offset, (writer, time_ms) in enumerate(times_ms.items()):
+        list(ledger.apply(Batch(writer, 1, []), offset, time_ms))
+    list(ledger.apply(Batch('w1', 2, []), 3, WINDOW_MS))
+    list(ledger.apply(Batch('w3', 2, []), 4, WINDOW_MS + 1))
+    assert [ledger.writer_seq(w) for w in times_ms] == [2, 0, 2]
+
+
 @pytest.mark.parametrize('closer', ['h', 'p'])
 def test_forgotten_allotment_spends_nothing(closer):
     """Guards against a late entry that a forgotten allotment accepts."""
