Count the declared size of an image in the audit's bound

Ruled out: an early refusal by the router; the budget's rest was below the held bound. Change: the audit adds the model's image_tokens for image requests; a test shows that such a refusal is false above the bound and true below it. Conclusion: the check stays as strict for all requests without images.

--- a/src/basilpond_testkit/audit.py
+++ b/src/basilpond_testkit/audit.py
@@ -19,6 +19,7 @@
 from basilpond.core._codes import ResultCode
 from basilpond.core._interfaces import LogEntry
 from basilpond.core._manifest import Manifest
+from basilpond.core._manifest import Model
 
 from . import engine
 from . import service
@@ -378,11 +379,16 @@
     ]
 
 
-def _prices(evidence: Evidence, request: workload.Request) -> tuple[int, int]:
-    """Return the prices of a prompt and an output token of a chat."""
+def _model(evidence: Evidence, request: workload.Request) -> Model:
     manifest = evidence.manifests[-1].manifest
     name = workload.MODELS[request.kind]
     (model,) = (model for model in manifest.models if model.id == name)
+    return model
+
+
+def _prices(evidence: Evidence, request: workload.Request) -> tuple[int, int]:
+    """Return the prices of a prompt and an output token of a chat."""
+    model = _model(evidence, request)
     return model.prompt_price_tokens, model.output_price_tokens
 
 
@@ -419,6 +425,10 @@
     *_, body = request.http()
     prompt_price, output_price = _prices(evidence, request)
     prompt_tokens = len(body) + 2 * _MESSAGE_MARGIN_TOKENS
+    if request.image:
+        # Admission holds the model's declared size of an image, because the
+        # router does not fetch it.
+        prompt_tokens += _model(evidence, request).image_tokens
     return prompt_price * prompt_tokens + output_price * request.max_tokens
 
 
--- a/src/basilpond_testkit/tests/test_audit.py
+++ b/src/basilpond_testkit/tests/test_audit.py
@@ -268,6 +268,20 @@
     assert len(audit.false_refusals(explained)) == 1
 
 
+def test_image_may_be_refused_for_its_declared_size():
+    """Guards against an audit that ignores what admission must hold."""
+    planted = evidence()
+    chat = planted.observations[0]
+    chat.attempts.insert(0, refused(ResultCode.BUDGET_EXHAUSTED))
+    assert len(audit.false_refusals(planted)) == 1
+    paid = planted.manifests[0].manifest.organisations[0].top_ups
+    paid[0] = msgspec.structs.replace(paid[0], tokens=2000)
+    assert len(audit.false_refusals(planted)) == 1
+    image = msgspec.structs.replace(chat.request, image='https://x/a.jpg')
+    chat.request = image
+    assert audit.false_refusals(planted) == []
+
+
 def test_refusal_without_budget_is_true():
     """Guards against an audit that counts a spent budget as refusal."""
     planted = evidence(*START, *BILLS, bill('big', 4000, 3))
