Close kept-alive connections after the response while stopping

Cause: after the listening socket closes, a kept-alive connection could still bring new requests, which the drained budget refuses. Change: while stopping, a connection is closed after its response.

--- a/src/basilpond/tasks/_gateway.py
+++ b/src/basilpond/tasks/_gateway.py
@@ -65,6 +65,7 @@
         self.chat = chat
         self.services = services
         self.open_requests = 0
+        self._stopping = False
         self._idle = asyncio.Event()
         self._idle.set()
         self._runner: web.AppRunner | None = None
@@ -88,6 +89,7 @@
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open requests go on."""
+        self._stopping = True
         await self._site.stop()
 
     async def wait_idle(self, timeout_s: float) -> bool:
@@ -107,6 +109,10 @@
         request_id = request.headers.get(IDEMPOTENCY_HEADER) or str(
             uuid.uuid4()
         )
+        if self._stopping:
+            # A kept-alive connection would bring further requests to a router
+            # that is about to end.
+            request.protocol.close()
         self.open_requests += 1
         self._idle.clear()
         try:
