Split the membership into table, notices, messages and probing

Change: _membership_types, _member_table, _gossip_notices, _gossip_messages; _membership keeps the probing. Notices are taken with take_notices(). Two tests that reached into the old attributes reach into the new ones. Conclusion: no change of behaviour.

--- /dev/null
+++ b/src/basilpond/core/_member_table.py
@@ -0,0 +1,265 @@
+"""Table of the members, with what was last heard of each."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+
+from ..protocol import MemberUpdate
+from ..protocol import encoded_size
+from ._membership_types import INCARNATION_ID
+from ._membership_types import MAX_VERSION
+from ._membership_types import Member
+from ._membership_types import MembershipSettings
+from ._membership_types import MemberState
+from ._membership_types import member_of
+from ._membership_types import replace_fields
+from ._membership_types import split_incarnation_id
+
+# Shares of the suspicion after which a suspect is probed again.
+_CONFIRMATION_SHARES = (1 / 3, 0.6)
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Member with the bookkeeping of its updates."""
+
+    update: MemberUpdate
+    size_bytes: int
+    changed_s: float
+    # Suspicion only: the times of the remaining confirmation probes.
+    confirmations_s: list[float] = dataclasses.field(default_factory=list)
+    transmissions: int = 0
+
+
+class MemberTable:
+    """Members in all states, and the queue of updates to spread.
+
+    Parameters
+    ----------
+    myself : MemberUpdate
+    settings : MembershipSettings
+    on_added : callable
+        Called with the incarnation id of each new member.
+
+    Attributes
+    ----------
+    myself : MemberUpdate
+        The own entry, with its present version.
+    changes : int
+        Raised at each change that `members` shows.
+    replaced : bool
+        A newer incarnation of this router has been seen.
+    suspects : set of str
+    queue : dict
+        Members whose update still has to be sent a few times.
+    """
+
+    def __init__(
+        self,
+        myself: MemberUpdate,
+        settings: MembershipSettings,
+        on_added: Callable[[str], None],
+    ) -> None:
+        self.settings = settings
+        self.myself = replace_fields(
+            myself, state=MemberState.ALIVE, version=0
+        )
+        self.changes = 0
+        self.replaced = False
+        self.suspects: set[str] = set()
+        self.queue: dict[str, Peer] = {}
+        self._on_added = on_added
+        self._router_id, self._started_ms = split_incarnation_id(
+            myself.incarnation_id
+        )
+        self._peers: dict[str, Peer] = {}
+        self._by_router: dict[str, str] = {}
+        # Ids that are dead, left or replaced, with the version of that.
+        self._lost: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._peers)
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(self._peers.values())
+
+    def __getitem__(self, incarnation_id: str) -> Peer:
+        return self._peers[incarnation_id]
+
+    def get(self, incarnation_id: str) -> Peer | None:
+        """Return a member by its incarnation id."""
+        return self._peers.get(incarnation_id)
+
+    def current(self, router_id: str) -> Peer | None:
+        """Return the newest known incarnation of a router."""
+        return self._peers.get(self._by_router.get(router_id, ''))
+
+    def is_known(self, incarnation_id: str) -> bool:
+        """Return whether an incarnation was heard of, lost ones included."""
+        return incarnation_id in self._peers or incarnation_id in self._lost
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the other routers in all states, by incarnation id."""
+        return tuple(
+            member_of(self._peers[incarnation_id].update)
+            for incarnation_id in sorted(self._peers)
+        )
+
+    def is_lost(self, incarnation_id: str) -> bool:
+        """Return whether an incarnation is dead, left or replaced."""
+        peer = self._peers.get(incarnation_id)
+        if peer is not None:
+            return peer.update.state >= MemberState.DEAD
+        if incarnation_id in self._lost:
+            return True
+        if not INCARNATION_ID.fullmatch(incarnation_id):
+            return False
+        router_id, started_ms = split_incarnation_id(incarnation_id)
+        current = self._by_router.get(router_id)
+        if router_id == self._router_id:
+            current = self.myself.incarnation_id
+        return (
+            current is not None
+            and split_incarnation_id(current)[1] > started_ms
+        )
+
+    def alive(self) -> Iterator[Peer]:
+        return (
+            peer
+            for peer in self._peers.values()
+            if peer.update.state == MemberState.ALIVE
+        )
+
+    def reachable(self) -> list[Peer]:
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.update.state <= MemberState.SUSPECT
+        ]
+
+    def merge(self, update: MemberUpdate, now_s: float) -> None:
+        router_id, started_ms = split_incarnation_id(update.incarnation_id)
+        if router_id == self._router_id:
+            if started_ms == self._started_ms:
+                self._merge_myself(update)
+                return
+            if started_ms < self._started_ms:
+                self._remember_lost(update.incarnation_id, MAX_VERSION)
+                return
+            self.replaced = True
+        peer = self._peers.get(update.incarnation_id)
+        if peer is None:
+            self._add(update, router_id, started_ms, now_s)
+            return
+        known = peer.update
+        if known.state == MemberState.LEFT or update.version < known.version:
+            return
+        if update.state == MemberState.LEFT:
+            self.set_update(peer, update, now_s)
+        elif update.state == MemberState.ALIVE:
+            if update.version > known.version:
+                self.set_update(peer, update, now_s)
+        elif known.state == MemberState.ALIVE:
+            self.suspect(peer, update, now_s)
+        elif update.version > known.version:
+            if update.state == MemberState.DEAD == known.state:
+                self.set_update(peer, update, now_s)
+            else:
+                self.suspect(peer, update, now_s)
+
+    def _merge_myself(self, update: MemberUpdate) -> None:
+        # Nobody else can announce that this router leaves.
+        if (
+            update.state in (MemberState.SUSPECT, MemberState.DEAD)
+            and update.version >= self.myself.version
+            and update.version + 1 < MAX_VERSION
+        ):
+            self.myself = replace_fields(
+                self.myself, version=update.version + 1
+            )
+
+    def _add(
+        self,
+        update: MemberUpdate,
+        router_id: str,
+        started_ms: int,
+        now_s: float,
+    ) -> None:
+        lost_version = self._lost.get(update.incarnation_id)
+        if lost_version is not None and update.version <= lost_version:
+            return
+        old_id = self._by_router.get(router_id)
+        if old_id is not None:
+            if split_incarnation_id(old_id)[1] > started_ms:
+                self._remember_lost(update.incarnation_id, MAX_VERSION)
+                return
+            self.remove(self._peers[old_id])
+            self._remember_lost(old_id, MAX_VERSION)
+        elif len(self._peers) >= self.settings.max_members:
+            return
+        peer = Peer(update, 0, now_s)
+        self._peers[update.incarnation_id] = peer
+        self._by_router[router_id] = update.incarnation_id
+        self._on_added(update.incarnation_id)
+        if update.state == MemberState.SUSPECT:
+            self.suspect(peer, update, now_s)
+        else:
+            self.set_update(peer, update, now_s)
+
+    def suspect(self, peer: Peer, update: MemberUpdate, now_s: float) -> None:
+        self.set_update(
+            peer, replace_fields(update, state=MemberState.SUSPECT), now_s
+        )
+        peer.confirmations_s = [
+            now_s + self.settings.suspicion_s * share
+            for share in _CONFIRMATION_SHARES
+        ]
+
+    def set_update(
+        self, peer: Peer, update: MemberUpdate, now_s: float
+    ) -> None:
+        known = peer.update
+        # The sender's entry in each message spreads manifest versions; queued
+        # updates of all members at each change would fill the datagrams.
+        manifest_only = (
+            known is not update
+            and known.state == update.state == MemberState.ALIVE
+            and known.ready == update.ready
+            and known.manifest_version < update.manifest_version
+        )
+        incarnation_id = update.incarnation_id
+        peer.update = update
+        peer.size_bytes = encoded_size(update)
+        peer.changed_s = now_s
+        if not manifest_only:
+            peer.transmissions = 0
+            self.queue[incarnation_id] = peer
+        if update.state == MemberState.SUSPECT:
+            self.suspects.add(incarnation_id)
+        else:
+            self.suspects.discard(incarnation_id)
+            peer.confirmations_s = []
+        if update.state >= MemberState.DEAD:
+            self._remember_lost(incarnation_id, update.version)
+        else:
+            self._lost.pop(incarnation_id, None)
+        self.changes += 1
+
+    def _remember_lost(self, incarnation_id: str, version: int) -> None:
+        self._lost[incarnation_id] = version
+        self._lost.move_to_end(incarnation_id)
+        if len(self._lost) > self.settings.max_lost:
+            self._lost.popitem(last=False)
+
+    def remove(self, peer: Peer) -> None:
+        incarnation_id = peer.update.incarnation_id
+        del self._peers[incarnation_id]
+        del self._by_router[split_incarnation_id(incarnation_id)[0]]
+        self.queue.pop(incarnation_id, None)
+        self.suspects.discard(incarnation_id)
+        self.changes += 1
--- a/src/basilpond/core/tests/test_membership.py
+++ b/src/basilpond/core/tests/test_membership.py
@@ -324,7 +324,7 @@
     for member in network.members.values():
         member.announce(manifest_version=7)
     network.run(20)
-    sizes = [len(member._queue) for member in network.members.values()]
+    sizes = [len(member._table.queue) for member in network.members.values()]
     assert max(sizes) == 0
     seen = {m.manifest_version for m in network.members[10_000].members()}
     assert 7 in seen
@@ -336,8 +336,8 @@
     # Each member starts with all others known, to measure the idle cost.
     for member in network.members.values():
         for number in range(count):
-            member._merge(identity(f'r{number}'), network.now_s)
-        member._queue.clear()
+            member._table.merge(identity(f'r{number}'), network.now_s)
+        member._table.queue.clear()
     network.run(2)
     before = sum(network.sent_bytes.values())
     network.run(seconds)
--- a/src/basilpond/tasks/_gossip_task.py
+++ b/src/basilpond/tasks/_gossip_task.py
@@ -201,13 +201,9 @@
         if membership.changes != self._published_changes:
             self._published_changes = membership.changes
             self.members.on_next(membership.members())
-        endpoints, membership.endpoint_notices = (
-            membership.endpoint_notices,
-            [],
-        )
+        endpoints, crashes = membership.take_notices()
         for notice in endpoints:
             self.endpoint_notices.on_next(notice)
-        crashes, membership.crash_notices = membership.crash_notices, []
         for notice in crashes:
             self.crash_notices.on_next(notice)
 
