Add the fault matrix: world, cells, checks and command

Several routers with the product's own tasks run in one process on the paused clock, over a fake log, network, endpoints and callers. A cell injects faults at a step of a request, publish or stop, lets time run on until everything settles, and checks the guarantees on the log, the endpoints' records and the callers' observations.

The import of the gossip task in the manifest spread is for types only, so that the task can be tested without it.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m basilpond_testkit.bench
+
+matrix: $(STAMP)
+	$(BIN)/python -m basilpond_testkit.matrix
--- a/src/basilpond/tasks/_manifest_spread.py
+++ b/src/basilpond/tasks/_manifest_spread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from absl import logging
 
@@ -10,7 +11,9 @@
 from ..core import BasilpondError
 from ._budget_interfaces import Peers
 from ._config_task import ConfigTask
-from ._gossip_task import GossipTask
+
+if TYPE_CHECKING:
+    from ._gossip_task import GossipTask
 
 CHECK_INTERVAL_S = 0.5
 FETCH_TIMEOUT_S = 2.0
--- /dev/null
+++ b/src/basilpond_testkit/matrix/_cells.py
@@ -0,0 +1,375 @@
+"""Cells of the matrix: faults at a step of a request, publish or stop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+import dataclasses
+import itertools
+import random
+
+from .. import paused_clock
+from . import _checks
+from ._faults import FAULTS
+from ._faults import LAST_S
+from ._faults import PATCHES
+from ._faults import Scene
+from ._steps import PUBLISH_STEPS
+from ._steps import REQUEST_STEPS
+from ._steps import STOP_STEPS
+from ._world import BUDGET_TOKENS
+from ._world import World
+
+KINDS = ('chat', 'plain', 'whole', 'booking')
+SIGNALS = ('load', 'list', 'manifest', 'operator')
+TIGHT_BUDGET_TOKENS = 9_000
+SECOND_FAULT_S = 1.0
+SNAPSHOT_EVERY_RECORDS = 20
+
+_PATCHED = tuple(f'patch_{patch}' for patch in PATCHES)
+_OF_ENDPOINTS = ('endpoint_crash', 'endpoint_refuses', 'endpoint_silent')
+_OF_CALLERS = (
+    'caller_gone',
+    'caller_retries_elsewhere',
+    'same_key_elsewhere',
+    'same_key_other_body',
+)
+_STREAM_PATCHES = (
+    'patch_duplicate_frames',
+    'patch_late_frames',
+    'patch_ignore_max_tokens',
+)
+# Faults that are combined in pairs, for budgets, bills and at-most-once.
+_PAIRED = (
+    'router_killed',
+    'router_paused',
+    'peer_killed',
+    'log_down',
+    'log_slow',
+    'log_ack_lost',
+    'cut_data_centres',
+    'cut_platform',
+    'one_way_from_log',
+    'endpoint_crash',
+    'caller_retries_elsewhere',
+    'same_key_elsewhere',
+    'top_up_while_cut',
+)
+_PAIR_STEPS = ('claim', 'connect', 'terminal', 'bill', 'release')
+_LEAVE_FAULTS = (
+    'none',
+    'router_killed',
+    'router_paused',
+    'peer_killed',
+    'log_down',
+    'log_slow',
+    'cut_data_centres',
+    'cut_platform',
+    'one_way_data_centres',
+    'one_way_to_peer',
+    'vm_joins',
+    'vm_leaves',
+)
+
+_ALL_PROMISES = (1, 2, 3, 4, 5)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Cell:
+    """One cell.
+
+    Parameters
+    ----------
+    name : str
+    scene : str
+        ``request``, ``publish``, ``stop`` or ``endpoint``.
+    kind : str
+        Kind of the request, or the signal of a leaving endpoint.
+    step : str
+    faults : tuple of str
+    promises : tuple of int
+        Guarantees that it checks.
+    reason : str
+        Why it is not applicable; empty for a cell that runs.
+    """
+
+    name: str
+    scene: str
+    kind: str
+    step: str
+    faults: tuple[str, ...]
+    promises: tuple[int, ...]
+    reason: str = ''
+
+
+def _request_reason(kind: str, step: str, fault: str) -> str:
+    """Return why a fault at a step of a request is not applicable."""
+    if step == 'claim' and kind != 'booking':
+        return 'an idempotent request makes no claim'
+    if step == 'mid_stream' and kind in ('whole', 'booking'):
+        return 'the response has one part'
+    if fault in _PATCHED:
+        if fault == 'patch_reorder':
+            return (
+                'frames have no sequence number, so a swap within one '
+                'stream cannot be seen'
+            )
+        if kind == 'booking':
+            return 'patches change the form of model responses'
+        if kind == 'whole' and fault in _STREAM_PATCHES:
+            return 'the patch needs a stream'
+        if step != 'connect':
+            return (
+                'the form of a response is fixed when the endpoint receives '
+                'the request'
+            )
+    if kind == 'plain' and fault in _OF_CALLERS[1:]:
+        return 'without a key a request that is sent again is another one'
+    if fault == 'operators_race' or fault == 'bad_manifest':
+        return 'belongs to the steps of a publish'
+    return ''
+
+
+def _request_cells() -> Iterator[Cell]:
+    for kind, fault, step in itertools.product(KINDS, FAULTS, REQUEST_STEPS):
+        yield Cell(
+            f'request.{kind}.{step}.{fault}',
+            'request',
+            kind,
+            step,
+            (fault,),
+            _ALL_PROMISES,
+            _request_reason(kind, step, fault),
+        )
+
+
+def _pair_cells() -> Iterator[Cell]:
+    pairs = itertools.permutations(_PAIRED, 2)
+    for (first, second), step, kind in itertools.product(
+        pairs, _PAIR_STEPS, ('chat', 'booking')
+    ):
+        reason = _request_reason(kind, step, first)
+        yield Cell(
+            f'pair.{kind}.{step}.{first}+{second}',
+            'request',
+            kind,
+            step,
+            (first, second),
+            (1, 2, 5),
+            reason,
+        )
+
+
+def _publish_cells() -> Iterator[Cell]:
+    for fault, step in itertools.product(FAULTS, PUBLISH_STEPS):
+        reason = ''
+        if fault in (*_OF_ENDPOINTS, *_PATCHED, 'endpoint_leaves'):
+            reason = 'no endpoint takes part in a publish'
+        elif fault in (*_OF_CALLERS, 'vm_stops_with_request'):
+            reason = 'no caller takes part in a publish'
+        yield Cell(
+            f'publish.{step}.{fault}',
+            'publish',
+            '',
+            step,
+            (fault,),
+            (1, 8),
+            reason,
+        )
+
+
+def _stop_cells() -> Iterator[Cell]:
+    for fault, step in itertools.product(FAULTS, STOP_STEPS):
+        reason = ''
+        if fault in (*_PATCHED, 'bad_manifest', 'operators_race'):
+            reason = 'does not meet a stop'
+        elif fault in _OF_CALLERS:
+            reason = 'the stop has several callers; see the request cells'
+        elif fault == 'vm_stops_with_request':
+            reason = 'is the stop itself'
+        yield Cell(
+            f'stop.{step}.{fault}',
+            'stop',
+            '',
+            step,
+            (fault,),
+            (1, 2, 3, 4, 5, 7),
+            reason,
+        )
+
+
+def _endpoint_cells() -> Iterator[Cell]:
+    for signal, fault in itertools.product(SIGNALS, _LEAVE_FAULTS):
+        yield Cell(
+            f'endpoint.{signal}.{fault}',
+            'endpoint',
+            signal,
+            'leave',
+            (fault,),
+            (3, 6),
+        )
+
+
+def _order_cells() -> Iterator[Cell]:
+    for order in ('load', 'adapter', 'version', 'role'):
+        yield Cell(
+            f'order.{order}',
+            'order',
+            '',
+            '',
+            (),
+            (),
+            'orders to endpoints are not built yet',
+        )
+
+
+def all_cells() -> list[Cell]:
+    """Return all cells, also those that are not applicable."""
+    return [
+        *_request_cells(),
+        *_publish_cells(),
+        *_stop_cells(),
+        *_endpoint_cells(),
+        *_pair_cells(),
+        *_order_cells(),
+    ]
+
+
+def run_cell(cell: Cell, seed: int) -> list[str]:
+    """Run a cell on a clock of its own; return the violations."""
+    # The product's retry delays use the module's generator.
+    random.seed(f'{seed} {cell.name}')
+    return paused_clock.run(_run(cell, seed))
+
+
+async def _run(cell: Cell, seed: int) -> list[str]:
+    world = World(
+        seed,
+        budget_tokens=(
+            TIGHT_BUDGET_TOKENS if len(cell.faults) > 1 else BUDGET_TOKENS
+        ),
+        snapshot_every_records=SNAPSHOT_EVERY_RECORDS
+        if 'log_retention' in cell.faults
+        else 20_000,
+    )
+    await world.start()
+    scene = Scene(world, world.routers['dc1-r1'], kind=cell.kind)
+    await _SCENES[cell.scene](cell, scene)
+    found = list(_checks.check(world, cell.promises))
+    if not world.steps.fired:
+        found.append(f'step {cell.step} was not reached')
+    return found
+
+
+def _inject(cell: Cell, scene: Scene) -> None:
+    """Start the first fault now, the others a little later; end them all."""
+    loop = asyncio.get_running_loop()
+    for number, name in enumerate(cell.faults):
+        if name not in FAULTS:
+            continue
+        fault = FAULTS[name]
+        delay_s = number * SECOND_FAULT_S
+        if number:
+            loop.call_later(delay_s, fault.start, scene)
+        else:
+            fault.start(scene)
+        loop.call_later(delay_s + LAST_S, fault.end, scene)
+
+
+async def _request(cell: Cell, scene: Scene) -> None:
+    world = scene.world
+    # Earlier requests, so that bills and allotments exist.
+    world.send('chat', ['dc1-r1'], key='early1')
+    world.send('booking', ['dc2-r1'], key='early2')
+    await world.finish(1)
+    world.steps.arm(cell.step, lambda: _inject(cell, scene))
+    scene.target = world.send(
+        cell.kind if cell.kind != 'plain' else 'chat',
+        ['dc1-r1', 'dc2-r1', 'dc1-r2', 'dc2-r2'],
+        key='' if cell.kind == 'plain' else 'target',
+    )
+    await asyncio.sleep(0.5)
+    # A step that only the other requests reach does not count.
+    world.steps.disarm()
+    others = ('dc1-r2', 'dc2-r2', 'dc2-r1')
+    for number, router_id in enumerate(others):
+        world.send('chat', [router_id, *others], key=f'chat{number}')
+        world.send('booking', [router_id, *others], key=f'booking{number}')
+        world.send('chat', [router_id])
+    await asyncio.sleep(LAST_S + 2 * SECOND_FAULT_S)
+    await _afterwards(world)
+
+
+async def _afterwards(world: World) -> None:
+    """Send requests to all routers after the faults; settle everything."""
+    await asyncio.sleep(10)
+    routers = list(world.routers)
+    for number, router_id in enumerate(routers):
+        via = [router_id, *routers]
+        world.send('chat', via, key=f'late{number}')
+        world.send('booking', via, key=f'late-booking{number}')
+    await world.finish()
+
+
+async def _publish(cell: Cell, scene: Scene) -> None:
+    world = scene.world
+    version = scene.router.config_task.version + 1
+    step = {
+        'publish': 'publish',
+        'accepted': 'accepted',
+        'spread': f'apply dc2-r1 {version}',
+        'apply': f'apply dc1-r1 {version}',
+    }[cell.step]
+    world.steps.arm(step, lambda: _inject(cell, scene))
+
+    def note_accepted(stream: str) -> None:
+        if stream == 'config':
+            world.steps.note('accepted')
+
+    world.log.on_write = note_accepted
+    document = world.next_document(3_000)
+    world.steps.note('publish')
+    publish = world.spawn(world.publish(document))
+    world.send('chat', ['dc1-r2', 'dc2-r1'], key='meanwhile')
+    await asyncio.sleep(LAST_S + 10)
+    await asyncio.wait([publish], timeout=60)
+    await _afterwards(world)
+
+
+async def _stop(cell: Cell, scene: Scene) -> None:
+    world = scene.world
+    world.steps.arm(cell.step, lambda: _inject(cell, scene))
+    via = ['dc1-r1', 'dc1-r2', 'dc2-r1']
+    world.send('chat', via, key='before', output_tokens=300)
+    stop = world.spawn(world.stop(scene.router))
+    await asyncio.sleep(3.5)
+    if scene.router.accepting:
+        for kind in ('chat', 'whole', 'booking'):
+            world.send(kind, via, key=f'during-{kind}', output_tokens=300)
+        world.send('chat', via, output_tokens=300)
+    await asyncio.sleep(LAST_S + 10)
+    await asyncio.wait([stop], timeout=200)
+    await _afterwards(world)
+
+
+async def _endpoint(cell: Cell, scene: Scene) -> None:
+    world = scene.world
+    endpoint = world.endpoint('dc1-m1')
+    world.steps.arm('leave', lambda: _inject(cell, scene))
+    routers = list(world.routers)
+    for number in range(180):
+        if number == 4:
+            world.leave(endpoint, cell.kind)
+            world.steps.note('leave')
+        router_id = routers[number % len(routers)]
+        world.send('chat', [router_id, *routers], key=f'k{number}')
+        await asyncio.sleep(0.5)
+    await world.finish(5)
+
+
+_SCENES = {
+    'request': _request,
+    'publish': _publish,
+    'stop': _stop,
+    'endpoint': _endpoint,
+}
--- /dev/null
+++ b/src/basilpond_testkit/matrix/tests/test_matrix.py
@@ -0,0 +1,63 @@
+"""A part of the matrix that is quick enough for every test run."""
+
+import pytest
+
+from basilpond_testkit.matrix import __main__ as program
+from basilpond_testkit.matrix import _cells
+
+# One or two cells for each guarantee, fault family and scene.
+NAMES = (
+    'request.chat.mid_stream.router_killed',
+    'request.chat.bill.router_paused',
+    'request.chat.release.log_ack_lost',
+    'request.chat.connect.patch_no_usage',
+    'request.chat.connect.patch_truncate_clean',
+    'request.plain.mid_stream.caller_gone',
+    'request.whole.send.endpoint_silent',
+    'request.booking.claim.log_down',
+    'request.booking.send.router_killed',
+    'request.booking.terminal.same_key_elsewhere',
+    'request.booking.connect.router_paused',
+    'publish.accepted.cut_platform',
+    'publish.publish.operators_race',
+    'stop.drain.log_slow',
+    'stop.leave.peer_killed',
+    'endpoint.load.none',
+)
+
+
+@pytest.fixture(autouse=True)
+def _quiet():
+    program.quiet_logs()
+
+
+def cell_named(name):
+    (cell,) = (cell for cell in _cells.all_cells() if cell.name == name)
+    return cell
+
+
+@pytest.mark.parametrize('name', NAMES)
+def test_cell_holds_its_guarantees(name):
+    if name in program.known_red():
+        pytest.xfail('listed in KNOWN-RED.txt')
+    assert _cells.run_cell(cell_named(name), 1) == []
+
+
+def test_names_of_cells_are_unique():
+    names = [cell.name for cell in _cells.all_cells()]
+    assert len(names) == len(set(names))
+
+
+def test_a_step_that_is_not_reached_fails_the_cell():
+    # Without this a cell whose fault never happens would pass.
+    cell = _cells.Cell(
+        'x', 'request', 'chat', 'claim', ('log_down',), (1, 2, 3, 4, 5)
+    )
+    assert _cells.run_cell(cell, 1) == ['step claim was not reached']
+
+
+def test_known_red_cells_are_read_from_the_file(tmp_path):
+    path = tmp_path / 'KNOWN-RED.txt'
+    path.write_text('1. matrix: command --cell request.a.b --seed 1\n')
+    assert program.known_red(path) == {'request.a.b'}
+    assert program.known_red(tmp_path / 'absent') == set()
