Add scenarios, poison and manifest mistakes to the matrix

The audit took a config entry that is no record for an error, and accepted manifests by their field types only, unlike the fold; it now skips garbage and applies the whole manifest check.

--- a/src/basilpond_testkit/audit.py
+++ b/src/basilpond_testkit/audit.py
@@ -16,9 +16,11 @@
 import msgspec
 
 from basilpond.core import _records
+from basilpond.core._codes import BasilpondError
 from basilpond.core._codes import ResultCode
 from basilpond.core._interfaces import LogEntry
 from basilpond.core._manifest import Manifest
+from basilpond.core._manifest import decode_manifest
 
 from . import engine
 from . import service
@@ -245,15 +247,18 @@
     """Return the manifests of the config stream that were accepted."""
     accepted: list[ManifestVersion] = []
     for entry in entries:
-        record = _records.decode_config(entry.payload)
+        try:
+            record = _records.decode_config(entry.payload)
+        except msgspec.MsgspecError:
+            continue
         current = accepted[-1].version if accepted else 0
         if not isinstance(record, _records.ManifestPublish):
             continue
         if record.replaces_version != current:
             continue
         try:
-            manifest = msgspec.json.decode(record.document, type=Manifest)
-        except msgspec.MsgspecError:
+            manifest = decode_manifest(bytes(record.document))
+        except BasilpondError:
             continue
         accepted.append(
             ManifestVersion(entry.offset + 1, entry.time_ms, manifest)
--- a/src/basilpond_testkit/matrix/_cells.py
+++ b/src/basilpond_testkit/matrix/_cells.py
@@ -10,6 +10,7 @@
 
 from .. import paused_clock
 from . import _checks
+from . import _scenario
 from ._faults import FAULTS
 from ._faults import LAST_S
 from ._faults import PATCHES
@@ -71,7 +72,8 @@
     'vm_leaves',
 )
 
-_ALL_PROMISES = (1, 2, 3, 4, 5)
+_OF_REQUESTS = (1, 2, 3, 4, 5)
+ALL_PROMISES = tuple(_checks.CHECKS)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -138,7 +140,7 @@
             kind,
             step,
             (fault,),
-            _ALL_PROMISES,
+            _OF_REQUESTS,
             _request_reason(kind, step, fault),
         )
 
@@ -210,6 +212,30 @@
         )
 
 
+def _poison_cells() -> Iterator[Cell]:
+    for kind, again in itertools.product(
+        ('chat', 'plain', 'whole'),
+        ('same_id', 'new_id', 'other_router', 'at_once'),
+    ):
+        reason = ''
+        if kind == 'plain' and again == 'same_id':
+            reason = 'without a key the caller does not choose the id'
+        yield Cell(
+            f'poison.{kind}.{again}',
+            'poison',
+            kind,
+            '',
+            (again,),
+            (2, 3, 4),
+            reason,
+        )
+
+
+def _scenario_cells() -> Iterator[Cell]:
+    for name in _scenario.load_scenarios():
+        yield Cell(f'scenario.{name}', 'scenario', name, '', (), ALL_PROMISES)
+
+
 def _order_cells() -> Iterator[Cell]:
     for order in ('load', 'adapter', 'version', 'role'):
         yield Cell(
@@ -231,6 +257,8 @@
         *_stop_cells(),
         *_endpoint_cells(),
         *_pair_cells(),
+        *_poison_cells(),
+        *_scenario_cells(),
         *_order_cells(),
     ]
 
@@ -238,6 +266,9 @@
 def run_cell(cell: Cell, seed: int) -> list[str]:
     """Run a cell on a clock of its own; return the violations."""
     # The product's retry delays use the module's generator.
+    if cell.scene == 'scenario':
+        text = _scenario.load_scenarios()[cell.kind]
+        return _scenario.run_scenario(text, seed)
     random.seed(f'{seed} {cell.name}')
     return paused_clock.run(_run(cell, seed))
 
@@ -256,7 +287,7 @@
     scene = Scene(world, world.routers['dc1-r1'], kind=cell.kind)
     await _SCENES[cell.scene](cell, scene)
     found = list(_checks.check(world, cell.promises))
-    if not world.steps.fired:
+    if cell.step and not world.steps.fired:
         found.append(f'step {cell.step} was not reached')
     return found
 
@@ -367,7 +398,33 @@
     await world.finish(5)
 
 
+async def _poison(cell: Cell, scene: Scene) -> None:
+    world = scene.world
+    world.crash_on('poison')
+    (again,) = cell.faults
+    kind = 'whole' if cell.kind == 'whole' else 'chat'
+    routers = list(world.routers)
+    at_once = again == 'at_once'
+    if at_once:
+        world.crash_routers = len(routers)
+    for number in range(6):
+        key = 'poison' if again == 'same_id' else f'poison{number}'
+        router_id = 'dc1-r1'
+        if again in ('other_router', 'at_once'):
+            router_id = routers[number % len(routers)]
+        world.send(
+            kind,
+            [router_id],
+            key='' if cell.kind == 'plain' else key,
+            text='poison',
+            max_attempts=2,
+        )
+        await asyncio.sleep(0 if at_once else 3)
+    await _afterwards(world)
+
+
 _SCENES = {
+    'poison': _poison,
     'request': _request,
     'publish': _publish,
     'stop': _stop,
--- a/src/basilpond_testkit/matrix/_faults.py
+++ b/src/basilpond_testkit/matrix/_faults.py
@@ -249,11 +249,15 @@
     """Write a manifest that the program would refuse, and plain garbage."""
     world = scene.world
     version = scene.router.config_task.version
-    document = world.document().replace(b'"top_ups"', b'"top_up"')
-    world.log.write(
-        'config',
-        encode(ManifestPublish('bad', version, msgspec.Raw(document))),
+    document = world.document()
+    mistakes = (
+        document.replace(b'"top_ups"', b'"top_up"'),
+        document.replace(b'"endpoints":["', b'"endpoints":["nowhere-'),
+        document.replace(b'"tokens":', b'"tokens":-'),
     )
+    for mistake in mistakes:
+        publish = ManifestPublish('bad', version, msgspec.Raw(mistake))
+        world.log.write('config', encode(publish))
     world.log.write('config', '{"type": "surprise"}')
 
 
--- a/src/basilpond_testkit/matrix/tests/test_checks.py
+++ b/src/basilpond_testkit/matrix/tests/test_checks.py
@@ -101,6 +101,12 @@
     attempt.done = False
 
 
+def plant_crashes(world):
+    world.crash_texts.add('request 1')
+    for endpoint in world.endpoints.values():
+        endpoint.engine_runs *= 3
+
+
 def plant_untruthful(world):
     attempt = world.callers[1].observation.attempts[0]
     attempt.outcome = 'not-run'
@@ -147,6 +153,7 @@
         (_checks.wrong_answers, plant_wrong_answer),
         (_checks.wrong_answers, plant_partial_answer),
         (_checks.never_answered, plant_no_answer),
+        (_checks.endless_crashes, plant_crashes),
         (_checks.untruthful_not_run, plant_untruthful),
         (_checks.ran_twice, plant_second_run),
         (_checks.work_after_leaving, plant_late_work),
--- a/src/basilpond_testkit/tests/test_audit.py
+++ b/src/basilpond_testkit/tests/test_audit.py
@@ -125,6 +125,24 @@
     )
 
 
+def test_rejected_publishes_are_not_taken_for_accepted():
+    """Guards against an audit that judges by a manifest not in force."""
+    unknown_endpoint = copy.deepcopy(MANIFEST)
+    unknown_endpoint['organisations'][0]['endpoints'] = ['nowhere']
+    entries = config(MANIFEST, MANIFEST)
+    entries[1:1] = [
+        LogEntry(1, 0, '{"type": "surprise"}'),
+        LogEntry(
+            2,
+            0,
+            config(MANIFEST, unknown_endpoint)[1].payload,
+        ),
+    ]
+    entries[3] = LogEntry(3, 0, entries[3].payload)
+    accepted = audit.accepted_manifests(entries)
+    assert [version.version for version in accepted] == [1, 4]
+
+
 def test_clean_run_has_no_findings():
     """Guards against checkers that accuse a correct run."""
     report = audit.check(evidence())
