--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -39,6 +39,13 @@
 from ._manifest import manifest_schema
 from ._manifest_index import ManifestIndex
 from ._manifest_index import key_sha256
+from ._membership import GossipKind
+from ._membership import Member
+from ._membership import Membership
+from ._membership import MembershipSettings
+from ._membership import MemberState
+from ._membership import Outgoing
+from ._membership import split_incarnation_id
 from ._prefix_affinity import prefix_digests
 from ._pricing import ChatBound
 from ._pricing import Usage
@@ -81,6 +88,7 @@
     'DecisionTrail',
     'Endpoint',
     'EndpointTable',
+    'GossipKind',
     'InvalidFieldError',
     'Ledger',
     'LedgerSnapshot',
@@ -92,9 +100,14 @@
     'Manifest',
     'ManifestIndex',
     'ManifestPublish',
+    'Member',
+    'MemberState',
+    'Membership',
+    'MembershipSettings',
     'Model',
     'Organisation',
     'Outcome',
+    'Outgoing',
     'PublishDecided',
     'RefusalError',
     'RequestQueue',
@@ -128,4 +141,5 @@
     'prefix_digests',
     'prompt_bound_tokens',
     'response_cost',
+    'split_incarnation_id',
 ]
--- a/src/basilpond/programs/router.py
+++ b/src/basilpond/programs/router.py
@@ -6,12 +6,20 @@
 from pathlib import Path
 import signal
 
+from absl import logging
 import defopt
 
 from ..settings import RouterSettings
 from ..settings import load_settings_or_exit
 from ..tasks import Router
-from ..telemetry import configure_logs
+from ..telemetry import install_json_logs
+
+LOG_LEVELS = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
 
 
 async def _serve(settings: RouterSettings) -> None:
@@ -33,7 +41,7 @@
         TOML settings file.
     """
     loaded = load_settings_or_exit(settings, RouterSettings)
-    configure_logs(loaded.telemetry.log_level, router=loaded.router.id)
+    install_json_logs(level=LOG_LEVELS[loaded.telemetry.log_level])
     asyncio.run(_serve(loaded))
 
 
--- a/src/basilpond/tasks/_router.py
+++ b/src/basilpond/tasks/_router.py
@@ -49,6 +49,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _socket_address(text: str) -> tuple[str, int]:
+    host, _, port = text.partition(':')
+    return host, int(port)
+
+
 class Router:
     """All tasks of a router process.
 
@@ -75,13 +80,12 @@
             client=section.id,
         )
         self.gossip = GossipTask(
-            router_id=section.id,
             incarnation_id=self.incarnation,
             data_centre=section.data_centre,
             host=section.host,
             port=section.peer_port,
             operator_port=section.operator_port,
-            seeds=section.seeds,
+            seeds=map(_socket_address, section.seeds),
             rng=rng,
         )
         self.ledger_task = LedgerTask(
@@ -158,7 +162,7 @@
             section.host,
             section.operator_port,
             source=RouterState(self),
-            operator_key_sha256=section.operator_key_sha256,
+            key_sha256=section.operator_key_sha256,
         )
 
     async def start(self) -> None:
@@ -267,8 +271,10 @@
         logging.info('manifest version %d is in force', version)
 
     def _take_crash_notice(self, notice: Any) -> None:
+        # The members merge their counts by maximum, so that the fleet is one
+        # origin here.
         self.crashes.merge(
-            notice.peer,
+            'fleet',
             notice.body_digest,
             notice.crashes,
             age_s=notice.age_ms / 1000,
