Announce an operator's drain of an endpoint repeatedly

Cause: an order given to one router reached the others as a gossip notice that they forget after 60 s. Load reports and the VM list confirm other notices within that time, but no other router sees an operator's order, so after a minute the peers sent the endpoint new work again; a router that started after the notice had spread never heard of it.

Ruled out: a longer life of the notice in the peers. It would outlive an undrain, and a new router would still not know.

Change: the router that holds the order announces it every 4 s while it is in force.

--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -28,7 +28,8 @@
 # Ejections are ignored when fewer of the endpoints would be left: requests
 # concentrated on them would fail too.
 _PANIC_SHARE = 0.34
-# Own signals confirm a peer's notice of a leaving endpoint within this time.
+# Own signals or the peer's next notice confirm a peer's notice of a leaving
+# endpoint within this time.
 _PEER_NOTICE_S = 60.0
 _MAX_CACHED_GROUPS = 256
 
@@ -206,6 +207,11 @@
             state.leaving.pop(source, None)
         return state.is_leaving(now_s) and not before
 
+    def is_drained(self, endpoint: str) -> bool:
+        """Return whether an operator's order to this router is in force."""
+        state = self._states.get(endpoint)
+        return state is not None and LeavingSource.OPERATOR in state.leaving
+
     def is_leaving(self, endpoint: str, now_s: float) -> bool:
         """Return whether any source says that the endpoint is leaving."""
         state = self._states.get(endpoint)
--- a/src/basilpond/tasks/_endpoint_task.py
+++ b/src/basilpond/tasks/_endpoint_task.py
@@ -80,6 +80,10 @@
     # gossip tells it what the others read.
     fleet_polls_per_s: float = 8.0
     probe_check_s: float = 0.5
+    # No other router sees an operator's order, so it is announced again
+    # before the peers forget it, and within the 5 s after which a router
+    # that has just started must know of it.
+    drain_notice_s: float = 4.0
     timeout_s: float = 1.0
     probe_timeout_s: float = 10.0
     # A load poll takes 360 bytes of HTTP both ways; a router may use 7 KB/s
@@ -139,7 +143,8 @@
         parameters: PollParameters | None = None,
     ) -> None:
         self.table = table
-        # Ids of endpoints that start to leave, for the relay and for peers.
+        # Ids of endpoints that start to leave, for the peers; those drained
+        # by an operator are repeated.
         self.leaving: subject.Subject[str] = subject.Subject()
         self.quarantined: subject.Subject[str] = subject.Subject()
         self._rng = rng
@@ -205,6 +210,7 @@
                     group.create_task(self._poll_loads())
                     group.create_task(self._poll_caches())
                     group.create_task(self._run_probes())
+                    group.create_task(self._repeat_drains())
                     if self._vms_url is not None:
                         group.create_task(self._poll_vms())
             finally:
@@ -401,6 +407,14 @@
         summary = check.finish()
         return summary.complete and not summary.usage_problem
 
+    async def _repeat_drains(self) -> None:
+        """Announce the endpoints that an operator drained here."""
+        while True:
+            await asyncio.sleep(self._parameters.drain_notice_s)
+            for name in self._endpoints:
+                if self.table.is_drained(name):
+                    self.leaving.on_next(name)
+
     def _announce_leaving(self, name: str, now_s: float) -> None:
         """Publish an endpoint once when it starts to leave."""
         if not self.table.is_leaving(name, now_s):
--- a/src/basilpond/tasks/tests/test_endpoint_task.py
+++ b/src/basilpond/tasks/tests/test_endpoint_task.py
@@ -19,6 +19,7 @@
     vms_s=0.02,
     probe_check_s=0.02,
     max_per_s=1000,
+    drain_notice_s=0.02,
 )
 
 
@@ -246,3 +247,14 @@
         vms_url=None,
     )
     assert task._fleet_factor() == factor
+
+
+async def test_drain_by_an_operator_is_announced_again():
+    """Guards against new work at peers that have forgotten the order."""
+    async with running(Platform()) as task:
+        task.set_drained('e1', True)
+        await until(lambda: len(task.published) >= 3)
+        task.set_drained('e1', False)
+        task.published.clear()
+        await asyncio.sleep(5 * FAST.drain_notice_s)
+        assert task.published == []
