--- a/src/basilpond_testkit/matrix/_cells.py
+++ b/src/basilpond_testkit/matrix/_cells.py
@@ -25,6 +25,8 @@
 SIGNALS = ('load', 'list', 'manifest', 'operator')
 TIGHT_BUDGET_TOKENS = 9_000
 SECOND_FAULT_S = 1.0
+# After the time that a router gives a bill to be committed.
+LATE_FAULT_S = 13.0
 SNAPSHOT_EVERY_RECORDS = 20
 
 _PATCHED = tuple(f'patch_{patch}' for patch in PATCHES)
@@ -51,12 +53,20 @@
     'cut_data_centres',
     'cut_platform',
     'one_way_from_log',
+    'router_isolated',
     'endpoint_crash',
     'caller_retries_elsewhere',
     'same_key_elsewhere',
     'top_up_while_cut',
 )
 _PAIR_STEPS = ('claim', 'connect', 'terminal', 'bill', 'release')
+# Pairs whose second fault comes when requests have given up on the first.
+_LATE_PAIRS = tuple(
+    itertools.product(
+        ('router_isolated', 'log_down', 'cut_platform', 'router_paused'),
+        ('router_killed', 'peer_killed', 'caller_retries_elsewhere'),
+    )
+)
 _LEAVE_FAULTS = (
     'none',
     'router_killed',
@@ -93,6 +103,8 @@
         Guarantees that it checks.
     reason : str
         Why it is not applicable; empty for a cell that runs.
+    second_fault_s : float
+        Delay of the second fault.
     """
 
     name: str
@@ -102,6 +114,7 @@
     faults: tuple[str, ...]
     promises: tuple[int, ...]
     reason: str = ''
+    second_fault_s: float = SECOND_FAULT_S
 
 
 def _request_reason(kind: str, step: str, fault: str) -> str:
@@ -146,19 +159,22 @@
 
 
 def _pair_cells() -> Iterator[Cell]:
-    pairs = itertools.permutations(_PAIRED, 2)
-    for (first, second), step, kind in itertools.product(
+    pairs = [
+        *((pair, 'pair') for pair in itertools.permutations(_PAIRED, 2)),
+        *((pair, 'late_pair') for pair in _LATE_PAIRS),
+    ]
+    for ((first, second), name), step, kind in itertools.product(
         pairs, _PAIR_STEPS, ('chat', 'booking')
     ):
-        reason = _request_reason(kind, step, first)
         yield Cell(
-            f'pair.{kind}.{step}.{first}+{second}',
+            f'{name}.{kind}.{step}.{first}+{second}',
             'request',
             kind,
             step,
             (first, second),
-            (1, 2, 5),
-            reason,
+            (1, 2, 3, 4, 5),
+            _request_reason(kind, step, first),
+            SECOND_FAULT_S if name == 'pair' else LATE_FAULT_S,
         )
 
 
@@ -299,7 +315,7 @@
         if name not in FAULTS:
             continue
         fault = FAULTS[name]
-        delay_s = number * SECOND_FAULT_S
+        delay_s = number * cell.second_fault_s
         if number:
             loop.call_later(delay_s, fault.start, scene)
         else:
@@ -327,7 +343,7 @@
         world.send('chat', [router_id, *others], key=f'chat{number}')
         world.send('booking', [router_id, *others], key=f'booking{number}')
         world.send('chat', [router_id])
-    await asyncio.sleep(LAST_S + 2 * SECOND_FAULT_S)
+    await asyncio.sleep(LAST_S + 2 * cell.second_fault_s)
     await _afterwards(world)
 
 
--- a/src/basilpond_testkit/matrix/_faults.py
+++ b/src/basilpond_testkit/matrix/_faults.py
@@ -168,6 +168,15 @@
     return start
 
 
+def _isolate(scene: Scene) -> None:
+    """Cut a router from log and routers; callers and endpoints reach it."""
+    world = scene.world
+    world.network.cut(scene.router.router_id, LOG)
+    for router in world.all_routers:
+        if router is not scene.router:
+            world.network.cut(scene.router.router_id, router.router_id)
+
+
 def _neighbour(scene: Scene) -> Router:
     return next(
         router
@@ -279,6 +288,7 @@
     Fault('cut_data_centres', _cut('dc', 'other_dc'), _heal),
     Fault('cut_platform', _cut('dc', 'log'), _heal),
     Fault('cut_router_log', _cut('router', 'log'), _heal),
+    Fault('router_isolated', _isolate, _heal),
     Fault('one_way_from_log', _cut('log', 'dc', both=False), _heal),
     Fault('one_way_to_log', _cut('dc', 'log', both=False), _heal),
     Fault('one_way_to_peer', _cut('router', 'peer', both=False), _heal),
--- a/src/basilpond_testkit/matrix/_network.py
+++ b/src/basilpond_testkit/matrix/_network.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import math
 from typing import Any
 
 from basilpond import protocol
@@ -22,6 +23,8 @@
 # SWIM needs some probe periods to declare a member dead.
 DETECT_S = 3.0
 TICK_S = 0.25
+# A notice is passed on with few messages only.
+SPREAD_S = 5.0
 DELAY_S = 0.001
 NEVER_S = 36_000.0
 
@@ -217,7 +220,8 @@
         self._members: dict[str, Member] = {}
         self._heard_s: dict[str, float] = {}
         self._lost: set[str] = set()
-        self.endpoint_notices: dict[tuple[str, int], None] = {}
+        # Times at which the notices were given.
+        self.endpoint_notices: dict[tuple[str, int], float] = {}
         self.crash_counts: dict[tuple[str, str], tuple[int, float]] = {}
         self.on_endpoint_notice = lambda endpoint, kind: None
         self.on_crash = lambda peer, key, count, age_s: None
@@ -254,7 +258,8 @@
 
     def notice_endpoint(self, endpoint: str, kind: int) -> None:
         """Tell the other routers about an endpoint."""
-        self.endpoint_notices[endpoint, kind] = None
+        now_s = asyncio.get_running_loop().time()
+        self.endpoint_notices[endpoint, kind] = now_s
 
     def notice_crash(self, key: str) -> None:
         """Tell the other routers about a crash that this one counted."""
@@ -288,11 +293,13 @@
 
     def merge_notices(self, other: View) -> None:
         """Take the notices that another router has."""
-        for notice in other.endpoint_notices:
-            if notice not in self.endpoint_notices:
-                self.endpoint_notices[notice] = None
-                self.on_endpoint_notice(*notice)
         now_s = asyncio.get_running_loop().time()
+        for notice, at_s in other.endpoint_notices.items():
+            if now_s - at_s > SPREAD_S:
+                continue
+            if at_s > self.endpoint_notices.get(notice, -math.inf):
+                self.endpoint_notices[notice] = at_s
+                self.on_endpoint_notice(*notice)
         for identity, (count, at_s) in other.crash_counts.items():
             known, _ = self.crash_counts.get(identity, (0, 0.0))
             if count > known:
--- a/src/basilpond_testkit/matrix/_router.py
+++ b/src/basilpond_testkit/matrix/_router.py
@@ -93,6 +93,7 @@
             group.create_task(self._poll_loads())
             group.create_task(self._run_probes())
             group.create_task(self._poll_vms())
+            group.create_task(self._repeat_drains())
 
 
 class Router:
--- a/src/basilpond_testkit/matrix/_world.py
+++ b/src/basilpond_testkit/matrix/_world.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from basilpond.core import LogUnavailableError
 from basilpond.core import ManifestPublish
 from basilpond.core import encode
 from basilpond.tasks import _manifest_publisher
@@ -342,11 +343,28 @@
             endpoint.leaving_in_list = True
         elif signal == 'manifest':
             self.drained.add(endpoint.name)
-            self.spawn(self.publish(self.document()))
+            self.spawn(self._publish_drain(endpoint))
+            return
         else:
-            self.all_routers[0].endpoints.set_drained(endpoint.name, True)
+            # The command takes several addresses, because it lasts only as
+            # long as the routers that it was given to.
+            for router_id in ('dc1-r1', 'dc2-r1'):
+                router = self.routers[router_id]
+                router.endpoints.set_drained(endpoint.name, True)
         self.leaving_s[endpoint.name] = self.now_s()
 
+    async def _publish_drain(self, endpoint: Endpoint) -> None:
+        """Publish until the log takes it; nobody knows of it before."""
+        while True:
+            try:
+                decided = await self.publish(self.document())
+            except LogUnavailableError:
+                await asyncio.sleep(1)
+                continue
+            entry = self.log.history['config'][decided.version - 1]
+            self.leaving_s[endpoint.name] = entry.time_ms / 1000
+            return
+
     # Callers
 
     def send(
