Poll an endpoint before new work after a suspension

Cause: a router that was suspended while an endpoint started to leave chose it from its old state as soon as it resumed, before its next poll.

Ruled out: any answered poll as a sign of fresh state (tried first). The poll that ends first after the suspension may be one of another endpoint or of the VM list. Fresh state of every endpoint all the time: polls of one endpoint are minutes apart at the target size.

Change: the endpoint task finds a suspension by a gap of more than 3 s between answered polls, on a clock that counts suspended time. The dispatcher asks it about each chosen endpoint; one that was not polled since the gap is polled first, and another is chosen when it is leaving. A failing load report delays only one request in 3 s.

--- a/src/basilpond/tasks/_dispatcher.py
+++ b/src/basilpond/tasks/_dispatcher.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 
@@ -41,6 +43,9 @@
     limits : LimitsSection
     table : EndpointTable
     crashes : CrashCounter
+    confirm : callable, optional
+        Reads the state of a chosen endpoint again if this router may have
+        missed its changes.
     """
 
     def __init__(
@@ -48,10 +53,12 @@
         limits: LimitsSection,
         table: EndpointTable,
         crashes: CrashCounter,
+        confirm: Callable[[str], Awaitable[None]] | None = None,
     ) -> None:
         self.limits = limits
         self.table = table
         self.crashes = crashes
+        self.confirm = confirm
         self.queue: RequestQueue[_Place] = RequestQueue(
             max_size=limits.queue_requests
         )
@@ -67,6 +74,22 @@
         RefusalError
             Not run: no endpoint, queue full or deadline not reachable.
         """
+        loop = asyncio.get_running_loop()
+        while True:
+            endpoint = await self._place(call, query)
+            if self.confirm is None:
+                return endpoint
+            try:
+                await self.confirm(endpoint)
+            except asyncio.CancelledError:
+                self.finish(Attempt(AttemptKind.CALLER_GONE, endpoint))
+                raise
+            if not self.table.is_leaving(endpoint, loop.time()):
+                return endpoint
+            # It is not chosen again, so this ends.
+            self.finish(Attempt(AttemptKind.CALLER_GONE, endpoint))
+
+    async def _place(self, call: CallerRequest, query: RouteQuery) -> str:
         now_s = asyncio.get_running_loop().time()
         if not self.table.serves(query, now_s):
             raise not_run(
--- a/src/basilpond/tasks/_endpoint_task.py
+++ b/src/basilpond/tasks/_endpoint_task.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import math
 import random
 from typing import Annotated
 from typing import TypeVar
@@ -29,6 +30,9 @@
 # Kinds of `EndpointNotice` in peer.thrift.
 NOTICE_LEAVING = 0
 NOTICE_QUARANTINED = 1
+# Polls of any endpoints come at most 2 s apart, and an endpoint that leaves
+# gets no new work after 5 s.
+STALE_S = 3.0
 _MAX_BODY_BYTES = 1_048_576
 _PROBE_TOKENS = 4
 
@@ -131,6 +135,8 @@
     vms_url : str or None
         Base address of the platform's VM list.
     parameters : PollParameters
+    uptime_s : callable, optional
+        Clock that counts suspended time; the event loop's clock without it.
     """
 
     def __init__(
@@ -141,6 +147,7 @@
         live_routers: Callable[[], int],
         vms_url: str | None,
         parameters: PollParameters | None = None,
+        uptime_s: Callable[[], float] | None = None,
     ) -> None:
         self.table = table
         # Ids of endpoints that start to leave, for the peers; those drained
@@ -155,12 +162,25 @@
         self._announced: set[str] = set()
         self._announced_quarantines: set[str] = set()
         self._session: aiohttp.ClientSession | None = None
+        self._uptime_s = uptime_s or (
+            lambda: asyncio.get_running_loop().time()
+        )
+        # Last response to any poll, first one after a suspension, and last
+        # poll of the load of each endpoint, on that clock.
+        self._heard_s = -math.inf
+        self._resumed_s = -math.inf
+        self._asked_s: dict[str, float] = {}
 
     def set_manifest(self, manifest: Manifest) -> None:
         """Take the endpoints of a new manifest."""
         self.table.set_manifest(manifest)
         self._endpoints = {e.id: e for e in manifest.endpoints}
         self._announced &= self._endpoints.keys()
+        self._asked_s = {
+            name: at_s
+            for name, at_s in self._asked_s.items()
+            if name in self._endpoints
+        }
         now_s = asyncio.get_running_loop().time()
         for endpoint in self._endpoints.values():
             self._announce_leaving(endpoint.id, now_s)
@@ -179,6 +199,32 @@
             self._announced_quarantines.add(endpoint)
             self.table.quarantine.quarantine(endpoint, now_s)
 
+    async def confirm(self, endpoint_id: str) -> None:
+        """Poll an endpoint before new work if its state may be out of date.
+
+        A router that was suspended does not know which endpoints started to
+        leave meanwhile, and does not notice its suspension otherwise.
+        """
+        now_s = self._uptime_s()
+        since_s = self._resumed_s
+        if now_s - self._heard_s > STALE_S:
+            since_s = max(since_s, now_s - STALE_S)
+        if self._asked_s.get(endpoint_id, -math.inf) >= since_s:
+            return
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is not None and self._session is not None:
+            await self._poll_load(endpoint)
+            # Also without a report, so that an endpoint whose load reports
+            # fail does not delay every request.
+            self._asked_s[endpoint_id] = self._uptime_s()
+
+    def _note_heard(self) -> None:
+        """Note a response to a poll; find the end of a suspension."""
+        now_s = self._uptime_s()
+        if now_s - self._heard_s > STALE_S:
+            self._resumed_s = now_s
+        self._heard_s = now_s
+
     def set_drained(self, endpoint: str, drained: bool) -> bool:
         """Take an operator's order; tell whether the endpoint is known."""
         if endpoint not in self._endpoints:
@@ -277,6 +323,7 @@
             kv_used_share=report.kv_used_share,
             leaving=report.leaving,
         )
+        self._asked_s[endpoint.id] = self._uptime_s()
         self.table.report_load(endpoint.id, load, now_s)
         self._announce_leaving(endpoint.id, now_s)
 
@@ -435,6 +482,7 @@
                 ),
                 allow_redirects=False,
             ) as response:
+                self._note_heard()
                 if response.status != 200:
                     return None
                 async for chunk in response.content.iter_any():
--- a/src/basilpond/tasks/_router.py
+++ b/src/basilpond/tasks/_router.py
@@ -115,9 +115,12 @@
             rng=rng,
             live_routers=lambda: len(self.gossip.live()) + 1,
             vms_url=settings.vms.url,
+            uptime_s=uptime_s,
         )
         self.crashes = CrashCounter()
-        self.dispatcher = Dispatcher(limits, self.table, self.crashes)
+        self.dispatcher = Dispatcher(
+            limits, self.table, self.crashes, self.endpoints.confirm
+        )
         self.client = EndpointClient(limits)
         self.request_log = RequestLog(DecisionTrail(), time.time)
         self.answers = AnswerStore(
--- a/src/basilpond/tasks/tests/test_endpoint_task.py
+++ b/src/basilpond/tasks/tests/test_endpoint_task.py
@@ -103,7 +103,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running(platform):
+async def running(platform, parameters=FAST, uptime_s=None):
     async with platform.server:
         rng = random.Random(1)
         task = _endpoint_task.EndpointTask(
@@ -111,7 +111,8 @@
             rng=rng,
             live_routers=lambda: 1,
             vms_url=platform.url,
-            parameters=FAST,
+            parameters=parameters,
+            uptime_s=uptime_s,
         )
         task.published = []
         task.leaving.subscribe(task.published.append)
@@ -258,3 +259,46 @@
         task.published.clear()
         await asyncio.sleep(5 * FAST.drain_notice_s)
         assert task.published == []
+
+
+async def test_state_is_read_again_after_a_suspension():
+    """Guards against new work by a router that resumes after a pause."""
+    clock = [0.0]
+    rare = _endpoint_task.PollParameters(load_s=60, vms_s=60)
+    platform = Platform()
+    async with running(platform, rare, lambda: clock[0]) as task:
+        # The first poll of each kind comes at once.
+        await until(lambda: 'e1' in task._asked_s)
+        platform.load['leaving'] = True
+        await task.confirm('e1')
+        assert choose(task) == 'e1'
+        clock[0] += _endpoint_task.STALE_S + 0.1
+        # Another poll is answered first; it says nothing of this endpoint.
+        task._note_heard()
+        await task.confirm('unknown')
+        assert choose(task) == 'e1'
+        await task.confirm('e1')
+        assert choose(task) is None
+
+
+async def test_failing_load_reports_delay_one_request_only():
+    """Guards against a poll before each request when reports fail."""
+    clock = [0.0]
+    rare = _endpoint_task.PollParameters(load_s=60, vms_s=60)
+    platform = Platform()
+    async with running(platform, rare, lambda: clock[0]) as task:
+        await until(lambda: 'e1' in task._asked_s)
+        platform.load = b'not json'
+        polls = []
+        poll = task._poll_load
+
+        async def count(endpoint):
+            polls.append(endpoint.id)
+            await poll(endpoint)
+
+        task._poll_load = count
+        clock[0] += 100
+        await task.confirm('e1')
+        clock[0] += 1
+        await task.confirm('e1')
+        assert polls == ['e1']
--- a/src/basilpond_testkit/matrix/_router.py
+++ b/src/basilpond_testkit/matrix/_router.py
@@ -175,6 +175,7 @@
             rng=rng,
             live_routers=lambda: len(self.view.live()) + 1,
             vms_url='http://10.255.0.1:1',
+            uptime_s=now_s,
         )
         self.endpoints._session = self.session
         self.endpoints.leaving.subscribe(
@@ -184,7 +185,9 @@
             lambda endpoint: self.view.notice_endpoint(endpoint, 1)
         )
         self.crashes = CrashCounter()
-        self.dispatcher = _Dispatcher(limits, self.table, self.crashes)
+        self.dispatcher = _Dispatcher(
+            limits, self.table, self.crashes, self.endpoints.confirm
+        )
         self.dispatcher.steps = steps
         self.dispatcher.node = self.node
         self.dispatcher.crash_keys.subscribe(self.view.notice_crash)
