--- a/src/basilpond_testkit/matrix/_checks.py
+++ b/src/basilpond_testkit/matrix/_checks.py
@@ -93,6 +93,7 @@
         chat.messages,
         margin_tokens_per_message=LimitsSection().margin_tokens_per_message,
         other_prompt_parts=chat.other_prompt_parts,
+        image_tokens=0,
     )
     _, output_tokens = _answers.expected_usage(body)
     if not request.stream:
