Share the parts of test worlds with several routers

The budget world and the matrix both pause a router's log client, encode and decode each frame between routers, and turn a missing reply into the error of a peer client. These parts are in fake_peers.py now; the membership and the faults differ and stay where they are.

--- a/src/basilpond/tasks/tests/budget_world.py
+++ b/src/basilpond/tasks/tests/budget_world.py
@@ -6,13 +6,13 @@
 import dataclasses
 
 from basilpond import protocol
-from basilpond.core import _codes
 from basilpond.core import _ledger
 from basilpond.core import _records
 from basilpond.tasks import _budget_interfaces
 from basilpond.tasks import _budget_task
 from basilpond.tasks import _ledger_task
 from basilpond_testkit import fake_log
+from basilpond_testkit import fake_peers
 
 ORGANISATION = 'org'
 DETECT_S = 2.0
@@ -25,29 +25,6 @@
     data_centre: str
 
 
-class PausableLink:
-    """Log client whose calls stand still while its router is paused."""
-
-    def __init__(self, link, running):
-        self.faults = link.faults
-        self._link = link
-        self._running = running
-
-    async def append(self, *args):
-        await self._running.wait()
-        try:
-            return await self._link.append(*args)
-        finally:
-            await self._running.wait()
-
-    async def read(self, *args, **kwargs):
-        await self._running.wait()
-        try:
-            return await self._link.read(*args, **kwargs)
-        finally:
-            await self._running.wait()
-
-
 class Router:
     """One router; also its view of the members and its peer client."""
 
@@ -59,11 +36,10 @@
         self.killed = False
         self.lost = set()
         self.calls = collections.Counter()
-        self.link = PausableLink(
-            world.log.connect(timeout_s=1.0), self.running
-        )
+        # Faults are set on the link, behind the pause.
+        self.link = world.log.connect(timeout_s=1.0)
         self.ledger_task = _ledger_task.LedgerTask(
-            self.link,
+            fake_peers.PausableLink(self.link, self.running.wait),
             name,
             live_routers=lambda: [m.incarnation_id for m in self.live()],
         )
@@ -97,18 +73,12 @@
         return incarnation_id in self.lost
 
     async def call(self, member, frame, *, timeout_s):
-        data = protocol.encode_frame(frame)[protocol.LENGTH_BYTES :]
-        try:
-            async with asyncio.timeout(timeout_s):
-                reply = await self.world.deliver(
-                    self, member.incarnation_id, protocol.decode_frame(data)
-                )
-        except TimeoutError:
-            raise _codes.BasilpondError(
-                _codes.ResultCode.PEER_UNAVAILABLE, 'timeout'
-            ) from None
-        data = protocol.encode_frame(reply)[protocol.LENGTH_BYTES :]
-        return protocol.decode_frame(data)
+        reply = self.world.deliver(
+            self, member.incarnation_id, fake_peers.recode(frame)
+        )
+        return fake_peers.recode(
+            await fake_peers.reply_in_time(reply, timeout_s)
+        )
 
     async def serve(self, frame):
         reply = protocol.Frame(call_id=frame.call_id, is_reply=True)
--- a/src/basilpond_testkit/matrix/_network.py
+++ b/src/basilpond_testkit/matrix/_network.py
@@ -11,13 +11,12 @@
 import math
 from typing import Any
 
-from basilpond import protocol
-from basilpond.core import BasilpondError
 from basilpond.core import LogPage
 from basilpond.core import LogUnavailableError
-from basilpond.core import ResultCode
 
 from ..fake_log import FakeLogLink
+from ..fake_peers import recode
+from ..fake_peers import reply_in_time
 
 LOG = 'log'
 # SWIM needs some probe periods to declare a member dead.
@@ -168,13 +167,9 @@
         BasilpondError
             No reply in time, or the peer refused.
         """
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._deliver(sender, target, frame)
-        except TimeoutError:
-            raise BasilpondError(
-                ResultCode.PEER_UNAVAILABLE, 'no reply in time'
-            ) from None
+        return await reply_in_time(
+            self._deliver(sender, target, frame), timeout_s
+        )
 
     async def _deliver(self, sender: Node, target: str, frame: Any) -> Any:
         await sender.gate()
@@ -185,18 +180,13 @@
         if node is None or node.left or not self.is_open(sender, node):
             await asyncio.sleep(NEVER_S)
         await node.gate()
-        reply = await self.handlers[target](_recode(frame))
+        reply = await self.handlers[target](recode(frame))
         await node.gate()
         if not self.is_open(node, sender):
             await asyncio.sleep(NEVER_S)
         await asyncio.sleep(DELAY_S)
         await sender.gate()
-        return _recode(reply)
-
-
-def _recode(frame: Any) -> Any:
-    data = protocol.encode_frame(frame)[protocol.LENGTH_BYTES :]
-    return protocol.decode_frame(data)
+        return recode(reply)
 
 
 def _places(place: Node | str) -> tuple[str, ...]:
@@ -326,24 +316,20 @@
 
     async def append(self, stream: str, payload: bytes) -> int:
         """Append one entry and return its offset."""
-        await self.node.gate()
         await self._check(self.node, LOG)
         offset = await self.link.append(stream, payload)
         await self._check(LOG, self.node)
-        await self.node.gate()
         return offset
 
     async def read(
         self, stream: str, offset: int, *, limit: int, wait_ms: int
     ) -> LogPage:
         """Read entries; wait for the first if there is none."""
-        await self.node.gate()
         await self._check(self.node, LOG)
         page = await self.link.read(
             stream, offset, limit=limit, wait_ms=wait_ms
         )
         await self._check(LOG, self.node)
-        await self.node.gate()
         return page
 
     async def _check(self, source: Node | str, target: Node | str) -> None:
--- a/src/basilpond_testkit/matrix/_router.py
+++ b/src/basilpond_testkit/matrix/_router.py
@@ -32,6 +32,7 @@
 from basilpond.tasks import _service_calls
 
 from ..fake_log import FakeLog
+from ..fake_peers import PausableLink
 from ._endpoints import Endpoint
 from ._endpoints import Session
 from ._network import LogAccess
@@ -144,8 +145,9 @@
         self.view.on_crash = self._take_crash
         limits = self.limits = LimitsSection()
         rng = random.Random(f'{seed} {incarnation}')
-        access = LogAccess(
-            network, self.node, log.connect(timeout_s=LOG_TIMEOUT_S)
+        link = log.connect(timeout_s=LOG_TIMEOUT_S)
+        access = PausableLink(
+            LogAccess(network, self.node, link), self.node.gate
         )
         self.ledger_task = _ledger_task.LedgerTask(
             access,
