--- a/src/basilpond_testkit/matrix/_faults.py
+++ b/src/basilpond_testkit/matrix/_faults.py
@@ -270,6 +270,11 @@
     world.log.write('config', '{"type": "surprise"}')
 
 
+def _lower_budget(scene: Scene) -> None:
+    """Publish a manifest in which most of a payment is missing."""
+    scene.world.spawn(scene.world.lower_budget(500))
+
+
 _ALL = (
     Fault('router_killed', _kill, _replace),
     Fault('router_killed_not_replaced', _kill),
@@ -305,6 +310,7 @@
     Fault('endpoint_leaves', _endpoint_leaves),
     Fault('operators_race', _race),
     Fault('bad_manifest', _bad_manifest),
+    Fault('budget_lowered', _lower_budget),
 )
 
 FAULTS = {fault.name: fault for fault in _ALL}
--- a/src/basilpond_testkit/matrix/_world.py
+++ b/src/basilpond_testkit/matrix/_world.py
@@ -320,6 +320,15 @@
         """Add a payment to the budget."""
         return await self.publish(self.next_document(tokens))
 
+    async def lower_budget(self, tokens: int) -> None:
+        """Publish a smaller budget until it is accepted."""
+        accepted = False
+        while not accepted:
+            await asyncio.sleep(1)
+            self.top_ups = [{'id': 't1', 'tokens': tokens}]
+            decided = await self.publish(self.document())
+            accepted = decided.accepted
+
     def crash_on(self, text: str) -> None:
         """Let prompts with a text crash each model engine that runs them."""
         self.crash_texts.add(text)
