--- a/src/basilpond_testkit/matrix/_world.py
+++ b/src/basilpond_testkit/matrix/_world.py
@@ -445,6 +445,8 @@
         caller = Caller(self, request, list(via), value, max_attempts)
         caller.must_complete = bool(key) and kind not in ('booking', 'release')
         caller.must_complete &= not other_body
+        # A caller that gives up early may have met the fault only.
+        caller.must_complete &= max_attempts == MAX_ATTEMPTS
         self.callers.append(caller)
         caller.task = self.spawn(caller.run())
         return caller
