--- a/src/basilpond_testkit/matrix/__main__.py
+++ b/src/basilpond_testkit/matrix/__main__.py
@@ -65,6 +65,16 @@
         _write(f'{cell.name}: {cell.reason}')
 
 
+def _select(promise: int, name: str) -> list[_cells.Cell]:
+    cells = [
+        item
+        for item in _cells.all_cells()
+        if not promise or promise in item.promises
+    ]
+    exact = [item for item in cells if item.name == name]
+    return exact or [item for item in cells if item.name.startswith(name)]
+
+
 def run(
     *,
     promise: int = 0,
@@ -80,19 +90,14 @@
     promise : int
         Run only the cells that check this guarantee, 1 to 8.
     cell : str
-        Run only the cells whose name starts so.
+        Run only the cell of this name, or else those whose name starts so.
     seed : int
     jobs : int
         Processes.
     not_applicable : bool
         Only print the cells that are not applicable, with their reasons.
     """
-    selected = [
-        item
-        for item in _cells.all_cells()
-        if (not promise or promise in item.promises)
-        and item.name.startswith(cell)
-    ]
+    selected = _select(promise, cell)
     absent = [item for item in selected if item.reason]
     if not_applicable:
         _list_not_applicable(absent)
