--- a/src/basilpond_testkit/matrix/_cells.py
+++ b/src/basilpond_testkit/matrix/_cells.py
@@ -12,7 +12,6 @@
 from . import _checks
 from . import _scenario
 from ._faults import FAULTS
-from ._faults import LAST_S
 from ._faults import PATCHES
 from ._faults import Scene
 from ._steps import PUBLISH_STEPS
@@ -331,7 +330,14 @@
             loop.call_later(delay_s, fault.start, scene)
         else:
             fault.start(scene)
-        loop.call_later(delay_s + LAST_S, fault.end, scene)
+        loop.call_later(delay_s + fault.last_s, fault.end, scene)
+
+
+def _last_s(cell: Cell) -> float:
+    """Return the time until the last fault has ended, without its delay."""
+    return max(
+        FAULTS[name].last_s if name in FAULTS else 0.0 for name in cell.faults
+    )
 
 
 async def _request(cell: Cell, scene: Scene) -> None:
@@ -354,7 +360,7 @@
         world.send('chat', [router_id, *others], key=f'chat{number}')
         world.send('booking', [router_id, *others], key=f'booking{number}')
         world.send('chat', [router_id])
-    await asyncio.sleep(LAST_S + 2 * cell.second_fault_s)
+    await asyncio.sleep(_last_s(cell) + 2 * cell.second_fault_s)
     await _afterwards(world)
 
 
@@ -389,7 +395,7 @@
     world.steps.note('publish')
     publish = world.spawn(world.publish(document))
     world.send('chat', ['dc1-r2', 'dc2-r1'], key='meanwhile')
-    await asyncio.sleep(LAST_S + 10)
+    await asyncio.sleep(_last_s(cell) + 10)
     await asyncio.wait([publish], timeout=60)
     await _afterwards(world)
 
@@ -405,7 +411,7 @@
         for kind in ('chat', 'whole', 'booking'):
             world.send(kind, via, key=f'during-{kind}', output_tokens=300)
         world.send('chat', via, output_tokens=300)
-    await asyncio.sleep(LAST_S + 10)
+    await asyncio.sleep(_last_s(cell) + 10)
     await asyncio.wait([stop], timeout=200)
     await _afterwards(world)
 
--- a/src/basilpond_testkit/matrix/_faults.py
+++ b/src/basilpond_testkit/matrix/_faults.py
@@ -18,6 +18,7 @@
 
 # Long enough for members to be declared lost and their allotments closed.
 LAST_S = 25.0
+LONG_S = 300.0
 PATCHES = tuple(engine.Patch.__args__)
 
 
@@ -59,11 +60,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fault:
-    """Fault with its start and its end."""
+    """Fault with its start, its end and the time between them."""
 
     name: str
     start: Callable[[Scene], None]
     end: Callable[[Scene], None] = lambda scene: None
+    last_s: float = LAST_S
 
 
 def _kill(scene: Scene) -> None:
@@ -285,6 +287,7 @@
     Fault('endpoint_silent', _silence),
     *(_patch(patch) for patch in PATCHES),
     Fault('log_down', _log_down, _log_restored),
+    Fault('log_down_long', _log_down, _log_restored, LONG_S),
     Fault('log_silent', _log_silent, _log_restored),
     Fault('log_slow', _log_slow, _log_restored),
     Fault('log_ack_lost', _lose_acknowledgements),
@@ -292,6 +295,7 @@
     Fault('cut_router_peer', _cut('router', 'peer'), _heal),
     Fault('cut_data_centres', _cut('dc', 'other_dc'), _heal),
     Fault('cut_platform', _cut('dc', 'log'), _heal),
+    Fault('cut_platform_long', _cut('dc', 'log'), _heal, LONG_S),
     Fault('cut_router_log', _cut('router', 'log'), _heal),
     Fault('router_isolated', _isolate, _heal),
     Fault('one_way_from_log', _cut('log', 'dc', both=False), _heal),
