Keep undone budget totals out of the ledger

Cause: BudgetSet was skipped when the folded total was equal already. When version 9 undid version 8 before 8 was copied, the fold stayed at the version before 8, so a router that still had 8 could copy its total and no router corrected it. With a lowered total the old budget could be spent.

Change: the fold ignores versions below the highest one of any budget. Each version gets one record per organisation whose total differs from the folded one or from the manifest before, and at least one. After every change of a folded budget the routers compare again and the first in order corrects.

--- a/src/basilpond/core/_allotments.py
+++ b/src/basilpond/core/_allotments.py
@@ -153,6 +153,13 @@
     keyed_ids : KeyedIds
     closed_by_holder_keep_ms, closed_by_other_keep_ms : int
     provisional_keep_ms : int
+
+    Attributes
+    ----------
+    manifest_version : int
+        Highest manifest version of any budget.
+    budget_changes : int
+        Budget records that this object has accepted; not in snapshots.
     """
 
     __slots__ = (
@@ -166,6 +173,8 @@
         '_open',
         '_provisional',
         '_provisional_keep_ms',
+        'budget_changes',
+        'manifest_version',
     )
 
     def __init__(
@@ -186,6 +195,8 @@
         self._closed_by_holder: dict[str, Allotment] = {}
         self._closed_by_other: dict[str, Allotment] = {}
         self._provisional: dict[str, Provisional] = {}
+        self.manifest_version = 0
+        self.budget_changes = 0
 
     # Reading
 
@@ -263,12 +274,24 @@
             yield from self._reject_records(waiting)
 
     def apply_budget(self, record: BudgetSet) -> Iterator[Result]:
-        """Set a budget; versions only rise."""
+        """Set a budget; versions only rise.
+
+        A version below that of any other budget is ignored as well: its
+        router does not know yet that a later manifest is in force, which may
+        have undone its change.
+        """
         budget = self._budgets.get(record.organisation)
-        accepted = record.budget_tokens >= 0 and (
-            budget is None or record.manifest_version > budget.manifest_version
+        accepted = (
+            record.budget_tokens >= 0
+            and record.manifest_version >= self.manifest_version
+            and (
+                budget is None
+                or record.manifest_version > budget.manifest_version
+            )
         )
         if accepted:
+            self.manifest_version = record.manifest_version
+            self.budget_changes += 1
             if budget is None:
                 budget = Budget(sys.intern(record.organisation), 0, 0)
                 self._budgets[budget.organisation] = budget
@@ -361,6 +384,9 @@
     def load_state(self, state: AllotmentsState) -> None:
         """Restore the state of a snapshot."""
         self._budgets = {b.organisation: b for b in state.budgets}
+        self.manifest_version = max(
+            (b.manifest_version for b in state.budgets), default=0
+        )
         for allotment in state.open:
             self._add_open(allotment)
         self._closed_by_holder = {a.id: a for a in state.closed_by_holder}
--- a/src/basilpond/core/_ledger.py
+++ b/src/basilpond/core/_ledger.py
@@ -119,6 +119,16 @@
         """Return the manifest version of a budget, 0 without one."""
         return self._allotments.budget_version(organisation)
 
+    @property
+    def manifest_version(self) -> int:
+        """Highest manifest version of any budget, 0 without one."""
+        return self._allotments.manifest_version
+
+    @property
+    def budget_changes(self) -> int:
+        """Number of budget records that this object has accepted."""
+        return self._allotments.budget_changes
+
     def organisations(self) -> Iterator[str]:
         """Return the organisations that have a budget."""
         return self._allotments.organisations()
--- a/src/basilpond/tasks/_budget_copies.py
+++ b/src/basilpond/tasks/_budget_copies.py
@@ -7,6 +7,7 @@
 from ..core import _records
 from ..core._manifest import Manifest
 from ._budget_interfaces import BudgetSettings
+from ._budget_interfaces import LedgerView
 from ._budget_interfaces import LedgerWriter
 from ._budget_interfaces import Members
 
@@ -20,6 +21,13 @@
     The live router with the lowest id appends at once, the others only when
     the budget is still missing later, so that a change costs one append.
 
+    A version gets a record for each organisation whose total differs from the
+    folded one or from the manifest that this router had before, and at least
+    one record. The fold then ignores records of earlier versions, so a router
+    that still has one of those cannot copy a total that was undone. A copy
+    that came before is found by the comparison with the fold, which is
+    repeated after every change of a folded budget.
+
     Parameters
     ----------
     ledger_task : LedgerWriter
@@ -41,46 +49,85 @@
         self._router_id = router_id
         self._settings = settings
         self._version = 0
-        self._since_s = 0.0
-        self._missing: dict[str, int] = {}
+        self._totals: dict[str, int] = {}
+        # Organisations whose total this manifest has changed.
+        self._changed: set[str] = set()
+        self._compared: tuple[LedgerView, int] | None = None
+        self._due_since_s: float | None = None
+        self._submitted: set[tuple[str, int]] = set()
 
     def set_budgets(self, manifest: Manifest, version: int) -> None:
         """Take the budgets of a manifest; an older version is ignored."""
         if version <= self._version:
             return
+        before, first = self._totals, not self._version
         self._version = version
-        self._since_s = asyncio.get_running_loop().time()
-        self._missing = {
+        self._totals = {
             organisation.id: sum(
                 top_up.tokens for top_up in organisation.top_ups
             )
             for organisation in manifest.organisations
         }
+        self._changed = {
+            organisation
+            for organisation, tokens in self._totals.items()
+            if not first and before.get(organisation) != tokens
+        }
+        self._compared = None
+        self._due_since_s = None
         self.tick()
 
     def tick(self) -> None:
         """Append the budgets that the fold does not have."""
-        ledger_task = self._ledger_task
-        if not (self._missing and ledger_task.synced):
+        if not (self._totals and self._ledger_task.synced):
+            return
+        ledger = self._ledger_task.ledger
+        if self._compared == (ledger, ledger.budget_changes):
             return
+        now_s = asyncio.get_running_loop().time()
+        missing = self._missing(ledger)
+        if not missing:
+            self._compared = (ledger, ledger.budget_changes)
+            self._due_since_s = None
+            return
+        if self._due_since_s is None:
+            self._due_since_s = now_s
         rank = sum(
             member.router_id < self._router_id
             for member in self._members.live()
         )
-        now_s = asyncio.get_running_loop().time()
         delay_s = self._settings.budget_delay_s * min(rank, MAX_RANK)
-        if now_s - self._since_s < delay_s:
+        if now_s - self._due_since_s < delay_s:
             return
-        missing, self._missing = self._missing, {}
-        for organisation, tokens in missing.items():
-            if ledger_task.ledger.budget_version(organisation) >= (
-                self._version
-            ):
-                continue
-            view = ledger_task.ledger.budget(organisation)
-            # A record without a change would cost an append for each
-            # organisation and manifest.
-            if view is None or view.budget_tokens != tokens:
-                ledger_task.submit(
-                    _records.BudgetSet(organisation, tokens, self._version)
-                )
+        for organisation in missing:
+            self._submit(organisation)
+
+    def _missing(self, ledger: LedgerView) -> list[str]:
+        """Return the organisations that need a record of this version."""
+        if ledger.manifest_version > self._version:
+            return []
+        missing = [
+            organisation
+            for organisation, tokens in self._totals.items()
+            if ledger.budget_version(organisation) < self._version
+            and (
+                organisation in self._changed
+                or (view := ledger.budget(organisation)) is None
+                or view.budget_tokens != tokens
+            )
+        ]
+        if not missing and ledger.manifest_version < self._version:
+            missing.append(min(self._totals))
+        return missing
+
+    def _submit(self, organisation: str) -> None:
+        key = (organisation, self._version)
+        if key in self._submitted:
+            return
+        self._submitted.add(key)
+        future = self._ledger_task.submit(
+            _records.BudgetSet(
+                organisation, self._totals[organisation], self._version
+            )
+        )
+        future.add_done_callback(lambda _: self._submitted.discard(key))
--- a/src/basilpond/tasks/_budget_interfaces.py
+++ b/src/basilpond/tasks/_budget_interfaces.py
@@ -48,6 +48,9 @@
 class LedgerView(Protocol):
     """Folded ledger, read only."""
 
+    manifest_version: int  # highest of any budget
+    budget_changes: int  # budget records accepted by this object
+
     def budget(self, organisation: str) -> BudgetView | None:
         """Return the budget; None before its first record."""
         ...
