Append a received transfer by its receiver too

Cause: only the donor appended a transfer.

Ruled out: a check of the batch's writer in the fold. Tokens from an allotment of a third router are the one exception.

Change: the receiver appends the transfer unless its fold has it. It refuses one whose allotment the fold gives to another router than the one that sent it. An allotment whose transfer the fold has rejected ends at once.

The fold counts the transfer once in all 24 orders of receiver's copy, donor's copy, close and bill.

--- a/src/basilpond/core/tests/test_ledger.py
+++ b/src/basilpond/core/tests/test_ledger.py
@@ -1,3 +1,5 @@
+import itertools
+
 import pytest
 
 from basilpond.core import _ledger
@@ -202,6 +204,35 @@
     assert s.put(transfer) == [EntryApplied('a', 1, True, repeated=True)]
 
 
+@pytest.mark.parametrize('order', list(itertools.permutations(range(4))))
+def test_transfer_from_either_side_counts_once(order):
+    """Guards against a transfer that counts twice, or not at all, when its
+    receiver, its donor and the donor's journal peer append it in any order.
+    """
+    transfer = Transfer('a', 2, 'o', 40, 'b', 'h2')
+    records = [
+        transfer,
+        transfer,
+        Close('a', 'o', 'p', [bill('a', 1, 10, 'r1'), transfer]),
+        bill('b', 1, 30, 'r2'),
+    ]
+    s = granted()
+    for index in order:
+        s.put(records[index])
+    assert s.amounts() == (40, 10)
+
+
+def test_transfer_after_a_close_without_it_never_counts():
+    """Guards against tokens of a transfer that the journal does not know."""
+    s = granted()
+    s.put(Close('a', 'o', 'p', [bill('a', 1, 10, 'r1')]))
+    transfer = Transfer('a', 2, 'o', 40, 'b', 'h2')
+    for record in (transfer, transfer, bill('b', 1, 30, 'r2')):
+        (result,) = s.put(record)
+        assert result.reason == 'closed'
+    assert s.amounts() == (10, 0)
+
+
 def test_entries_of_a_rejected_transfer_are_rejected():
     """Guards against entries that wait for a transfer that cannot come."""
     s = granted()
--- a/src/basilpond/tasks/_budget_task.py
+++ b/src/basilpond/tasks/_budget_task.py
@@ -452,7 +452,9 @@
                 self._refill.wake(view.organisation)
         for account in self._accounts.allotments():
             view = ledger.allotment(account.id)
-            if account.in_fold and (view is None or view.closed):
+            # The fold knows a closed allotment that was never open when it
+            # has rejected the transfer.
+            if account.in_fold if view is None else view.closed:
                 self._accounts.close(account.id)
 
     def _drop_skipped_copies(self) -> None:
--- a/src/basilpond/tasks/_refill.py
+++ b/src/basilpond/tasks/_refill.py
@@ -544,10 +544,16 @@
         if reply is None:
             return 0
         if reply.transfer is not None:
-            self._receive_transfer(reply.transfer)
+            self._receive_transfer(member, reply.transfer)
         return max(0, reply.returned_tokens)
 
-    def _receive_transfer(self, data: bytes) -> None:
+    def _receive_transfer(self, donor: MemberView, data: bytes) -> None:
+        """Use a transfer and append it, in case its donor cannot.
+
+        The donor has committed it, so its journal peer or the log knows it,
+        and the fold applies it once. Bills on the new allotment don't have to
+        wait for the donor then.
+        """
         try:
             transfer = _transfer_decoder.decode(data)
         except msgspec.MsgspecError as error:
@@ -556,7 +562,25 @@
         if transfer.holder != self._accounts.holder:
             logging.error('transfer for another holder, %s', transfer.holder)
             return
-        self._accounts.add(transfer.new_allotment, transfer.tokens, transfer)
+        ledger = self._ledger_task.ledger
+        source = ledger.allotment(transfer.allotment)
+        if source is not None and source.holder not in (
+            '',  # its own transfer is not in the log
+            donor.incarnation_id,
+        ):
+            logging.error(
+                '%s sent a transfer from an allotment of %s',
+                donor.incarnation_id,
+                source.holder,
+            )
+            return
+        if not self._accounts.add(
+            transfer.new_allotment, transfer.tokens, transfer
+        ):
+            return
+        received = ledger.allotment(transfer.new_allotment)
+        if received is None or not received.holder:
+            self._ledger_task.submit(transfer)
 
     async def serve_ask(self, message: Any) -> Any:
         """Give free tokens to a peer.
--- a/src/basilpond/tasks/tests/test_budget_task.py
+++ b/src/basilpond/tasks/tests/test_budget_task.py
@@ -255,6 +255,87 @@
         assert world.accepted_bills()[0] == {'a': 1, 'b': 1}
 
 
+@pytest.mark.parametrize('donor_is_killed', [True, False])
+@on_paused_clock
+async def test_transfer_is_logged_by_its_receiver(donor_is_killed):
+    """Guards against bills that wait for the return of the donor, and
+    against a transfer that is applied again by the donor's copies.
+    """
+    async with make_world('r1~1', 'r2~1', budget_tokens=200) as (
+        world,
+        r1,
+        r2,
+    ):
+        await r1.serve_request('a')
+        world.log.faults.down = True
+        r3 = world.add('r3~1', 'dc2')
+        # Without a journal peer, the receiver cannot commit yet.
+        waiting = asyncio.ensure_future(r3.hold(timeout_s=30))
+        await wait_until(lambda: any(r3.budget._accounts.allotments()))
+        r1.link.faults.down = r2.link.faults.down = True
+        world.log.faults.down = False
+        hold = await waiting
+        origin = hold.allotment.origin
+        assert isinstance(origin, _records.Transfer)
+        assert (await r3.settle(hold, 'b', wait_s=2)).via == 'log'
+        if donor_is_killed:
+            await world.kill(r1)
+        r1.link.faults.down = r2.link.faults.down = False
+        await asyncio.sleep(20)
+        counted, view = world.accepted_bills()
+        assert counted == {'a': 1, 'b': 1}
+        assert not r3.budget._committer.unlogged
+        if not donor_is_killed:
+            copies = [
+                record
+                for entry in world.log.entries('ledger')
+                for record in _records.decode_batch(entry.payload).records
+                if record == origin
+            ]
+            assert len(copies) == 2
+            account = r1.budget._accounts.get(origin.allotment)
+            fold = r1.ledger_task.ledger.allotment(origin.allotment)
+            if account is not None:
+                free = account.tokens - account.debited_tokens
+                assert fold.remaining_tokens == free
+
+
+@pytest.mark.parametrize('closed_first', [True, False])
+@on_paused_clock
+async def test_transfer_that_its_donor_did_not_commit(closed_first):
+    """Guards against tokens that a peer gives away from an allotment of
+    another router, or after its journal peer has closed it without them.
+    """
+    async with make_world('r1~1', 'r2~1', 'r3~1', budget_tokens=100) as (
+        world,
+        r1,
+        r2,
+        r3,
+    ):
+        hold = await r1.hold(50)
+        donor = r1 if closed_first else r2
+        forged = _records.Transfer(
+            hold.allotment.id, 1, ORGANISATION, 50, 'x/1', 'r3~1', None
+        )
+        if closed_first:
+            r1.running.clear()
+            world.set_lost(r1)
+            await wait_until(
+                lambda: not list(r3.ledger_task.ledger.allotments_of('r1~1'))
+            )
+        r3.budget._refill._receive_transfer(
+            donor.member, _records.encode(forged)
+        )
+        await asyncio.sleep(2)
+        assert r3.budget._accounts.get('x/1') is None
+        view = r3.ledger_task.ledger.allotment('x/1')
+        assert view is None or view.closed
+        r1.running.set()
+        world.set_lost(r1, False)
+        assert (await r1.settle(hold, 'a')).committed
+        assert world.accepted_bills()[0] == {'a': 1}
+
+
 @pytest.mark.parametrize('committed', [True, False])
 @on_paused_clock
 async def test_transfer_whose_reply_or_commit_is_missing(committed):
