Tell the asked peer that the log is out of reach

Cause: AskAllotment did not say whether the asker reaches the log. A peer that does answered with a Return, which the asker cannot get as a grant.

Ruled out: a transfer in every answer, which would keep small remainders apart at the end of a budget.

Change: an optional field log_unreachable; the peer transfers when it is set. Routers without the field keep their behaviour.

--- a/src/basilpond/protocol/_codec.py
+++ b/src/basilpond/protocol/_codec.py
@@ -28,7 +28,7 @@
 # test compares this table with the schema.
 _OPTIONAL = {
     'Gossip': {'target'},
-    'AskAllotment': {'journal_peer'},
+    'AskAllotment': {'journal_peer', 'log_unreachable'},
     'AskAllotmentReply': {'transfer'},
     'FetchManifestReply': {'document'},
     'FetchAnswerReply': {'content_type', 'body', 'body_digest'},
--- a/src/basilpond/protocol/peer.thrift
+++ b/src/basilpond/protocol/peer.thrift
@@ -49,6 +49,7 @@
   2: i64 need_tokens,
   3: string holder,
   4: optional string journal_peer,
+  5: optional bool log_unreachable,   // a Return would be of no use
 }
 
 struct AskAllotmentReply {
--- a/src/basilpond/tasks/_refill.py
+++ b/src/basilpond/tasks/_refill.py
@@ -329,8 +329,7 @@
 
     async def _round(self, organisation: str, state: _Organisation) -> bool:
         """Try to get tokens for the waiting requests; True on progress."""
-        ledger_task = self._ledger_task
-        if not (ledger_task.log_reachable and ledger_task.synced):
+        if not self._reaches_log():
             return await self._ask_for_transfer(organisation, state)
         need = state.smallest_tokens()
         if self._grantable_tokens(organisation) >= need:
@@ -356,11 +355,13 @@
 
     def _can_grant(self, organisation: str, tokens: int) -> bool:
         return (
-            self._ledger_task.log_reachable
-            and self._ledger_task.synced
+            self._reaches_log()
             and self._grantable_tokens(organisation) >= tokens
         )
 
+    def _reaches_log(self) -> bool:
+        return self._ledger_task.log_reachable and self._ledger_task.synced
+
     def _grantable_tokens(self, organisation: str) -> int:
         view = self._ledger_task.ledger.budget(organisation)
         return 0 if view is None else view.free_tokens
@@ -448,7 +449,7 @@
             self._serve(organisation, state)
             if not state.waiters:
                 return True
-            if self._ledger_task.log_reachable and self._ledger_task.synced:
+            if self._reaches_log():
                 return True
         return False
 
@@ -480,9 +481,8 @@
         ----------
         organisation : str
         own_first : bool
-            Prefer the own data centre: while this router cannot reach the
-            log, peers beside it probably cannot either, and a peer that can
-            would return its tokens to the budget, out of reach.
+            Prefer the own data centre: peers elsewhere may be cut off together
+            with the log, and a call to them ends by its timeout.
         """
         live = list(self._members.live())
         random.shuffle(live)
@@ -532,6 +532,7 @@
                 need_tokens=max(1, need_tokens),
                 holder=self._accounts.holder,
                 journal_peer=self._journal_peer(organisation),
+                log_unreachable=not self._reaches_log(),
             ),
         )
         try:
@@ -585,8 +586,8 @@
     async def serve_ask(self, message: Any) -> Any:
         """Give free tokens to a peer.
 
-        With the log, they go back to the budget, so that remainders of
-        several routers merge. Without it, the peer gets a transfer, which is
+        When both reach the log, they go back to the budget, so that remainders
+        of several routers merge. Otherwise the peer gets a transfer, which is
         sent only after it is committed: the receiver may spend it at once.
         """
         state = self._organisations.get(message.organisation)
@@ -602,7 +603,7 @@
             state.demand.quiet_until_s = (
                 asyncio.get_running_loop().time() + self._settings.quiet_s
             )
-        if self._ledger_task.log_reachable:
+        if self._ledger_task.log_reachable and not message.log_unreachable:
             reply.returned_tokens = await self._return_for_peer(message)
         else:
             reply.transfer = await self._transfer_to_peer(message)
--- a/src/basilpond/tasks/tests/test_budget_task.py
+++ b/src/basilpond/tasks/tests/test_budget_task.py
@@ -300,6 +300,27 @@
                 assert fold.remaining_tokens == free
 
 
+@on_paused_clock
+async def test_router_without_the_log_asks_one_that_has_it():
+    """Guards against a return to the budget that the asker cannot use."""
+    async with make_world('r1~1', 'r2~1', 'r3~1', budget_tokens=200) as (
+        world,
+        r1,
+        r2,
+        r3,
+    ):
+        r3.link.faults.down = True
+        await asyncio.sleep(1.5)
+        # Only the other two have tokens, and both reach the log.
+        for router in (r1, r2):
+            await router.serve_request(router.name)
+        settlement = await r3.serve_request('a', 10)
+        assert settlement.committed
+        r3.link.faults.down = False
+        await asyncio.sleep(5)
+        assert world.accepted_bills()[0]['a'] == 1
+
+
 @pytest.mark.parametrize('closed_first', [True, False])
 @on_paused_clock
 async def test_transfer_that_its_donor_did_not_commit(closed_first):
