Index open allotments by organisation

Cause: the search over the tail of a budget walked all allotments of every live member to find those of one organisation.

Ruled out: a sum per organisation and holder, which every entry would have to maintain; only the search needs it, and it sees few allotments.

Change: the fold indexes open allotments by organisation as well as by holder, and Ledger.remaining_by_holder returns the unspent tokens. check_sums compares both indexes with the allotments, so the ledger state machine covers them.

--- a/src/basilpond/core/_allotments.py
+++ b/src/basilpond/core/_allotments.py
@@ -165,6 +165,7 @@
     __slots__ = (
         '_budgets',
         '_by_holder',
+        '_by_organisation',
         '_closed_by_holder',
         '_closed_by_holder_keep_ms',
         '_closed_by_other',
@@ -192,6 +193,7 @@
         self._budgets: dict[str, Budget] = {}
         self._open: dict[str, Allotment] = {}
         self._by_holder: dict[str, dict[str, Allotment]] = {}
+        self._by_organisation: dict[str, dict[str, Allotment]] = {}
         self._closed_by_holder: dict[str, Allotment] = {}
         self._closed_by_other: dict[str, Allotment] = {}
         self._provisional: dict[str, Provisional] = {}
@@ -238,6 +240,17 @@
         for allotment in tuple(self._by_holder.get(holder, {}).values()):
             yield allotment.view()
 
+    def remaining_by_holder(self, organisation: str) -> dict[str, int]:
+        """Return the unspent tokens of each holder with open allotments."""
+        remaining: dict[str, int] = {}
+        for allotment in self._by_organisation.get(organisation, {}).values():
+            remaining[allotment.holder] = (
+                remaining.get(allotment.holder, 0)
+                + allotment.tokens
+                - allotment.spent_tokens
+            )
+        return remaining
+
     def holders(self) -> Iterator[str]:
         """Return the holders of open allotments."""
         return iter(tuple(self._by_holder))
@@ -365,6 +378,8 @@
             unspent = allotment.tokens - allotment.spent_tokens
             assert unspent >= 0, 'allotment overdrawn'
             outstanding[allotment.organisation] += unspent
+            for index, key in self._indexes(allotment):
+                assert index[key][allotment.id] is allotment
         for organisation, budget in self._budgets.items():
             assert budget.outstanding_tokens == outstanding[organisation]
             budget.lower_ceiling()
@@ -408,16 +423,23 @@
         if allotment.journal_peer is not None:
             allotment.journal_peer = sys.intern(allotment.journal_peer)
         self._open[allotment.id] = allotment
-        self._by_holder.setdefault(allotment.holder, {})[allotment.id] = (
-            allotment
-        )
+        for index, key in self._indexes(allotment):
+            index.setdefault(key, {})[allotment.id] = allotment
 
     def _remove_open(self, allotment: Allotment) -> None:
         del self._open[allotment.id]
-        held = self._by_holder[allotment.holder]
-        del held[allotment.id]
-        if not held:
-            del self._by_holder[allotment.holder]
+        for index, key in self._indexes(allotment):
+            del index[key][allotment.id]
+            if not index[key]:
+                del index[key]
+
+    def _indexes(
+        self, allotment: Allotment
+    ) -> tuple[tuple[dict[str, dict[str, Allotment]], str], ...]:
+        return (
+            (self._by_holder, allotment.holder),
+            (self._by_organisation, allotment.organisation),
+        )
 
     def _grant_tokens(self, grant: Grant) -> int:
         known = self._find(grant.allotment)
--- a/src/basilpond/core/_ledger.py
+++ b/src/basilpond/core/_ledger.py
@@ -141,6 +141,10 @@
         """Return the open allotments of a holder, oldest first."""
         return self._allotments.allotments_of(holder)
 
+    def remaining_by_holder(self, organisation: str) -> dict[str, int]:
+        """Return the unspent tokens of each holder with open allotments."""
+        return self._allotments.remaining_by_holder(organisation)
+
     def holders(self) -> Iterator[str]:
         """Return the holders of open allotments."""
         return self._allotments.holders()
--- a/src/basilpond/core/tests/test_ledger.py
+++ b/src/basilpond/core/tests/test_ledger.py
@@ -204,6 +204,22 @@
     assert s.put(transfer) == [EntryApplied('a', 1, True, repeated=True)]
 
 
+def test_remaining_tokens_follow_every_record():
+    """Guards against an index that differs from the allotments it covers."""
+    s = granted(60)
+    s.put(BudgetSet('p', 10, 1), Grant('p', 'p', 10, 1, 'h'))
+    s.put(Transfer('a', 1, 'o', 20, 'b', 'h2'), bill('b', 1, 5))
+    s.put(Grant('c', 'o', 15, 1, 'h'), Return('a', 2, 'o', 10))
+    s.amounts()
+    expected = {'h': 45, 'h2': 15}
+    assert s.ledger.remaining_by_holder('o') == expected
+    restored = _ledger.Ledger.from_snapshot(s.ledger.to_snapshot())
+    assert restored.remaining_by_holder('o') == expected
+    s.put(Close('b', 'o', 'h2'), Close('a', 'o', 'h'), Close('c', 'o', 'h'))
+    assert s.ledger.remaining_by_holder('o') == {}
+    assert s.ledger.remaining_by_holder('p') == {'h': 10}
+
+
 @pytest.mark.parametrize('order', list(itertools.permutations(range(4))))
 def test_transfer_from_either_side_counts_once(order):
     """Guards against a transfer that counts twice, or not at all, when its
--- a/src/basilpond/tasks/_budget_interfaces.py
+++ b/src/basilpond/tasks/_budget_interfaces.py
@@ -71,6 +71,10 @@
         """Iterate over the allotments of a holder."""
         ...
 
+    def remaining_by_holder(self, organisation: str) -> dict[str, int]:
+        """Return the unspent tokens of each holder with open allotments."""
+        ...
+
     def holders(self) -> Iterator[str]:
         """Iterate over the holders of allotments that are not closed."""
         ...
--- a/src/basilpond/tasks/_refill.py
+++ b/src/basilpond/tasks/_refill.py
@@ -486,40 +486,24 @@
         """
         live = list(self._members.live())
         random.shuffle(live)
+        remaining = self._ledger_task.ledger.remaining_by_holder(organisation)
         if not self._ledger_task.synced:
-            candidates = live[:ASK_UNKNOWN_PEERS]
-            remaining = dict.fromkeys(
-                (member.incarnation_id for member in candidates), 0
-            )
-        else:
-            remaining = {
-                member.incarnation_id: self._remaining_tokens(
-                    organisation, member.incarnation_id
-                )
-                for member in live
-            }
-            # A transfer during an outage is not in the fold.
-            candidates = [
-                member
-                for member in live
-                if remaining[member.incarnation_id] > 0
-                or not self._ledger_task.log_reachable
-            ]
+            live = live[:ASK_UNKNOWN_PEERS]
+        # A transfer during an outage is not in the fold.
+        candidates = [
+            member
+            for member in live
+            if remaining.get(member.incarnation_id, 0) > 0
+            or not self._reaches_log()
+        ]
         candidates.sort(
             key=lambda member: (
                 own_first and member.data_centre != self._settings.data_centre,
-                -remaining[member.incarnation_id],
+                -remaining.get(member.incarnation_id, 0),
             )
         )
         return candidates
 
-    def _remaining_tokens(self, organisation: str, holder: str) -> int:
-        return sum(
-            view.tokens - view.spent_tokens
-            for view in self._ledger_task.ledger.allotments_of(holder)
-            if view.organisation == organisation and not view.closed
-        )
-
     async def _ask(
         self, member: MemberView, organisation: str, need_tokens: int
     ) -> int:
