--- a/src/basilpond/core/_allotments.py
+++ b/src/basilpond/core/_allotments.py
@@ -153,11 +153,19 @@
     keyed_ids : KeyedIds
     closed_by_holder_keep_ms, closed_by_other_keep_ms : int
     provisional_keep_ms : int
+
+    Attributes
+    ----------
+    manifest_version : int
+        Highest manifest version of any budget.
+    budget_changes : int
+        Budget records that this object has accepted; not in snapshots.
     """
 
     __slots__ = (
         '_budgets',
         '_by_holder',
+        '_by_organisation',
         '_closed_by_holder',
         '_closed_by_holder_keep_ms',
         '_closed_by_other',
@@ -166,6 +174,8 @@
         '_open',
         '_provisional',
         '_provisional_keep_ms',
+        'budget_changes',
+        'manifest_version',
     )
 
     def __init__(
@@ -183,9 +193,12 @@
         self._budgets: dict[str, Budget] = {}
         self._open: dict[str, Allotment] = {}
         self._by_holder: dict[str, dict[str, Allotment]] = {}
+        self._by_organisation: dict[str, dict[str, Allotment]] = {}
         self._closed_by_holder: dict[str, Allotment] = {}
         self._closed_by_other: dict[str, Allotment] = {}
         self._provisional: dict[str, Provisional] = {}
+        self.manifest_version = 0
+        self.budget_changes = 0
 
     # Reading
 
@@ -227,6 +240,17 @@
         for allotment in tuple(self._by_holder.get(holder, {}).values()):
             yield allotment.view()
 
+    def remaining_by_holder(self, organisation: str) -> dict[str, int]:
+        """Return the unspent tokens of each holder with open allotments."""
+        remaining: dict[str, int] = {}
+        for allotment in self._by_organisation.get(organisation, {}).values():
+            remaining[allotment.holder] = (
+                remaining.get(allotment.holder, 0)
+                + allotment.tokens
+                - allotment.spent_tokens
+            )
+        return remaining
+
     def holders(self) -> Iterator[str]:
         """Return the holders of open allotments."""
         return iter(tuple(self._by_holder))
@@ -263,12 +287,24 @@
             yield from self._reject_records(waiting)
 
     def apply_budget(self, record: BudgetSet) -> Iterator[Result]:
-        """Set a budget; versions only rise."""
+        """Set a budget; versions only rise.
+
+        A version below that of any other budget is ignored as well: its
+        router does not know yet that a later manifest is in force, which may
+        have undone its change.
+        """
         budget = self._budgets.get(record.organisation)
-        accepted = record.budget_tokens >= 0 and (
-            budget is None or record.manifest_version > budget.manifest_version
+        accepted = (
+            record.budget_tokens >= 0
+            and record.manifest_version >= self.manifest_version
+            and (
+                budget is None
+                or record.manifest_version > budget.manifest_version
+            )
         )
         if accepted:
+            self.manifest_version = record.manifest_version
+            self.budget_changes += 1
             if budget is None:
                 budget = Budget(sys.intern(record.organisation), 0, 0)
                 self._budgets[budget.organisation] = budget
@@ -342,6 +378,8 @@
             unspent = allotment.tokens - allotment.spent_tokens
             assert unspent >= 0, 'allotment overdrawn'
             outstanding[allotment.organisation] += unspent
+            for index, key in self._indexes(allotment):
+                assert index[key][allotment.id] is allotment
         for organisation, budget in self._budgets.items():
             assert budget.outstanding_tokens == outstanding[organisation]
             budget.lower_ceiling()
@@ -361,6 +399,9 @@
     def load_state(self, state: AllotmentsState) -> None:
         """Restore the state of a snapshot."""
         self._budgets = {b.organisation: b for b in state.budgets}
+        self.manifest_version = max(
+            (b.manifest_version for b in state.budgets), default=0
+        )
         for allotment in state.open:
             self._add_open(allotment)
         self._closed_by_holder = {a.id: a for a in state.closed_by_holder}
@@ -382,16 +423,23 @@
         if allotment.journal_peer is not None:
             allotment.journal_peer = sys.intern(allotment.journal_peer)
         self._open[allotment.id] = allotment
-        self._by_holder.setdefault(allotment.holder, {})[allotment.id] = (
-            allotment
-        )
+        for index, key in self._indexes(allotment):
+            index.setdefault(key, {})[allotment.id] = allotment
 
     def _remove_open(self, allotment: Allotment) -> None:
         del self._open[allotment.id]
-        held = self._by_holder[allotment.holder]
-        del held[allotment.id]
-        if not held:
-            del self._by_holder[allotment.holder]
+        for index, key in self._indexes(allotment):
+            del index[key][allotment.id]
+            if not index[key]:
+                del index[key]
+
+    def _indexes(
+        self, allotment: Allotment
+    ) -> tuple[tuple[dict[str, dict[str, Allotment]], str], ...]:
+        return (
+            (self._by_holder, allotment.holder),
+            (self._by_organisation, allotment.organisation),
+        )
 
     def _grant_tokens(self, grant: Grant) -> int:
         known = self._find(grant.allotment)
--- a/src/basilpond/tasks/_budget_interfaces.py
+++ b/src/basilpond/tasks/_budget_interfaces.py
@@ -48,6 +48,9 @@
 class LedgerView(Protocol):
     """Folded ledger, read only."""
 
+    manifest_version: int  # highest of any budget
+    budget_changes: int  # budget records accepted by this object
+
     def budget(self, organisation: str) -> BudgetView | None:
         """Return the budget; None before its first record."""
         ...
@@ -68,6 +71,10 @@
         """Iterate over the allotments of a holder."""
         ...
 
+    def remaining_by_holder(self, organisation: str) -> dict[str, int]:
+        """Return the unspent tokens of each holder with open allotments."""
+        ...
+
     def holders(self) -> Iterator[str]:
         """Iterate over the holders of allotments that are not closed."""
         ...
--- a/src/basilpond/tasks/_refill.py
+++ b/src/basilpond/tasks/_refill.py
@@ -329,8 +329,7 @@
 
     async def _round(self, organisation: str, state: _Organisation) -> bool:
         """Try to get tokens for the waiting requests; True on progress."""
-        ledger_task = self._ledger_task
-        if not (ledger_task.log_reachable and ledger_task.synced):
+        if not self._reaches_log():
             return await self._ask_for_transfer(organisation, state)
         need = state.smallest_tokens()
         if self._grantable_tokens(organisation) >= need:
@@ -356,11 +355,13 @@
 
     def _can_grant(self, organisation: str, tokens: int) -> bool:
         return (
-            self._ledger_task.log_reachable
-            and self._ledger_task.synced
+            self._reaches_log()
             and self._grantable_tokens(organisation) >= tokens
         )
 
+    def _reaches_log(self) -> bool:
+        return self._ledger_task.log_reachable and self._ledger_task.synced
+
     def _grantable_tokens(self, organisation: str) -> int:
         view = self._ledger_task.ledger.budget(organisation)
         return 0 if view is None else view.free_tokens
@@ -448,7 +449,7 @@
             self._serve(organisation, state)
             if not state.waiters:
                 return True
-            if self._ledger_task.log_reachable and self._ledger_task.synced:
+            if self._reaches_log():
                 return True
         return False
 
@@ -480,46 +481,29 @@
         ----------
         organisation : str
         own_first : bool
-            Prefer the own data centre: while this router cannot reach the
-            log, peers beside it probably cannot either, and a peer that can
-            would return its tokens to the budget, out of reach.
+            Prefer the own data centre: peers elsewhere may be cut off together
+            with the log, and a call to them ends by its timeout.
         """
         live = list(self._members.live())
         random.shuffle(live)
+        remaining = self._ledger_task.ledger.remaining_by_holder(organisation)
         if not self._ledger_task.synced:
-            candidates = live[:ASK_UNKNOWN_PEERS]
-            remaining = dict.fromkeys(
-                (member.incarnation_id for member in candidates), 0
-            )
-        else:
-            remaining = {
-                member.incarnation_id: self._remaining_tokens(
-                    organisation, member.incarnation_id
-                )
-                for member in live
-            }
-            # A transfer during an outage is not in the fold.
-            candidates = [
-                member
-                for member in live
-                if remaining[member.incarnation_id] > 0
-                or not self._ledger_task.log_reachable
-            ]
+            live = live[:ASK_UNKNOWN_PEERS]
+        # A transfer during an outage is not in the fold.
+        candidates = [
+            member
+            for member in live
+            if remaining.get(member.incarnation_id, 0) > 0
+            or not self._reaches_log()
+        ]
         candidates.sort(
             key=lambda member: (
                 own_first and member.data_centre != self._settings.data_centre,
-                -remaining[member.incarnation_id],
+                -remaining.get(member.incarnation_id, 0),
             )
         )
         return candidates
 
-    def _remaining_tokens(self, organisation: str, holder: str) -> int:
-        return sum(
-            view.tokens - view.spent_tokens
-            for view in self._ledger_task.ledger.allotments_of(holder)
-            if view.organisation == organisation and not view.closed
-        )
-
     async def _ask(
         self, member: MemberView, organisation: str, need_tokens: int
     ) -> int:
@@ -532,6 +516,7 @@
                 need_tokens=max(1, need_tokens),
                 holder=self._accounts.holder,
                 journal_peer=self._journal_peer(organisation),
+                log_unreachable=not self._reaches_log(),
             ),
         )
         try:
@@ -544,10 +529,16 @@
         if reply is None:
             return 0
         if reply.transfer is not None:
-            self._receive_transfer(reply.transfer)
+            self._receive_transfer(member, reply.transfer)
         return max(0, reply.returned_tokens)
 
-    def _receive_transfer(self, data: bytes) -> None:
+    def _receive_transfer(self, donor: MemberView, data: bytes) -> None:
+        """Use a transfer and append it, in case its donor cannot.
+
+        The donor has committed it, so its journal peer or the log knows it,
+        and the fold applies it once. Bills on the new allotment don't have to
+        wait for the donor then.
+        """
         try:
             transfer = _transfer_decoder.decode(data)
         except msgspec.MsgspecError as error:
@@ -556,13 +547,31 @@
         if transfer.holder != self._accounts.holder:
             logging.error('transfer for another holder, %s', transfer.holder)
             return
-        self._accounts.add(transfer.new_allotment, transfer.tokens, transfer)
+        ledger = self._ledger_task.ledger
+        source = ledger.allotment(transfer.allotment)
+        if source is not None and source.holder not in (
+            '',  # its own transfer is not in the log
+            donor.incarnation_id,
+        ):
+            logging.error(
+                '%s sent a transfer from an allotment of %s',
+                donor.incarnation_id,
+                source.holder,
+            )
+            return
+        if not self._accounts.add(
+            transfer.new_allotment, transfer.tokens, transfer
+        ):
+            return
+        received = ledger.allotment(transfer.new_allotment)
+        if received is None or not received.holder:
+            self._ledger_task.submit(transfer)
 
     async def serve_ask(self, message: Any) -> Any:
         """Give free tokens to a peer.
 
-        With the log, they go back to the budget, so that remainders of
-        several routers merge. Without it, the peer gets a transfer, which is
+        When both reach the log, they go back to the budget, so that remainders
+        of several routers merge. Otherwise the peer gets a transfer, which is
         sent only after it is committed: the receiver may spend it at once.
         """
         state = self._organisations.get(message.organisation)
@@ -578,7 +587,7 @@
             state.demand.quiet_until_s = (
                 asyncio.get_running_loop().time() + self._settings.quiet_s
             )
-        if self._ledger_task.log_reachable:
+        if self._ledger_task.log_reachable and not message.log_unreachable:
             reply.returned_tokens = await self._return_for_peer(message)
         else:
             reply.transfer = await self._transfer_to_peer(message)
--- a/src/basilpond/tasks/tests/test_budget_task.py
+++ b/src/basilpond/tasks/tests/test_budget_task.py
@@ -4,6 +4,7 @@
 
 from basilpond.core import _codes
 from basilpond.core import _manifest
+from basilpond.core import _records
 from basilpond.tasks import _budget_interfaces
 from basilpond_testkit.paused_clock import on_paused_clock
 from basilpond_testkit.paused_clock import wait_until
@@ -254,6 +255,108 @@
         assert world.accepted_bills()[0] == {'a': 1, 'b': 1}
 
 
+@pytest.mark.parametrize('donor_is_killed', [True, False])
+@on_paused_clock
+async def test_transfer_is_logged_by_its_receiver(donor_is_killed):
+    """Guards against bills that wait for the return of the donor, and
+    against a transfer that is applied again by the donor's copies.
+    """
+    async with make_world('r1~1', 'r2~1', budget_tokens=200) as (
+        world,
+        r1,
+        r2,
+    ):
+        await r1.serve_request('a')
+        world.log.faults.down = True
+        r3 = world.add('r3~1', 'dc2')
+        # Without a journal peer, the receiver cannot commit yet.
+        waiting = asyncio.ensure_future(r3.hold(timeout_s=30))
+        await wait_until(lambda: any(r3.budget._accounts.allotments()))
+        r1.link.faults.down = r2.link.faults.down = True
+        world.log.faults.down = False
+        hold = await waiting
+        origin = hold.allotment.origin
+        assert isinstance(origin, _records.Transfer)
+        assert (await r3.settle(hold, 'b', wait_s=2)).via == 'log'
+        if donor_is_killed:
+            await world.kill(r1)
+        r1.link.faults.down = r2.link.faults.down = False
+        await asyncio.sleep(20)
+        counted, view = world.accepted_bills()
+        assert counted == {'a': 1, 'b': 1}
+        assert not r3.budget._committer.unlogged
+        if not donor_is_killed:
+            copies = [
+                record
+                for entry in world.log.entries('ledger')
+                for record in _records.decode_batch(entry.payload).records
+                if record == origin
+            ]
+            assert len(copies) == 2
+            account = r1.budget._accounts.get(origin.allotment)
+            fold = r1.ledger_task.ledger.allotment(origin.allotment)
+            if account is not None:
+                free = account.tokens - account.debited_tokens
+                assert fold.remaining_tokens == free
+
+
+@on_paused_clock
+async def test_router_without_the_log_asks_one_that_has_it():
+    """Guards against a return to the budget that the asker cannot use."""
+    async with make_world('r1~1', 'r2~1', 'r3~1', budget_tokens=200) as (
+        world,
+        r1,
+        r2,
+        r3,
+    ):
+        r3.link.faults.down = True
+        await asyncio.sleep(1.5)
+        # Only the other two have tokens, and both reach the log.
+        for router in (r1, r2):
+            await router.serve_request(router.name)
+        settlement = await r3.serve_request('a', 10)
+        assert settlement.committed
+        r3.link.faults.down = False
+        await asyncio.sleep(5)
+        assert world.accepted_bills()[0]['a'] == 1
+
+
+@pytest.mark.parametrize('closed_first', [True, False])
+@on_paused_clock
+async def test_transfer_that_its_donor_did_not_commit(closed_first):
+    """Guards against tokens that a peer gives away from an allotment of
+    another router, or after its journal peer has closed it without them.
+    """
+    async with make_world('r1~1', 'r2~1', 'r3~1', budget_tokens=100) as (
+        world,
+        r1,
+        r2,
+        r3,
+    ):
+        hold = await r1.hold(50)
+        donor = r1 if closed_first else r2
+        forged = _records.Transfer(
+            hold.allotment.id, 1, ORGANISATION, 50, 'x/1', 'r3~1', None
+        )
+        if closed_first:
+            r1.running.clear()
+            world.set_lost(r1)
+            await wait_until(
+                lambda: not list(r3.ledger_task.ledger.allotments_of('r1~1'))
+            )
+        r3.budget._refill._receive_transfer(
+            donor.member, _records.encode(forged)
+        )
+        await asyncio.sleep(2)
+        assert r3.budget._accounts.get('x/1') is None
+        view = r3.ledger_task.ledger.allotment('x/1')
+        assert view is None or view.closed
+        r1.running.set()
+        world.set_lost(r1, False)
+        assert (await r1.settle(hold, 'a')).committed
+        assert world.accepted_bills()[0] == {'a': 1}
+
+
 @pytest.mark.parametrize('committed', [True, False])
 @on_paused_clock
 async def test_transfer_whose_reply_or_commit_is_missing(committed):
@@ -478,3 +581,75 @@
         # Few organisations: each router keeps stock before any request.
         assert list(ledger.allotments_of('r1~1'))
         assert list(ledger.allotments_of('r2~1'))
+
+
+@pytest.mark.parametrize(
+    ('folded', 'undone'), [(1_000, 50_000), (50_000, 1_000)]
+)
+@pytest.mark.parametrize(
+    ('late_s', 'append_delay_s'), [(0.0, 0.3), (0.0, 0.9), (3.0, 0.3)]
+)
+@on_paused_clock
+async def test_undone_budget_is_not_copied_late(
+    folded, undone, late_s, append_delay_s
+):
+    """Guards against a total that a later manifest has undone: a router that
+    still has the earlier one copies it, and the budget could be exceeded.
+    """
+    async with make_world(
+        'r1~1', 'r2~1', budget_tokens=folded, settings={'budget_delay_s': 0.5}
+    ) as (world, r1, r2):
+        await asyncio.sleep(0.1)
+        r1.link.faults.append_delay_s = append_delay_s
+        r1.budget.set_budgets(make_manifest(folded), 9)
+        await asyncio.sleep(late_s)
+        r2.budget.set_budgets(make_manifest(undone), 8)
+        await asyncio.sleep(8)
+        ledger = r2.ledger_task.ledger
+        assert ledger.budget(ORGANISATION).budget_tokens == folded
+        assert ledger.budget_version(ORGANISATION) == 9
+        assert world.accepted_bills()[1].budget_tokens == folded
+
+
+@on_paused_clock
+async def test_a_manifest_costs_few_budget_records():
+    """Guards against a record per organisation and manifest version."""
+
+    def manifest(changed_tokens):
+        return _manifest.Manifest(
+            organisations=[
+                _manifest.Organisation(
+                    id=f'o{i}',
+                    key_sha256=[f'{i:064}'],
+                    top_ups=[_manifest.TopUp('t', changed_tokens)]
+                    if i == 50
+                    else [_manifest.TopUp('t', 1_000)],
+                    endpoints=[],
+                )
+                for i in range(100)
+            ],
+            endpoints=[],
+        )
+
+    async with make_world('r1~1', 'r2~1') as (world, r1, r2):
+        await asyncio.sleep(0.1)
+        for router in (r1, r2):
+            router.budget.set_budgets(manifest(1_000), 2)
+        await asyncio.sleep(10)
+        for version, tokens in ((3, 1_000), (4, 2_000), (5, 1_000)):
+            before = len(budget_records(world))
+            for router in (r1, r2):
+                router.budget.set_budgets(manifest(tokens), version)
+            await asyncio.sleep(10)
+            assert len(budget_records(world)) == before + 1
+            ledger = r1.ledger_task.ledger
+            assert ledger.budget('o50').budget_tokens == tokens
+
+
+def budget_records(world):
+    return [
+        record
+        for entry in world.log.entries('ledger')
+        for record in _records.decode_batch(entry.payload).records
+        if isinstance(record, _records.BudgetSet)
+    ]
