Repair the relay benchmark for a real router

Every request through the router failed. Cause: the benchmark took the key of the first organisation, whose budget is meant to be exhausted in the demo; the router refused with 2001. It now takes another organisation. Ruled out: a form of request that the router rejects, and the endpoints' limits; single requests were answered.

Routers and the manifest program are started as modules of the running interpreter, because a console script may belong to another checkout.

--- a/src/basilpond_testkit/_fleet.py
+++ b/src/basilpond_testkit/_fleet.py
@@ -87,9 +87,12 @@
     return '\n'.join(lines) + '\n'
 
 
-def _script(name: str) -> str:
-    """Return the installed console script, as operators start it."""
-    return str(pathlib.Path(sys.executable).with_name(name))
+def _command(program: str) -> list[str]:
+    """Return the command of a program of this checkout.
+
+    A console script may have been installed from another checkout.
+    """
+    return [sys.executable, '-m', f'basilpond.programs.{program}']
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -238,7 +241,7 @@
             'log': {'url': self.log_url},
             'vms': {'url': self.vms_url},
         }
-        self._spawn(name, [_script('basilpond-router')], tables)
+        self._spawn(name, _command('router'), tables)
         router = _client.Router(
             name, f'http://{HOST}:{caller}', f'http://{HOST}:{operator}'
         )
@@ -390,7 +393,7 @@
         path = self._folder / 'manifest.json'
         path.write_bytes(msgspec.json.encode(self.manifest()))
         process = await asyncio.create_subprocess_exec(
-            _script('basilpond-manifest'),
+            *_command('manifest'),
             'publish',
             '--log-url',
             self.log_url,
--- a/src/basilpond_testkit/bench.py
+++ b/src/basilpond_testkit/bench.py
@@ -219,7 +219,11 @@
     if router:
         await fleet.start()
         (relay,) = fleet.routers
-        key = next(iter(fleet.keys.values()))
+        key = next(
+            key
+            for organisation, key in fleet.keys.items()
+            if organisation != _fleet.EXHAUSTED
+        )
         pid = fleet.process_id(relay.id)
         targets.append(Target('router', [relay.url], pid, f'Bearer {key}'))
     return targets
@@ -229,6 +233,7 @@
     folder: pathlib.Path,
     measure_s: float,
     router: bool,
+    phases: list[str],
     write: Callable[[Figure], None],
 ) -> None:
     async with aiohttp.ClientSession() as session:
@@ -239,6 +244,8 @@
                 idle_mb = _memory_mb(target.pid)
                 write((f'{target.name}_idle_memory', idle_mb, 'MB'))
             for phase in _PHASES:
+                if phase.name not in phases:
+                    continue
                 direct = None
                 for target in targets:
                     measured = await _measure(target, phase, measure_s)
@@ -257,7 +264,12 @@
     sys.stdout.flush()
 
 
-def run(*, measure_s: float = 10.0, router: bool = True) -> None:
+def run(
+    *,
+    measure_s: float = 10.0,
+    router: bool = True,
+    phases: list[str] = [phase.name for phase in _PHASES],  # noqa: B006
+) -> None:
     """Measure the relay.
 
     Parameters
@@ -266,10 +278,14 @@
         Measured time of each phase, after its warm-up.
     router : bool
         Whether to measure a router besides the bare pass-through.
+    phases : list[str]
+        Loads to measure: half_load, full_load, saturation.
     """
     _program.start_logging()
     with tempfile.TemporaryDirectory() as folder:
-        asyncio.run(_run(pathlib.Path(folder), measure_s, router, _write))
+        asyncio.run(
+            _run(pathlib.Path(folder), measure_s, router, phases, _write)
+        )
 
 
 def main() -> None:
