Bill an answer whose caller left

The bill of an abandoned answer was started as a task, and that task took the hold only when it ran. By then run() had released the hold, so settle failed with "hold has ended" and relayed output was never billed. The hold is now taken over before the task starts.

--- a/src/basilpond/tasks/_chat_run.py
+++ b/src/basilpond/tasks/_chat_run.py
@@ -222,8 +222,9 @@
 
     async def _bill_and_release(self, run: ChatRun, result: Attempt) -> bool:
         cost = self._cost(run, result)
-        settlement = await self._settle(
-            run, result, cost, Outcome.COMPLETE.value
+        # The bill goes on when the caller leaves meanwhile.
+        settlement = await asyncio.shield(
+            self._settle(run, result, cost, Outcome.COMPLETE.value)
         )
         request_id = run.call.request_id
         if not settlement.committed:
@@ -276,9 +277,10 @@
             output_price_tokens=run.model.output_price_tokens,
         ).cost_tokens
 
-    async def _settle(
+    def _settle(
         self, run: ChatRun, result: Attempt, cost: int, outcome: str
-    ) -> Settlement:
+    ) -> asyncio.Task[Settlement]:
+        """Take over the run's hold at once and settle it in a task."""
         draft = BillDraft(
             request_id=run.call.request_id,
             tokens=cost,
@@ -288,13 +290,11 @@
             keyed=run.call.keyed,
         )
         hold, run.hold = run.hold, None
-        settling = self._spawn(
+        return self._spawn(
             self.budget.settle(
                 hold, draft, timeout_s=self.limits.settle_timeout_ms / 1000
             )
         )
-        # The bill goes on when the caller leaves meanwhile.
-        return await asyncio.shield(settling)
 
     def _bill_abandoned(self, run: ChatRun, result: Attempt) -> None:
         if not result.relayed:
@@ -302,7 +302,7 @@
         self.log.note(run.call.request_id, 'caller-gone', 'during the answer')
         result.prompt_tokens = None
         cost = self._cost(run, result)
-        self._spawn(self._settle(run, result, cost, ABANDONED))
+        self._settle(run, result, cost, ABANDONED)
 
     async def _fail_stream(self, run: ChatRun, error: RefusalError) -> None:
         request_id = run.call.request_id
