Relay a stream through a callback instead of a task

Cause: each frame woke the request's task, and the task went through four coroutines to write it. After the response head a protocol of ours stands between transport and aiohttp's protocol, which still parses, and relays what the parser added to the body at once. Framing and data go out in one write; a drain is awaited only while the caller's transport is above its limit, and the endpoint's transport stops reading meanwhile. The deadline between frames starts again after a drain.

--- a/src/basilpond/tasks/_answers.py
+++ b/src/basilpond/tasks/_answers.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -42,6 +43,31 @@
         """
         ...
 
+    def write_now(self, data: bytes) -> bool:
+        """Send part of the body, but not its first, without waiting.
+
+        Returns
+        -------
+        bool
+            Whether more may be written before `drain`.
+
+        Raises
+        ------
+        ConnectionError
+            The caller is gone.
+        """
+        ...
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough for more to be written.
+
+        Raises
+        ------
+        ConnectionError
+            The caller is gone.
+        """
+        ...
+
     async def finish(self) -> None:
         """End the body properly."""
         ...
@@ -59,10 +85,23 @@
     request : aiohttp.web.Request
     """
 
-    __slots__ = ('_request', 'response', 'started')
+    __slots__ = (
+        '_chunked',
+        '_protocol',
+        '_request',
+        '_transport',
+        '_writer',
+        'response',
+        'started',
+    )
 
     def __init__(self, request: web.BaseRequest) -> None:
         self._request = request
+        self._writer: AbstractStreamWriter | None = None
+        self._chunked = False
+        self._protocol = request.protocol
+        # Set by the first write, which sends the headers.
+        self._transport: asyncio.Transport | None = None
         self.response: web.StreamResponse | None = None
         self.started = False
 
@@ -72,11 +111,30 @@
         self.response = web.StreamResponse(
             status=head.status, headers=head.headers
         )
-        await self.response.prepare(self._request)
+        self._writer = await self.response.prepare(self._request)
+        self._chunked = (
+            self.response.headers.get('Transfer-Encoding') == 'chunked'
+        )
 
     async def write(self, data: bytes) -> None:
         """Send part of the body."""
         await self.response.write(data)
+        self._transport = self._request.transport
+
+    def write_now(self, data: bytes) -> bool:
+        """Send part of the body without waiting."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise ConnectionResetError('the caller closed its connection')
+        if self._chunked:
+            # The framing of aiohttp's writer without its coroutine.
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        transport.write(data)
+        return not self._protocol.writing_paused
+
+    async def drain(self) -> None:
+        """Wait until the transport's buffer is below its limit."""
+        await self._writer.drain()
 
     async def finish(self) -> None:
         """End the body properly."""
@@ -130,10 +188,18 @@
         self._notify()
 
     async def write(self, data: bytes) -> None:
+        """Keep part of the body."""
+        self.write_now(data)
+
+    def write_now(self, data: bytes) -> bool:
         """Keep part of the body."""
         self._parts.append(data)
         self.size_bytes += len(data)
         self._notify()
+        return True
+
+    async def drain(self) -> None:
+        """Return at once, because the answer is kept whole."""
 
     async def finish(self) -> None:
         """Mark the body as whole."""
--- /dev/null
+++ b/src/basilpond/tasks/_body_reader.py
@@ -0,0 +1,128 @@
+"""Reads a response body through a callback instead of a task."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+
+# Takes bytes of the body and returns whether more may follow at once. It is
+# called with no task of the request running, and may raise.
+TakeData = Callable[[bytes], bool]
+
+
+class BodyReader(asyncio.Protocol):
+    """Hands each read of a response body to a callback.
+
+    A task that awaits each read is scheduled once per frame, which costs about
+    as much as relaying the frame. This protocol therefore stands between the
+    transport and aiohttp's own protocol: it passes all events on, and takes
+    what aiohttp's parser has added to the body straight after each read.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Its head has been read, and no task reads its body.
+    take : callable
+    """
+
+    def __init__(
+        self, response: aiohttp.ClientResponse, take: TakeData
+    ) -> None:
+        self._content = response.content
+        self._take = take
+        self._ended = False
+        self._error: Exception | None = None
+        self._paused = False
+        self._wake: asyncio.Future[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._inner: asyncio.Protocol | None = None
+        connection = response.connection
+        # A body that has arrived whole has released its connection.
+        if connection is not None and connection.transport is not None:
+            self._transport = connection.transport
+            self._inner = connection.protocol
+            self._transport.set_protocol(self)
+
+    async def read(self) -> bool:
+        """Read until the body ends or `take` asks for a pause.
+
+        Returns
+        -------
+        bool
+            False at the end of the body.
+
+        Raises
+        ------
+        Exception
+            What `take` raised, or the loss of the connection.
+        """
+        if self._paused:
+            self._paused = False
+            if self._transport is not None:
+                self._transport.resume_reading()
+        self._deliver()
+        if not self._ended and not self._paused:
+            self._wake = asyncio.get_running_loop().create_future()
+            try:
+                await self._wake
+            finally:
+                self._wake = None
+        if self._error is not None:
+            raise self._error
+        return not self._ended
+
+    def close(self) -> None:
+        """Give the transport back to aiohttp's protocol."""
+        self._ended = True
+        if self._transport is not None:
+            if self._transport.get_protocol() is self:
+                self._transport.set_protocol(self._inner)
+            self._transport = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse and deliver a read."""
+        self._inner.data_received(data)
+        if not self._ended and not self._paused:
+            self._deliver()
+
+    def eof_received(self) -> bool | None:
+        """Pass the event on."""
+        return self._inner.eof_received()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """End the body."""
+        self._inner.connection_lost(error)
+        if not self._ended and not self._paused:
+            self._deliver()
+
+    def pause_writing(self) -> None:
+        """Pass the event on."""
+        self._inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Pass the event on."""
+        self._inner.resume_writing()
+
+    def _deliver(self) -> None:
+        content = self._content
+        more = True
+        try:
+            data = content.read_nowait()
+            if data:
+                more = self._take(data)
+        except Exception as error:
+            self._error = error
+            self.close()
+        if content.is_eof():
+            # The connection is in the pool now, so the next request must not
+            # find this protocol on it.
+            self.close()
+        elif not more and not self._ended:
+            self._paused = True
+            if self._transport is not None:
+                self._transport.pause_reading()
+        waiting = self._wake is not None and not self._wake.done()
+        if waiting and (self._ended or self._paused):
+            self._wake.set_result(None)
--- a/src/basilpond/tasks/_relay.py
+++ b/src/basilpond/tasks/_relay.py
@@ -18,6 +18,8 @@
 from ..core import length_terminal
 from ..settings import LimitsSection
 from ._answers import AnswerSink
+from ._body_reader import BodyReader
+from ._body_reader import TakeData
 
 NOT_STARTED_HEADER = 'X-Not-Started'
 ATTEMPT_ID_HEADER = 'X-Request-Id'
@@ -298,6 +300,9 @@
         self._start = start
         self._model = model
         self._now_s = now_s
+        self._total_s = 0.0
+        self._next_move_s = 0.0
+        self._stopped = False
 
     async def _receive_answer(
         self, response: aiohttp.ClientResponse, result: Attempt
@@ -317,35 +322,79 @@
         self, response: aiohttp.ClientResponse, result: Attempt
     ) -> None:
         loop = asyncio.get_running_loop()
-        read = response.content.readany
+        self._total_s = loop.time() + self.limits.total_timeout_ms / 1000
+        while not result.relayed:
+            chunk = await response.content.readany()
+            if not chunk:
+                return
+            self._move_deadline(loop.time())
+            step = self._check.feed(chunk)
+            if step.relay:
+                await self._start_answer(step.relay, result)
+            if step.problem is not None or step.cut:
+                return
+        reader = BodyReader(response, self._take(loop))
+        try:
+            while await reader.read():
+                if self._stopped:
+                    return
+                await self._drain()
+                self._move_deadline(loop.time())
+        finally:
+            reader.close()
+
+    def _take(self, loop: asyncio.AbstractEventLoop) -> TakeData:
+        """Return the callback that relays the bytes of one read."""
         feed = self._check.feed
-        frame_timeout_s = self.limits.frame_timeout_ms / 1000
-        total_s = loop.time() + self.limits.total_timeout_ms / 1000
-        next_extension_s = 0.0
-        while chunk := await read():
-            now_s = loop.time()
-            if now_s >= next_extension_s:
-                next_extension_s = now_s + DEADLINE_STEP_S
-                self.deadline.reschedule(
-                    min(next_extension_s + frame_timeout_s, total_s)
-                )
+        write_now = self._sink.write_now
+        time_s = loop.time
+
+        def take(chunk: bytes) -> bool:
+            now_s = time_s()
+            if now_s >= self._next_move_s:
+                self._move_deadline(now_s)
             step = feed(chunk)
+            more = True
             if step.relay:
-                await self._send(step.relay, result)
+                try:
+                    more = write_now(step.relay)
+                except ConnectionError as error:
+                    raise _CallerGoneError from error
             if step.problem is not None or step.cut:
-                return
+                self._stopped = True
+                return False
+            return more
 
-    async def _send(self, data: bytes, result: Attempt) -> None:
+        return take
+
+    def _move_deadline(self, now_s: float) -> None:
+        if self.deadline.expired():
+            # The attempt is about to end and its deadline cannot be moved.
+            return
+        self._next_move_s = now_s + DEADLINE_STEP_S
+        frame_timeout_s = self.limits.frame_timeout_ms / 1000
+        self.deadline.reschedule(
+            min(self._next_move_s + frame_timeout_s, self._total_s)
+        )
+
+    async def _start_answer(self, data: bytes, result: Attempt) -> None:
         self.writing = True
         try:
-            if not result.relayed:
-                result.relayed = True
-                await self._start()
+            result.relayed = True
+            await self._start()
             await self._sink.write(data)
         except ConnectionError as error:
             raise _CallerGoneError from error
         self.writing = False
 
+    async def _drain(self) -> None:
+        self.writing = True
+        try:
+            await self._sink.drain()
+        except ConnectionError as error:
+            raise _CallerGoneError from error
+        self.writing = False
+
     def _note_summary(self, summary: StreamSummary, result: Attempt) -> None:
         result.content_frames = summary.frames
         result.content_bytes = summary.content_bytes
--- a/src/basilpond_testkit/_fleet.py
+++ b/src/basilpond_testkit/_fleet.py
@@ -44,11 +44,15 @@
         Models of each engine of a data centre.
     engine : dict
         Settings of all engines.
+    endpoints_per_engine : int
+        Endpoints at the address of each engine process, which then stands for
+        as many engines.
     """
 
     data_centres: dict[str, int]
     engine_models: tuple[tuple[str, ...], ...]
     engine: dict[str, Any] = dataclasses.field(default_factory=dict)
+    endpoints_per_engine: int = 1
 
 
 DEMO_PLAN = Plan(
@@ -205,6 +209,10 @@
                     models,
                 )
                 self.engines.append(engine)
+                self.engines += [
+                    dataclasses.replace(engine, id=f'{engine.id}-{copy}')
+                    for copy in range(2, plan.endpoints_per_engine + 1)
+                ]
                 settings = {'models': list(models), **plan.engine}
                 self._start_endpoint('engine', engine, settings)
             desk = Endpoint(f'{data_centre}-desk', data_centre, next(ports))
--- a/src/basilpond_testkit/bench.py
+++ b/src/basilpond_testkit/bench.py
@@ -42,6 +42,9 @@
         # Spreads the tokens over the interval, as many engines do.
         'step_groups': 20,
     },
+    # A router starts with 32 requests at an endpoint and raises that limit
+    # with the streams that end, so 3 endpoints would queue most of the load.
+    endpoints_per_engine=16,
 )
 
 
@@ -204,19 +207,20 @@
         yield f'{prefix}_memory', measured.memory_mb, 'MB'
 
 
-async def _targets(fleet: _fleet.Fleet, router: bool) -> list[Target]:
+async def _targets(fleet: _fleet.Fleet, relays: list[str]) -> list[Target]:
     """Start the relays; return them after the engines themselves."""
     await fleet.start_endpoints()
     urls = [engine.url for engine in fleet.engines]
     targets = [Target('direct', urls, None)]
-    tables = {'passthrough': {'engines': urls}}
-    url = await fleet.start_stand_in(
-        'bench_passthrough', 'passthrough', tables
-    )
-    targets.append(
-        Target('passthrough', [url], fleet.process_id('passthrough'))
-    )
-    if router:
+    if 'passthrough' in relays:
+        tables = {'passthrough': {'engines': urls}}
+        url = await fleet.start_stand_in(
+            'bench_passthrough', 'passthrough', tables
+        )
+        targets.append(
+            Target('passthrough', [url], fleet.process_id('passthrough'))
+        )
+    if 'router' in relays:
         await fleet.start()
         (relay,) = fleet.routers
         key = next(
@@ -232,14 +236,14 @@
 async def _run(
     folder: pathlib.Path,
     measure_s: float,
-    router: bool,
+    relays: list[str],
     phases: list[str],
     write: Callable[[Figure], None],
 ) -> None:
     async with aiohttp.ClientSession() as session:
         fleet = _fleet.Fleet(folder, session, _PLAN)
         try:
-            targets = await _targets(fleet, router)
+            targets = await _targets(fleet, relays)
             for target in targets[1:]:
                 idle_mb = _memory_mb(target.pid)
                 write((f'{target.name}_idle_memory', idle_mb, 'MB'))
@@ -267,7 +271,7 @@
 def run(
     *,
     measure_s: float = 10.0,
-    router: bool = True,
+    relays: list[str] = ['passthrough', 'router'],  # noqa: B006
     phases: list[str] = [phase.name for phase in _PHASES],  # noqa: B006
 ) -> None:
     """Measure the relay.
@@ -276,15 +280,15 @@
     ----------
     measure_s : float
         Measured time of each phase, after its warm-up.
-    router : bool
-        Whether to measure a router besides the bare pass-through.
+    relays : list[str]
+        Relays to measure: passthrough, router.
     phases : list[str]
         Loads to measure: half_load, full_load, saturation.
     """
     _program.start_logging()
     with tempfile.TemporaryDirectory() as folder:
         asyncio.run(
-            _run(pathlib.Path(folder), measure_s, router, phases, _write)
+            _run(pathlib.Path(folder), measure_s, relays, phases, _write)
         )
 
 
