--- a/src/basilpond_testkit/_fleet.py
+++ b/src/basilpond_testkit/_fleet.py
@@ -44,11 +44,15 @@
         Models of each engine of a data centre.
     engine : dict
         Settings of all engines.
+    endpoints_per_engine : int
+        Endpoints at the address of each engine process, which then stands for
+        as many engines.
     """
 
     data_centres: dict[str, int]
     engine_models: tuple[tuple[str, ...], ...]
     engine: dict[str, Any] = dataclasses.field(default_factory=dict)
+    endpoints_per_engine: int = 1
 
 
 DEMO_PLAN = Plan(
@@ -87,9 +91,12 @@
     return '\n'.join(lines) + '\n'
 
 
-def _script(name: str) -> str:
-    """Return the installed console script, as operators start it."""
-    return str(pathlib.Path(sys.executable).with_name(name))
+def _command(program: str) -> list[str]:
+    """Return the command of a program of this checkout.
+
+    A console script may have been installed from another checkout.
+    """
+    return [sys.executable, '-m', f'basilpond.programs.{program}']
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -202,6 +209,10 @@
                     models,
                 )
                 self.engines.append(engine)
+                self.engines += [
+                    dataclasses.replace(engine, id=f'{engine.id}-{copy}')
+                    for copy in range(2, plan.endpoints_per_engine + 1)
+                ]
                 settings = {'models': list(models), **plan.engine}
                 self._start_endpoint('engine', engine, settings)
             desk = Endpoint(f'{data_centre}-desk', data_centre, next(ports))
@@ -238,7 +249,7 @@
             'log': {'url': self.log_url},
             'vms': {'url': self.vms_url},
         }
-        self._spawn(name, [_script('basilpond-router')], tables)
+        self._spawn(name, _command('router'), tables)
         router = _client.Router(
             name, f'http://{HOST}:{caller}', f'http://{HOST}:{operator}'
         )
@@ -390,7 +401,7 @@
         path = self._folder / 'manifest.json'
         path.write_bytes(msgspec.json.encode(self.manifest()))
         process = await asyncio.create_subprocess_exec(
-            _script('basilpond-manifest'),
+            *_command('manifest'),
             'publish',
             '--log-url',
             self.log_url,
