Measure, trace and log requests

Change: a span for each hop (accept, hold, claim, attempt, bill); endpoints get the attempt's span as parent, or the caller's trace headers unchanged when traces are off; the SDK is imported only for telemetry.traces. Spans record the type of an error and not its text. One line, request ended, for each request and refusal. Metrics where they arise, gauges every 5 s; the table is in docs/metrics.md. requests.false_refusals is dropped: no router can know what the others could have served. Both HTTP servers share one low-level server that refuses invalid HTTP without quoting it.

--- a/src/basilpond/programs/fleet.py
+++ b/src/basilpond/programs/fleet.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from typing import Any
+import urllib.parse
 import uuid
 
 import defopt
@@ -239,7 +240,8 @@
 
 
 async def _explain(request_id: str, routers: tuple[str, ...]) -> int:
-    replies = await _ask(routers, 'GET', f'/explain/{request_id}')
+    quoted = urllib.parse.quote(request_id, safe='')
+    replies = await _ask(routers, 'GET', f'/explain/{quoted}')
     found = False
     for reply in replies:
         if reply.status != 200:
@@ -260,7 +262,8 @@
 
 
 async def _endpoint(endpoint: str, routers: tuple[str, ...], verb: str) -> int:
-    replies = await _ask(routers, 'POST', f'/endpoints/{endpoint}/{verb}')
+    quoted = urllib.parse.quote(endpoint, safe='')
+    replies = await _ask(routers, 'POST', f'/endpoints/{quoted}/{verb}')
     for reply in replies:
         done = 'done' if reply.status == 200 else _reason(reply)
         write_line(f'{reply.address} {done}')
--- a/src/basilpond/programs/router.py
+++ b/src/basilpond/programs/router.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+import contextlib
 from pathlib import Path
 import signal
+import sys
 
 from absl import logging
 import defopt
 
+from ..settings import EXIT_INVALID_SETTINGS
 from ..settings import RouterSettings
 from ..settings import load_settings_or_exit
 from ..tasks import Router
 from ..telemetry import install_json_logs
+from ..telemetry import start_traces
 
 LOG_LEVELS = {
     'debug': logging.DEBUG,
@@ -22,6 +27,17 @@
 }
 
 
+def _start_traces(router_id: str) -> Callable[[], None]:
+    try:
+        return start_traces(router_id)
+    except ImportError:
+        sys.stderr.write(
+            '6003 settings_invalid: telemetry.traces: value True; allowed: '
+            'false, unless the extra basilpond[traces] is installed\n'
+        )
+        raise SystemExit(EXIT_INVALID_SETTINGS) from None
+
+
 async def _serve(settings: RouterSettings) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -42,7 +58,10 @@
     """
     loaded = load_settings_or_exit(settings, RouterSettings)
     install_json_logs(level=LOG_LEVELS[loaded.telemetry.log_level])
-    asyncio.run(_serve(loaded))
+    with contextlib.ExitStack() as stack:
+        if loaded.telemetry.traces:
+            stack.callback(_start_traces(loaded.router.id))
+        asyncio.run(_serve(loaded))
 
 
 def main() -> None:
--- a/src/basilpond/tasks/_answers.py
+++ b/src/basilpond/tasks/_answers.py
@@ -14,6 +14,8 @@
 
 from aiohttp import web
 
+from ._request_log import RequestEnd
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AnswerHead:
@@ -96,10 +98,13 @@
     ----------
     body_digest : str
         Digest of the request body that it answers.
+    end : RequestEnd, optional
+        Outcome of the run that writes the answer.
     """
 
     __slots__ = (
         'body_digest',
+        'end',
         'head',
         'started',
         'finished',
@@ -109,8 +114,11 @@
         '_changed',
     )
 
-    def __init__(self, body_digest: str) -> None:
+    def __init__(
+        self, body_digest: str, end: RequestEnd | None = None
+    ) -> None:
         self.body_digest = body_digest
+        self.end = end
         self.head: AnswerHead | None = None
         self.started = False
         self.finished = False
--- a/src/basilpond/tasks/_attempts.py
+++ b/src/basilpond/tasks/_attempts.py
@@ -12,6 +12,7 @@
 from ..core import RefusalError
 from ..core import ResultCode
 from ..core import RouteQuery
+from ..telemetry import hop_span
 from ._caller_request import CallerRequest
 from ._dispatcher import Dispatcher
 from ._dispatcher import exclude
@@ -88,6 +89,7 @@
                 self.log.note(self.call.request_id, 'no-retry', 'budget')
                 break
             self.log.note(self.call.request_id, 'retry', result.message)
+            self.log.metrics.count('requests.retries')
         if (
             result.kind is AttemptKind.COMPLETE
             or result.relayed
@@ -107,7 +109,9 @@
         self.result = result = Attempt(AttemptKind.FAILED, endpoint_id)
         self.log.note(self.call.request_id, 'attempt', endpoint_id)
         try:
-            await attempt(endpoint, result)
+            with hop_span('attempt', endpoint=endpoint_id) as span:
+                await attempt(endpoint, result)
+                span.set_attribute('basilpond.result', result.kind.name)
         except BaseException:
             # Cancelled because the caller left.
             result.kind = AttemptKind.CALLER_GONE
--- a/src/basilpond/tasks/_caller_request.py
+++ b/src/basilpond/tasks/_caller_request.py
@@ -14,6 +14,7 @@
 from ..core import body_digest
 from ..core import parse_key
 from ._refusals import not_run
+from ._request_log import RequestEnd
 
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 ATTEMPT_HEADER = 'Basilpond-Attempt'
@@ -45,6 +46,7 @@
         Time that the caller is ready to wait for the first byte.
     first_attempt : bool
         Whether the caller states that it sends this key for the first time.
+    end : RequestEnd
     """
 
     request: web.BaseRequest
@@ -56,6 +58,7 @@
     body_digest: str
     deadline_ms: int | None
     first_attempt: bool
+    end: RequestEnd
 
     @classmethod
     def create(
@@ -65,6 +68,7 @@
         organisation: Organisation,
         index: ManifestIndex,
         request_id: str,
+        end: RequestEnd,
     ) -> CallerRequest:
         """Check the headers of a call.
 
@@ -87,6 +91,7 @@
             ),
             deadline_ms=_deadline_ms(request),
             first_attempt=states_first_attempt(request),
+            end=end,
         )
 
     def trace_headers(self) -> dict[str, str]:
--- a/src/basilpond/tasks/_chat_run.py
+++ b/src/basilpond/tasks/_chat_run.py
@@ -27,6 +27,8 @@
 from ..core import prefix_digests
 from ..core import response_cost
 from ..settings import LimitsSection
+from ..telemetry import attempt_headers
+from ..telemetry import hop_span
 from ._answers import AnswerHead
 from ._answers import AnswerSink
 from ._attempts import RequestAttempts
@@ -124,11 +126,12 @@
             Nothing was written.
         """
         call = run.call
-        run.hold = await self.budget.hold(
-            call.organisation.id,
-            run.bound.cost_tokens,
-            timeout_s=self.limits.hold_timeout_ms / 1000,
-        )
+        with hop_span('hold', tokens=run.bound.cost_tokens):
+            run.hold = await self.budget.hold(
+                call.organisation.id,
+                run.bound.cost_tokens,
+                timeout_s=self.limits.hold_timeout_ms / 1000,
+            )
         self.log.note(
             call.request_id, 'hold', f'{run.bound.cost_tokens} tokens'
         )
@@ -184,7 +187,7 @@
                 self.limits,
                 StreamCheck(**checks),
                 run.sink,
-                lambda: run.sink.start(run.head()),
+                lambda: self._start(run),
                 run.model.id,
                 self.wall_s,
             )
@@ -199,11 +202,15 @@
                 'Accept-Encoding': 'identity',
                 ATTEMPT_ID_HEADER: attempt_id,
                 'X-Priority': str(call.organisation.priority),
-                **call.trace_headers(),
+                **attempt_headers(call.trace_headers()),
             },
         )
         await self.client.run(upstream, exchange, result)
 
+    async def _start(self, run: ChatRun) -> None:
+        self.log.note_first_token(run.call.end)
+        await run.sink.start(run.head())
+
     async def _end(self, run: ChatRun, result: Attempt) -> bool:
         if result.kind is AttemptKind.CALLER_GONE:
             self._bill_abandoned(run, result)
@@ -222,9 +229,10 @@
 
     async def _bill_and_release(self, run: ChatRun, result: Attempt) -> bool:
         cost = self._cost(run, result)
-        settlement = await self._settle(
-            run, result, cost, Outcome.COMPLETE.value
-        )
+        with hop_span('bill', tokens=cost):
+            settlement = await self._settle(
+                run, result, cost, Outcome.COMPLETE.value
+            )
         request_id = run.call.request_id
         if not settlement.committed:
             error = RefusalError(
@@ -244,6 +252,9 @@
             f'{cost} tokens via {settlement.via}'
             + (' duplicate' if settlement.duplicate else ''),
         )
+        if not settlement.duplicate:
+            self.log.metrics.count('tokens.billed', cost)
+        run.call.end.complete()
         if not run.sink.started:
             await run.sink.start(run.head())
         terminal = result.terminal
@@ -307,6 +318,7 @@
     async def _fail_stream(self, run: ChatRun, error: RefusalError) -> None:
         request_id = run.call.request_id
         self.log.note_refusal(request_id, error)
+        run.call.end.refuse(error)
         try:
             await run.sink.write(
                 failure_terminal(error_body(error, request_id), error.outcome)
--- a/src/basilpond/tasks/_gateway.py
+++ b/src/basilpond/tasks/_gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-import time
+import dataclasses
 from typing import Protocol
 import uuid
 
@@ -19,13 +19,18 @@
 from ..core import ResultCode
 from ..core import key_sha256
 from ..settings import LimitsSection
+from ..telemetry import extract_context
+from ..telemetry import hop_span
 from ._caller_request import IDEMPOTENCY_HEADER
 from ._caller_request import CallerRequest
 from ._caller_request import states_first_attempt
-from ._caller_server import CallerServer
+from ._http_server import HTTP_SERVER_ERROR
+from ._http_server import HttpServer
 from ._refusals import REQUEST_ID_HEADER
 from ._refusals import not_run
 from ._refusals import refusal_response
+from ._request_log import RequestEnd
+from ._request_log import RequestLog
 
 BEARER_SCHEME = 'bearer'
 SERVICES_PREFIX = '/v1/services/'
@@ -44,6 +49,15 @@
         ...
 
 
+@dataclasses.dataclass(slots=True)
+class _Arrival:
+    """What is known of a request; `organisation` once its key is."""
+
+    request_id: str
+    end: RequestEnd
+    organisation: str = ''
+
+
 class Gateway:
     """Authentication, bounds on input and the paths that callers use.
 
@@ -53,6 +67,7 @@
     index : callable
         Returns the tables of the manifest in force, or `None`.
     chat, services : CallHandler
+    log : RequestLog
     """
 
     def __init__(
@@ -61,11 +76,13 @@
         index: Callable[[], ManifestIndex | None],
         chat: CallHandler,
         services: CallHandler,
+        log: RequestLog,
     ) -> None:
         self.limits = limits
         self.index = index
         self.chat = chat
         self.services = services
+        self.log = log
         self.open_requests = 0
         self._stopping = False
         self._idle = asyncio.Event()
@@ -76,7 +93,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listen for callers."""
         self._runner = web.ServerRunner(
-            CallerServer(self._handle, self.limits.body_bytes)
+            HttpServer(self._handle, _refuse_invalid, self.limits.body_bytes)
         )
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, host, port, backlog=1024)
@@ -110,29 +127,47 @@
             request.protocol.close()
         self.open_requests += 1
         self._idle.clear()
+        state = _Arrival(
+            request_id, RequestEnd(asyncio.get_running_loop().time())
+        )
         try:
-            return await self._dispatch(request, request_id)
-        except RefusalError as error:
-            _log_refusal(error, request_id)
-            return refusal_response(error, _safe_header(request_id))
-        except Exception:
-            logging.exception('request %s failed', _safe_header(request_id))
-            return refusal_response(
-                RefusalError(
-                    ResultCode.INTERNAL_ERROR,
-                    'internal error',
-                    outcome=Outcome.UNKNOWN,
-                    http_status=500,
-                ),
-                _safe_header(request_id),
-            )
+            with hop_span('accept', extract_context(request.headers)) as span:
+                response = await self._respond(request, state)
+                end = state.end
+                span.set_attribute('basilpond.outcome', end.outcome.value)
+                if end.code is not None:
+                    span.set_attribute('basilpond.code', int(end.code))
+                return response
         finally:
+            self.log.write_end(
+                state.end,
+                _safe_header(state.request_id),
+                state.organisation,
+            )
             self.open_requests -= 1
             if not self.open_requests:
                 self._idle.set()
 
+    async def _respond(
+        self, request: web.BaseRequest, state: _Arrival
+    ) -> web.StreamResponse:
+        try:
+            return await self._dispatch(request, state)
+        except RefusalError as refusal:
+            error = refusal
+            if state.organisation:
+                # Others would push the requests of organisations out.
+                self.log.note_refusal(_safe_header(state.request_id), error)
+        except Exception:
+            logging.exception(
+                'request %s failed', _safe_header(state.request_id)
+            )
+            error = _internal_error()
+        state.end.refuse(error)
+        return refusal_response(error, _safe_header(state.request_id))
+
     async def _dispatch(
-        self, request: web.BaseRequest, request_id: str
+        self, request: web.BaseRequest, state: _Arrival
     ) -> web.StreamResponse:
         index = self.index()
         if index is None:
@@ -140,25 +175,27 @@
                 request, ResultCode.NOT_READY, 'no manifest is known yet'
             )
         organisation = _authenticate(request, index)
+        state.organisation = organisation.id
         if self.open_requests > self.limits.open_requests:
             raise _unavailable(
                 request, ResultCode.QUEUE_FULL, 'too many open requests'
             )
         path = request.path
         if path == '/v1/models' and request.method == 'GET':
-            return _models_response(index, organisation, request_id)
+            state.end.complete()
+            return _models_response(index, organisation, state.request_id)
         if path == '/v1/chat/completions' and request.method == 'POST':
             handler = self.chat
         elif path.startswith(SERVICES_PREFIX):
             handler = self.services
         else:
             raise not_run(ResultCode.UNKNOWN_PATH, 'no such path', 404)
+        self.log.metrics.count('requests.accepted')
         body = await self._read_body(request)
-        return await handler.serve(
-            CallerRequest.create(
-                request, body, organisation, index, request_id
-            )
+        call = CallerRequest.create(
+            request, body, organisation, index, state.request_id, state.end
         )
+        return await handler.serve(call)
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         if request.headers.get('Expect', '').lower() == '100-continue':
@@ -184,6 +221,28 @@
             ) from None
 
 
+def _internal_error() -> RefusalError:
+    return RefusalError(
+        ResultCode.INTERNAL_ERROR,
+        'internal error',
+        outcome=Outcome.UNKNOWN,
+        http_status=HTTP_SERVER_ERROR,
+    )
+
+
+def _refuse_invalid(status: int) -> web.Response:
+    """Return the response to a request that is not valid HTTP."""
+    if status >= HTTP_SERVER_ERROR:
+        error = _internal_error()
+    else:
+        error = not_run(
+            ResultCode.MALFORMED_BODY,
+            'the request is not valid HTTP, or its headers are too large',
+            status,
+        )
+    return refusal_response(error, str(uuid.uuid4()))
+
+
 def _unavailable(
     request: web.BaseRequest, code: ResultCode, message: str
 ) -> RefusalError:
@@ -241,14 +300,3 @@
     if request_id.isascii() and request_id.isprintable():
         return request_id[:128]
     return 'invalid-' + key_sha256(request_id)[:16]
-
-
-def _log_refusal(error: RefusalError, request_id: str) -> None:
-    logging.info(
-        'refused request %s: %d %s %s at %.3f',
-        _safe_header(request_id),
-        int(error.code),
-        error.code.name.lower(),
-        error.outcome.value,
-        time.time(),
-    )
--- a/src/basilpond/tasks/_caller_server.py
+++ b/src/basilpond/tasks/_http_server.py
@@ -1,28 +1,35 @@
-"""HTTP server whose own refusals look like those of the gateway."""
+"""HTTP server that leaves refusals of invalid HTTP to its user."""
 
 from __future__ import annotations
 
-import uuid
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from absl import logging
 from aiohttp import web
 
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
-from ._refusals import not_run
-from ._refusals import refusal_response
-
 HTTP_SERVER_ERROR = 500
-# Time for the rest of a refused upload. Closed at once, a caller that still
+# Time for the rest of a refused upload. Closed at once, a client that still
 # sends could lose the refusal; the library's 10 s let slow uploads pile up.
 LINGERING_S = 2.0
+KEEPALIVE_S = 75.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 class _Connection(web.RequestHandler):
-    """Connection that refuses input which is not valid HTTP."""
+    """Connection that refuses input which is not valid HTTP.
+
+    Parameters
+    ----------
+    server : HttpServer
+    """
 
-    __slots__ = ()
+    __slots__ = ('_refuse',)
+
+    def __init__(self, server: HttpServer, **options) -> None:
+        super().__init__(server, **options)
+        self._refuse = server.refuse
 
     def handle_error(
         self,
@@ -33,41 +40,38 @@
     ) -> web.StreamResponse:
         """Return the response to a request that can't be handled.
 
-        The text of `exc` is neither logged nor sent, because it quotes the
-        input, which may hold a key.
+        The texts of `exc` and `message` are neither logged nor sent, because
+        they quote the input, which may hold a key.
         """
         if request.writer.output_size > 0:
             raise ConnectionError('part of a response was already sent')
         if status >= HTTP_SERVER_ERROR:
-            logging.error('caller request failed: %s', type(exc).__name__)
-            error = RefusalError(
-                ResultCode.INTERNAL_ERROR,
-                'internal error',
-                outcome=Outcome.UNKNOWN,
-                http_status=HTTP_SERVER_ERROR,
-            )
-        else:
-            error = not_run(
-                ResultCode.MALFORMED_BODY,
-                'the request is not valid HTTP, or its headers are too large',
-                status,
-            )
-        response = refusal_response(error, str(uuid.uuid4()))
+            logging.error('request failed: %s', type(exc).__name__)
+        response = self._refuse(status)
         response.force_close()
         return response
 
 
-class CallerServer(web.Server):
-    """Server of the callers' connections.
+class HttpServer(web.Server):
+    """Server of all connections to one port.
 
     Parameters
     ----------
     handler : async callable
+        Gets a `web.BaseRequest`, returns its response.
+    refuse : callable
+        Returns the response to a request that is not valid HTTP, for an HTTP
+        status; 500 for a fault of this server.
     body_bytes : int
         Largest body.
     """
 
-    def __init__(self, handler, body_bytes: int) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        refuse: Callable[[int], web.Response],
+        body_bytes: int,
+    ) -> None:
         super().__init__(
             handler,
             request_factory=self._create_request,
@@ -75,6 +79,7 @@
             # stops generating for nobody.
             handler_cancellation=True,
         )
+        self.refuse = refuse
         self._body_bytes = body_bytes
 
     def __call__(self) -> web.RequestHandler:
@@ -83,7 +88,7 @@
             self,
             loop=self._loop,
             access_log=None,
-            keepalive_timeout=75,
+            keepalive_timeout=KEEPALIVE_S,
             lingering_time=LINGERING_S,
         )
 
--- a/src/basilpond/tasks/_keyed_calls.py
+++ b/src/basilpond/tasks/_keyed_calls.py
@@ -57,7 +57,7 @@
         if answer is None:
             # Registered before the first await, so that a second call with
             # the same id attaches to this one.
-            answer = BufferedAnswer(call.body_digest)
+            answer = BufferedAnswer(call.body_digest, call.end)
             self.answers.add(organisation, call.request_id, answer)
             self._spawn(self._run(call, run, answer))
         elif answer.body_digest != call.body_digest:
@@ -68,7 +68,11 @@
             )
         else:
             self.log.note(call.request_id, 'attach', 'to a known answer')
-        return await _deliver(call.request, answer)
+        try:
+            return await _deliver(call.request, answer)
+        finally:
+            call.end.outcome = answer.end.outcome
+            call.end.code = answer.end.code
 
     def find(
         self, organisation: str, request_id: str
@@ -93,21 +97,22 @@
         whole = False
         try:
             whole = await run(answer)
+            if whole:
+                call.end.complete()
         except RefusalError as error:
             self.log.note_refusal(call.request_id, error)
+            call.end.refuse(error)
             await _write_refusal(answer, error, call.request_id)
         except Exception:
             logging.exception('keyed request failed')
-            await _write_refusal(
-                answer,
-                RefusalError(
-                    ResultCode.INTERNAL_ERROR,
-                    'internal error',
-                    outcome=Outcome.UNKNOWN,
-                    http_status=500,
-                ),
-                call.request_id,
+            error = RefusalError(
+                ResultCode.INTERNAL_ERROR,
+                'internal error',
+                outcome=Outcome.UNKNOWN,
+                http_status=500,
             )
+            call.end.refuse(error)
+            await _write_refusal(answer, error, call.request_id)
         finally:
             if not answer.finished:
                 answer.abort()
--- a/src/basilpond/tasks/_log_client.py
+++ b/src/basilpond/tasks/_log_client.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import aiohttp
 import msgspec
 
+from ..core._codes import BasilpondError
 from ..core._codes import LogRateLimitedError
 from ..core._codes import LogUnavailableError
 from ..core._interfaces import LogEntry
 from ..core._interfaces import LogPage
+from ..telemetry import Metrics
+from ..telemetry import NullMetrics
 
 
 class _Appended(msgspec.Struct):
@@ -41,6 +46,7 @@
     connect_timeout_s : float
     client : str
         Router id, sent as ``X-Client`` for the log's own records.
+    metrics : Metrics, optional
     """
 
     def __init__(
@@ -50,11 +56,13 @@
         timeout_s: float = 2.0,
         connect_timeout_s: float = 1.0,
         client: str = '',
+        metrics: Metrics | None = None,
     ) -> None:
         self.base_url = base_url
         self.timeout_s = timeout_s
         self.connect_timeout_s = connect_timeout_s
         self.client = client
+        self.metrics = metrics or NullMetrics()
         self._session: aiohttp.ClientSession | None = None
 
     async def append(self, stream: str, payload: bytes) -> int:
@@ -67,6 +75,17 @@
         LogRateLimitedError
             The entry was not written.
         """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            offset = await self._append(stream, payload)
+        except BasilpondError:
+            self.metrics.count('log.append_failures')
+            raise
+        self.metrics.timing('log.append_ms', (loop.time() - started_s) * 1000)
+        return offset
+
+    async def _append(self, stream: str, payload: bytes) -> int:
         status, body = await self._request(
             'POST',
             stream,
--- a/src/basilpond/tasks/_operator_api.py
+++ b/src/basilpond/tasks/_operator_api.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import hashlib
@@ -10,12 +9,15 @@
 import html
 from typing import Any
 from typing import Protocol
+import urllib.parse
 
 from absl import logging
 from aiohttp import web
 import msgspec
 
 from ..core._codes import ResultCode
+from ._http_server import HTTP_SERVER_ERROR
+from ._http_server import HttpServer
 
 # Keys of the state with a table on the status page, and its title.
 _TABLES = (
@@ -28,7 +30,7 @@
     'table{border-collapse:collapse}'
     'th,td{border:1px solid #bbb;padding:.2em .6em;text-align:left}'
 )
-_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+MAX_BODY_BYTES = 65_536
 
 
 class StateSource(Protocol):
@@ -78,7 +80,7 @@
         self._port = port
         self._source = source
         self._key_sha256 = key_sha256
-        self._runner: web.AppRunner | None = None
+        self._runner: web.ServerRunner | None = None
 
     @property
     def port(self) -> int:
@@ -87,19 +89,9 @@
 
     async def start(self) -> None:
         """Open the listening socket."""
-        app = web.Application(middlewares=[self._guard])
-        app.add_routes(
-            [
-                web.get('/', self._get_page),
-                web.get('/healthz', self._get_health),
-                web.get('/readyz', self._get_readiness),
-                web.get('/state', self._get_state),
-                web.get('/explain/{request_id}', self._get_explanation),
-                web.post('/endpoints/{endpoint}/drain', self._post_drain),
-                web.post('/endpoints/{endpoint}/undrain', self._post_undrain),
-            ]
+        self._runner = web.ServerRunner(
+            HttpServer(self._handle, _refuse_invalid, MAX_BODY_BYTES)
         )
-        self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, self._host, self._port).start()
 
@@ -109,14 +101,10 @@
             await self._runner.cleanup()
             self._runner = None
 
-    @web.middleware
-    async def _guard(
-        self, request: web.Request, handler: _Handler
-    ) -> web.StreamResponse:
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
         """Check the operator key; respond to all failures with a code."""
-        if request.path not in ('/healthz', '/readyz') and not self._has_key(
-            request
-        ):
+        path = request.rel_url.raw_path
+        if path not in ('/healthz', '/readyz') and not self._has_key(request):
             return _error(
                 401,
                 ResultCode.OPERATOR_KEY_REQUIRED,
@@ -124,39 +112,62 @@
                 headers={'WWW-Authenticate': 'Bearer'},
             )
         try:
-            return await handler(request)
-        except web.HTTPException as error:
-            return _error(
-                error.status, ResultCode.UNKNOWN_PATH, error.reason.lower()
-            )
+            return self._respond(request.method, path)
         except Exception:
             logging.exception('operator request failed')
             return _error(500, ResultCode.INTERNAL_ERROR, 'internal error')
 
-    def _has_key(self, request: web.Request) -> bool:
+    def _respond(self, method: str, path: str) -> web.Response:
+        match path.split('/')[1:], method:
+            case [''], 'GET' | 'HEAD':
+                return self._page()
+            case ['healthz'], 'GET' | 'HEAD':
+                return _json({'status': 'ok'})
+            case ['readyz'], 'GET' | 'HEAD':
+                return self._readiness()
+            case ['state'], 'GET' | 'HEAD':
+                return _json(self._source.state())
+            case ['explain', request_id], 'GET' | 'HEAD':
+                return self._explanation(urllib.parse.unquote(request_id))
+            case ['endpoints', endpoint, 'drain'], 'POST':
+                return _order(endpoint, self._source.drain)
+            case ['endpoints', endpoint, 'undrain'], 'POST':
+                return _order(endpoint, self._source.undrain)
+            case (
+                (
+                    ['']
+                    | ['healthz']
+                    | ['readyz']
+                    | ['state']
+                    | ['explain', _]
+                    | ['endpoints', _, 'drain' | 'undrain']
+                ),
+                _,
+            ):
+                return _error(
+                    405, ResultCode.UNKNOWN_PATH, 'method not allowed'
+                )
+        return _error(404, ResultCode.UNKNOWN_PATH, 'not found')
+
+    def _has_key(self, request: web.BaseRequest) -> bool:
         scheme, _, key = request.headers.get('Authorization', '').partition(
             ' '
         )
-        digest = hashlib.sha256(key.encode('utf-8', 'replace')).hexdigest()
+        digest = hashlib.sha256(
+            key.encode('utf-8', 'surrogateescape')
+        ).hexdigest()
         # Both sides as bytes: the comparison of texts is limited to ASCII.
         same = hmac.compare_digest(
             digest.encode(), self._key_sha256.lower().encode()
         )
         return same and scheme.lower() == 'bearer'
 
-    async def _get_health(self, request: web.Request) -> web.Response:
-        return _json({'status': 'ok'})
-
-    async def _get_readiness(self, request: web.Request) -> web.Response:
+    def _readiness(self) -> web.Response:
         if self._source.ready():
             return _json({'status': 'ready'})
         return _error(503, ResultCode.NOT_READY, 'router is not ready')
 
-    async def _get_state(self, request: web.Request) -> web.Response:
-        return _json(self._source.state())
-
-    async def _get_explanation(self, request: web.Request) -> web.Response:
-        request_id = request.match_info['request_id']
+    def _explanation(self, request_id: str) -> web.Response:
         steps = self._source.explain(request_id)
         if steps is None:
             return _error(
@@ -164,23 +175,7 @@
             )
         return _json({'request_id': request_id, 'steps': steps})
 
-    async def _post_drain(self, request: web.Request) -> web.Response:
-        return self._order(request, self._source.drain)
-
-    async def _post_undrain(self, request: web.Request) -> web.Response:
-        return self._order(request, self._source.undrain)
-
-    def _order(
-        self, request: web.Request, order: Callable[[str], bool]
-    ) -> web.Response:
-        endpoint = request.match_info['endpoint']
-        if not order(endpoint):
-            return _error(
-                404, ResultCode.NO_ENDPOINT, 'endpoint is not in the manifest'
-            )
-        return _json({'endpoint': endpoint, 'order': order.__name__})
-
-    async def _get_page(self, request: web.Request) -> web.Response:
+    def _page(self) -> web.Response:
         return web.Response(
             text=render_page(self._source.state()),
             content_type='text/html',
@@ -194,6 +189,24 @@
         )
 
 
+def _order(endpoint: str, order: Callable[[str], bool]) -> web.Response:
+    endpoint = urllib.parse.unquote(endpoint)
+    if not order(endpoint):
+        return _error(
+            404, ResultCode.NO_ENDPOINT, 'endpoint is not in the manifest'
+        )
+    return _json({'endpoint': endpoint, 'order': order.__name__})
+
+
+def _refuse_invalid(status: int) -> web.Response:
+    """Return the response to a request that is not valid HTTP."""
+    if status >= HTTP_SERVER_ERROR:
+        return _error(status, ResultCode.INTERNAL_ERROR, 'internal error')
+    return _error(
+        status, ResultCode.MALFORMED_BODY, 'the request is not valid HTTP'
+    )
+
+
 def render_page(state: dict[str, Any]) -> str:
     """Return the status page of a state as HTML."""
     facts = [
--- a/src/basilpond/tasks/_peer_client.py
+++ b/src/basilpond/tasks/_peer_client.py
@@ -16,6 +16,8 @@
 from ..protocol import decode_frame
 from ..protocol import encode_frame
 from ..protocol import frame_size
+from ..telemetry import Metrics
+from ..telemetry import NullMetrics
 
 _BACKOFF_MIN_S = 0.1
 _BACKOFF_MAX_S = 5.0
@@ -42,6 +44,7 @@
     max_open_calls : int
         To one peer.
     connect_timeout_s, heartbeat_s, silence_s, idle_s : float
+    metrics : Metrics, optional
     """
 
     def __init__(
@@ -53,7 +56,9 @@
         heartbeat_s: float = 1.0,
         silence_s: float = 3.0,
         idle_s: float = 60.0,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or NullMetrics()
         self._rng = rng or random.Random()
         self._max_open_calls = max_open_calls
         self._connect_timeout_s = connect_timeout_s
@@ -83,6 +88,16 @@
         ProtocolError
             The frame cannot be sent.
         """
+        self._metrics.count('peers.calls')
+        try:
+            return await self._call(member, frame, timeout_s)
+        except (PeerUnavailableError, ProtocolError):
+            self._metrics.count('peers.call_failures')
+            raise
+
+    async def _call(
+        self, member: Member, frame: Frame, timeout_s: float
+    ) -> Frame:
         peer = self._peers.get(member.incarnation_id)
         if peer is None:
             self._forget_unused()
--- a/src/basilpond/tasks/_peer_server.py
+++ b/src/basilpond/tasks/_peer_server.py
@@ -55,6 +55,7 @@
         self._max_open_calls = max_open_calls
         self._max_connections = max_connections
         self._idle_s = idle_s
+        self.malformed_frames = 0
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task] = set()
 
@@ -93,6 +94,7 @@
         try:
             await self._read_calls(reader, writer, calls)
         except ProtocolError as error:
+            self.malformed_frames += 1
             logging.log_every_n_seconds(
                 logging.WARNING, 'closed a peer connection: %s', 10, error
             )
--- a/src/basilpond/tasks/_request_log.py
+++ b/src/basilpond/tasks/_request_log.py
@@ -2,27 +2,69 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+import dataclasses
+
+from absl import logging
 
 from ..core import DecisionTrail
+from ..core import Outcome
 from ..core import RefusalError
+from ..core import ResultCode
+from ..telemetry import Metrics
+from ..telemetry import NullMetrics
+from ..telemetry import log_event
+
+
+@dataclasses.dataclass(slots=True)
+class RequestEnd:
+    """What became of a request, for its line in the log.
+
+    Parameters
+    ----------
+    started_s : float
+        Time of the event loop's clock.
+    outcome : Outcome
+    code : ResultCode or None
+        Of a refusal or failure.
+    """
+
+    started_s: float
+    outcome: Outcome = Outcome.UNKNOWN
+    code: ResultCode | None = None
+
+    def complete(self) -> None:
+        """Record a whole response."""
+        self.outcome = Outcome.COMPLETE
+        self.code = None
+
+    def refuse(self, error: RefusalError) -> None:
+        """Record a refusal or failure."""
+        self.outcome = error.outcome
+        self.code = error.code
 
 
 class RequestLog:
-    """Writer of the decision trail.
+    """Writer of the decision trail, the log lines and metrics of requests.
 
     Parameters
     ----------
     trail : DecisionTrail
     wall_s : callable
         Wall-clock time in seconds.
+    metrics : Metrics, optional
     """
 
     def __init__(
-        self, trail: DecisionTrail, wall_s: Callable[[], float]
+        self,
+        trail: DecisionTrail,
+        wall_s: Callable[[], float],
+        metrics: Metrics | None = None,
     ) -> None:
         self.trail = trail
         self.wall_s = wall_s
+        self.metrics = metrics or NullMetrics()
 
     def note(self, request_id: str, step: str, detail: str = '') -> None:
         """Record a decision; `detail` holds no keys and no prompt text."""
@@ -36,3 +78,38 @@
             f'{int(error.code)} {error.code.name.lower()} '
             f'{error.outcome.value}: {error.message}',
         )
+
+    def note_first_token(self, end: RequestEnd) -> None:
+        """Record the time from the arrival of a request to its first token."""
+        self.metrics.timing(
+            'requests.first_token_ms', self._elapsed_ms(end.started_s)
+        )
+
+    def write_end(
+        self, end: RequestEnd, request_id: str, organisation: str
+    ) -> None:
+        """Write the one line of a request that ran or was refused.
+
+        Parameters
+        ----------
+        end : RequestEnd
+        request_id : str
+            In a form that is safe in a line.
+        organisation : str
+            Empty when the caller's key is not known.
+        """
+        name = end.outcome.name.lower()
+        self.metrics.count(f'requests.{name}')
+        log_event(
+            logging.INFO,
+            'request ended',
+            request_id=request_id,
+            organisation=organisation,
+            code=None if end.code is None else int(end.code),
+            outcome=end.outcome.value,
+            duration_ms=round(self._elapsed_ms(end.started_s), 1),
+        )
+
+    @staticmethod
+    def _elapsed_ms(started_s: float) -> float:
+        return (asyncio.get_running_loop().time() - started_s) * 1000
--- a/src/basilpond/tasks/_router.py
+++ b/src/basilpond/tasks/_router.py
@@ -15,6 +15,7 @@
 from ..core import EndpointTable
 from ..core import ManifestIndex
 from ..settings import RouterSettings
+from ..telemetry import open_metrics
 from ._answers import AnswerStore
 from ._budget_interfaces import BudgetSettings
 from ._budget_task import BudgetTask
@@ -29,6 +30,7 @@
 from ._ledger_task import LedgerTask
 from ._log_client import LogClient
 from ._manifest_spread import ManifestSpread
+from ._metrics_task import MetricsTask
 from ._operator_api import OperatorApi
 from ._peer_answers import PeerAnswers
 from ._peer_client import PeerClient
@@ -74,10 +76,15 @@
         self._failed = asyncio.Event()
 
         rng = random.Random()
+        address = settings.telemetry.statsd_address
+        self.metrics = open_metrics(
+            *(_socket_address(address) if address else (None,))
+        )
         self.log = LogClient(
             settings.log.url,
             timeout_s=settings.log.append_timeout_ms / 1000,
             client=section.id,
+            metrics=self.metrics,
         )
         self.gossip = GossipTask(
             incarnation_id=self.incarnation,
@@ -98,7 +105,7 @@
         self.config_task = ConfigTask(
             self.log, self.incarnation, live_routers=self._live_incarnations
         )
-        self.peers = PeerClient()
+        self.peers = PeerClient(metrics=self.metrics)
         self.budget = BudgetTask(
             self.ledger_task,
             self.gossip,
@@ -119,7 +126,7 @@
         self.crashes = CrashCounter()
         self.dispatcher = Dispatcher(limits, self.table, self.crashes)
         self.client = EndpointClient(limits)
-        self.request_log = RequestLog(DecisionTrail(), time.time)
+        self.request_log = RequestLog(DecisionTrail(), time.time, self.metrics)
         self.answers = AnswerStore(
             limits.stored_answers_bytes, limits.stored_answer_s
         )
@@ -152,6 +159,7 @@
                 time.time,
                 uptime_s,
             ),
+            self.request_log,
         )
         self.peer_server = PeerServer(
             section.host,
@@ -192,6 +200,7 @@
             self.budget.run(),
             self.endpoints.run(),
             ManifestSpread(self.config_task, self.gossip, self.peers).run(),
+            MetricsTask(self, self.metrics).run(),
         ):
             self._spawn(run)
         await self.gateway.start(section.host, section.caller_port)
--- a/src/basilpond/tasks/_service_calls.py
+++ b/src/basilpond/tasks/_service_calls.py
@@ -22,6 +22,8 @@
 from ..core import RouteQuery
 from ..core import parse_issued_key
 from ..settings import LimitsSection
+from ..telemetry import attempt_headers
+from ..telemetry import hop_span
 from ._answers import AnswerHead
 from ._answers import AnswerSink
 from ._answers import DirectAnswer
@@ -135,11 +137,14 @@
         call.request_id = key.value
 
     async def _hold(self, run: _ServiceRun) -> None:
-        run.hold = await self.budget.hold(
-            run.call.organisation.id,
-            run.route.call_price_tokens,
-            timeout_s=self.limits.hold_timeout_ms / 1000,
-        )
+        tokens = run.route.call_price_tokens
+        with hop_span('hold', tokens=tokens):
+            run.hold = await self.budget.hold(
+                run.call.organisation.id,
+                tokens,
+                timeout_s=self.limits.hold_timeout_ms / 1000,
+            )
+        self.log.note(run.call.request_id, 'hold', f'{tokens} tokens')
 
     async def _run_idempotent(self, run: _ServiceRun) -> bool:
         await self._hold(run)
@@ -158,7 +163,8 @@
         started_s = self.uptime_s()
         # The claim comes before the hold: once it is won, no other run of
         # this key exists, and a refusal may truthfully say "not run".
-        verdict = await self._claim(call)
+        with hop_span('claim'):
+            verdict = await self._claim(call)
         if verdict.state is not ClaimState.WON:
             return await _give_recorded(run, verdict.state, verdict.bill)
         try:
@@ -238,7 +244,7 @@
             ),
             ATTEMPT_ID_HEADER: call.attempt_id(),
             'X-Priority': str(call.organisation.priority),
-            **call.trace_headers(),
+            **attempt_headers(call.trace_headers()),
         }
         if call.keyed:
             headers[IDEMPOTENCY_HEADER] = call.request_id
@@ -274,14 +280,16 @@
         result: Attempt,
         answer: str | None = None,
     ) -> None:
-        settlement = await self._settle(
-            run,
-            result.endpoint,
-            run.route.call_price_tokens,
-            Outcome.COMPLETE.value,
-            result.http_status,
-            answer,
-        )
+        tokens = run.route.call_price_tokens
+        with hop_span('bill', tokens=tokens):
+            settlement = await self._settle(
+                run,
+                result.endpoint,
+                tokens,
+                Outcome.COMPLETE.value,
+                result.http_status,
+                answer,
+            )
         if not settlement.committed:
             raise RefusalError(
                 ResultCode.BILL_NOT_COMMITTED,
@@ -290,7 +298,14 @@
                 http_status=503,
                 retry_after_s=2,
             )
-        self.log.note(run.call.request_id, 'bill', f'via {settlement.via}')
+        self.log.note(
+            run.call.request_id,
+            'bill',
+            f'{tokens} tokens via {settlement.via}'
+            + (' duplicate' if settlement.duplicate else ''),
+        )
+        if not settlement.duplicate:
+            self.log.metrics.count('tokens.billed', tokens)
         await _release(
             run, result.http_status, result.content_type, result.terminal
         )
@@ -368,6 +383,7 @@
 async def _release(
     run: _ServiceRun, status: int, content_type: str, body: bytes
 ) -> None:
+    run.call.end.complete()
     await run.sink.start(
         AnswerHead(
             status,
--- a/src/basilpond/tasks/tests/small_system.py
+++ b/src/basilpond/tasks/tests/small_system.py
@@ -8,6 +8,7 @@
 import uuid
 
 import aiohttp
+from aiohttp import web
 import msgspec
 
 from basilpond.settings import RouterSettings
@@ -70,9 +71,11 @@
                 load_lag_ms=20,
             )
         )
-        self.engine_server = _program.Server(
-            self.engine.app(), _program.HttpSettings(), 0
-        )
+        # Trace headers that the engine received.
+        self.engine_traces = []
+        app = self.engine.app()
+        app.middlewares.append(self._note_trace)
+        self.engine_server = _program.Server(app, _program.HttpSettings(), 0)
         self.engine.server = self.engine_server
         self.service = service.Service(service.ServiceSettings())
         self.service_server = _program.Server(
@@ -140,6 +143,18 @@
         for server in self._servers():
             await server.stop()
 
+    @web.middleware
+    async def _note_trace(self, request, handler):
+        if request.method == 'POST':
+            self.engine_traces.append(
+                {
+                    name: request.headers[name]
+                    for name in ('traceparent', 'tracestate')
+                    if name in request.headers
+                }
+            )
+        return await handler(request)
+
     def _servers(self):
         return self.log_server, self.engine_server, self.service_server
 
--- a/src/basilpond/telemetry/__init__.py
+++ b/src/basilpond/telemetry/__init__.py
@@ -9,6 +9,7 @@
 from ._metrics import NullMetrics
 from ._metrics import StatsdMetrics
 from ._metrics import open_metrics
+from ._traces import attempt_headers
 from ._traces import extract_context
 from ._traces import hop_span
 from ._traces import inject_context
@@ -20,6 +21,7 @@
     'Metrics',
     'NullMetrics',
     'StatsdMetrics',
+    'attempt_headers',
     'extract_context',
     'hop_span',
     'inject_context',
--- a/src/basilpond/telemetry/_metrics.py
+++ b/src/basilpond/telemetry/_metrics.py
@@ -8,22 +8,21 @@
 
 # Names, kinds and meanings of all metrics.
 METRICS: dict[str, tuple[str, str]] = {
-    'requests.accepted': ('counter', 'requests with a valid key and body'),
+    'requests.accepted': ('counter', 'requests with a valid key and path'),
     'requests.complete': ('counter', 'requests with a complete response'),
-    'requests.not_run': ('counter', 'refusals before a request ran'),
+    'requests.not_run': ('counter', 'refusals of requests that did not run'),
     'requests.failed': ('counter', 'requests that ran and failed'),
     'requests.unknown': ('counter', 'requests with an unknown outcome'),
-    'requests.false_refusals': (
-        'counter',
-        'refusals although budget and endpoints had room',
-    ),
     'requests.in_progress': ('gauge', 'requests being served'),
     'requests.first_token_ms': ('timing', 'time to the first token'),
     'requests.retries': ('counter', 'attempts after the first one'),
     'tokens.billed': ('counter', 'budget tokens on committed bills'),
     'tokens.overspend': ('gauge', 'budget tokens spent above budgets'),
     'endpoints.ejected': ('gauge', 'endpoints out of selection'),
-    'endpoints.quarantined': ('gauge', 'endpoints that failed checks'),
+    'endpoints.quarantined': (
+        'gauge',
+        'endpoints with reduced traffic',
+    ),
     'log.append_ms': ('timing', 'time until an append was acknowledged'),
     'log.append_failures': ('counter', 'appends without acknowledgement'),
     'log.offset': ('gauge', 'last folded offset of the ledger'),
--- a/src/basilpond/telemetry/_traces.py
+++ b/src/basilpond/telemetry/_traces.py
@@ -36,6 +36,22 @@
     return _PROPAGATOR.extract(carrier, otel_context.Context())
 
 
+def attempt_headers(caller_headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the trace headers of a request to an endpoint.
+
+    Parameters
+    ----------
+    caller_headers : mapping
+        The caller's trace headers; returned unchanged when the current span
+        is not recorded.
+    """
+    if not trace.get_current_span().is_recording():
+        return dict(caller_headers)
+    headers: dict[str, str] = {}
+    inject_context(headers)
+    return headers
+
+
 def inject_context(
     headers: MutableMapping[str, str],
     context: otel_context.Context | None = None,
@@ -60,9 +76,18 @@
     """
     tracer = trace.get_tracer('basilpond')
     with tracer.start_as_current_span(
-        name, context=parent, attributes=attributes
+        name,
+        context=parent,
+        attributes=attributes,
+        # The text of an error may quote a caller's input.
+        record_exception=False,
+        set_status_on_exception=False,
     ) as span:
-        yield span
+        try:
+            yield span
+        except BaseException as error:
+            span.set_attribute('error.type', type(error).__name__)
+            raise
 
 
 def start_traces(
