--- a/src/basilpond/tasks/_caller_request.py
+++ b/src/basilpond/tasks/_caller_request.py
@@ -14,6 +14,7 @@
 from ..core import body_digest
 from ..core import parse_key
 from ._refusals import not_run
+from ._request_log import RequestEnd
 
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 ATTEMPT_HEADER = 'Basilpond-Attempt'
@@ -31,7 +32,7 @@
 
     Parameters
     ----------
-    request : aiohttp.web.Request
+    request : aiohttp.web.BaseRequest
     body : bytes
     organisation : Organisation
     index : ManifestIndex
@@ -45,9 +46,10 @@
         Time that the caller is ready to wait for the first byte.
     first_attempt : bool
         Whether the caller states that it sends this key for the first time.
+    end : RequestEnd
     """
 
-    request: web.Request
+    request: web.BaseRequest
     body: bytes
     organisation: Organisation
     index: ManifestIndex
@@ -56,15 +58,17 @@
     body_digest: str
     deadline_ms: int | None
     first_attempt: bool
+    end: RequestEnd
 
     @classmethod
     def create(
         cls,
-        request: web.Request,
+        request: web.BaseRequest,
         body: bytes,
         organisation: Organisation,
         index: ManifestIndex,
         request_id: str,
+        end: RequestEnd,
     ) -> CallerRequest:
         """Check the headers of a call.
 
@@ -87,6 +91,7 @@
             ),
             deadline_ms=_deadline_ms(request),
             first_attempt=states_first_attempt(request),
+            end=end,
         )
 
     def trace_headers(self) -> dict[str, str]:
@@ -109,12 +114,12 @@
         return uuid.uuid4().hex
 
 
-def states_first_attempt(request: web.Request) -> bool:
+def states_first_attempt(request: web.BaseRequest) -> bool:
     """Return whether the caller states that no earlier call had this key."""
     return request.headers.get(ATTEMPT_HEADER) == '1'
 
 
-def _deadline_ms(request: web.Request) -> int | None:
+def _deadline_ms(request: web.BaseRequest) -> int | None:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return None
--- /dev/null
+++ b/src/basilpond/tasks/_http_server.py
@@ -0,0 +1,106 @@
+"""HTTP server that leaves refusals of invalid HTTP to its user."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from absl import logging
+from aiohttp import web
+
+HTTP_SERVER_ERROR = 500
+# Time for the rest of a refused upload. Closed at once, a client that still
+# sends could lose the refusal; the library's 10 s let slow uploads pile up.
+LINGERING_S = 2.0
+KEEPALIVE_S = 75.0
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class _Connection(web.RequestHandler):
+    """Connection that refuses input which is not valid HTTP.
+
+    Parameters
+    ----------
+    server : HttpServer
+    """
+
+    __slots__ = ('_refuse',)
+
+    def __init__(self, server: HttpServer, **options) -> None:
+        super().__init__(server, **options)
+        self._refuse = server.refuse
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTP_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a request that can't be handled.
+
+        The texts of `exc` and `message` are neither logged nor sent, because
+        they quote the input, which may hold a key.
+        """
+        if request.writer.output_size > 0:
+            raise ConnectionError('part of a response was already sent')
+        if status >= HTTP_SERVER_ERROR:
+            logging.error('request failed: %s', type(exc).__name__)
+        response = self._refuse(status)
+        response.force_close()
+        return response
+
+
+class HttpServer(web.Server):
+    """Server of all connections to one port.
+
+    Parameters
+    ----------
+    handler : async callable
+        Gets a `web.BaseRequest`, returns its response.
+    refuse : callable
+        Returns the response to a request that is not valid HTTP, for an HTTP
+        status; 500 for a fault of this server.
+    body_bytes : int
+        Largest body.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        refuse: Callable[[int], web.Response],
+        body_bytes: int,
+    ) -> None:
+        super().__init__(
+            handler,
+            request_factory=self._create_request,
+            # A caller that leaves ends its request at once, and the endpoint
+            # stops generating for nobody.
+            handler_cancellation=True,
+        )
+        self.refuse = refuse
+        self._body_bytes = body_bytes
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return _Connection(
+            self,
+            loop=self._loop,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=LINGERING_S,
+        )
+
+    def _create_request(
+        self, message, payload, protocol, writer, task
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            self._loop,
+            client_max_size=self._body_bytes,
+        )
