--- a/src/basilpond_testkit/matrix/_callers.py
+++ b/src/basilpond_testkit/matrix/_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from typing import Any
+from unittest import mock
 import uuid
 
 from aiohttp import base_protocol
@@ -33,8 +34,16 @@
 class _Transport:
     """Connection of one caller; either side can close it."""
 
-    def __init__(self) -> None:
+    def __init__(self, router: Router) -> None:
+        self.router = router
         self.closed = asyncio.Event()
+        self.data = bytearray()
+
+    def write(self, frame: bytes) -> None:
+        """Take one chunk with the framing of chunked encoding."""
+        _, _, rest = frame.partition(b'\r\n')
+        if not self.router.node.killed:
+            self.data += rest.removesuffix(b'\r\n')
 
     def close(self) -> None:
         """Close the connection."""
@@ -57,7 +66,7 @@
         self.connection = transport
         self.status = 0
         self.headers: dict[str, str] = {}
-        self.data = bytearray()
+        self.data = transport.data
         self.done = False
         self.output_size = 0
 
@@ -110,12 +119,13 @@
         headers: dict[str, str],
     ) -> None:
         self.router = router
-        self.transport = _Transport()
+        self.transport = _Transport(router)
         self.writer = _Writer(router, self.transport)
         method, path, self._body = request.http()
         loop = asyncio.get_running_loop()
         protocol = base_protocol.BaseProtocol(loop)
         self._payload = streams.StreamReader(protocol, 2**20, loop=loop)
+        transport_protocol = mock.Mock(writing_paused=False)
         self._request = test_utils.make_mocked_request(
             method,
             path,
@@ -123,6 +133,7 @@
             payload=self._payload,
             transport=self.transport,
             writer=self.writer,
+            protocol=transport_protocol,
         )
 
     async def run(self) -> None:
--- a/src/basilpond_testkit/matrix/_endpoints.py
+++ b/src/basilpond_testkit/matrix/_endpoints.py
@@ -205,6 +205,9 @@
         self._endpoint = endpoint
         self._last = len(chunks) - 1
         self._watched = watched
+        self._ready = b''
+        self._error: Exception | None = None
+        self._eof = False
 
     async def readany(self) -> bytes:
         """Return the next chunk, empty at the end."""
@@ -228,12 +231,73 @@
         """Return all of a short body."""
         return await self.readany()
 
+    async def receive(self) -> None:
+        """Wait for the next chunk and keep it for `read_nowait`."""
+        try:
+            self._ready = await self.readany()
+        except Exception as error:
+            self._error = error
+        self._eof = self._error is None and not self._ready
+
+    def read_nowait(self) -> bytes:
+        """Return what has arrived."""
+        if self._error is not None:
+            raise self._error
+        ready, self._ready = self._ready, b''
+        return ready
+
+    def is_eof(self) -> bool:
+        """Return whether the body has ended."""
+        return self._eof
+
     async def iter_any(self) -> Iterator[bytes]:
         """Yield the chunks."""
         while chunk := await self.readany():
             yield chunk
 
 
+class _Transport:
+    """Transport and connection of a response, as a body reader uses them."""
+
+    def __init__(self, content: _Content) -> None:
+        self.transport = self
+        self.protocol = _IdleProtocol()
+        self._content = content
+        self._reader: Any = self.protocol
+        self._running = asyncio.Event()
+        self._running.set()
+        self._task: asyncio.Task | None = None
+
+    def get_protocol(self) -> Any:
+        """Return the protocol that gets the events."""
+        return self._reader
+
+    def set_protocol(self, protocol: Any) -> None:
+        """Pass the events on to another protocol."""
+        self._reader = protocol
+        if protocol is not self.protocol:
+            self._task = asyncio.ensure_future(self._deliver())
+
+    def pause_reading(self) -> None:
+        """Hold back what arrives."""
+        self._running.clear()
+
+    def resume_reading(self) -> None:
+        """Go on."""
+        self._running.set()
+
+    async def _deliver(self) -> None:
+        while self._reader is not self.protocol:
+            await self._content.receive()
+            await self._running.wait()
+            if self._reader is not self.protocol:
+                self._reader.buffer_updated(0)
+
+
+class _IdleProtocol(asyncio.Protocol):
+    """Protocol whose body is filled by the fake itself."""
+
+
 class Response:
     """Response with the attributes of `aiohttp.ClientResponse` in use."""
 
@@ -248,6 +312,7 @@
         self.status = status
         self.content_type = content_type
         self.content = content
+        self.connection = _Transport(content)
         self.headers = multidict.CIMultiDict(headers or {})
         self.headers['Content-Type'] = content_type
         self.close = closed
--- a/src/basilpond_testkit/matrix/_router.py
+++ b/src/basilpond_testkit/matrix/_router.py
@@ -228,6 +228,7 @@
                 now_s,
                 now_s,
             ),
+            request_log,
         )
         self._peer_requests = _peer_requests.PeerRequests(
             self.config_task, self.budget, self.keyed
