--- a/src/basilpond/core/_allotments.py
+++ b/src/basilpond/core/_allotments.py
@@ -15,7 +15,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import itertools
 import sys
+from typing import Any
 
 import msgspec
 
@@ -386,27 +388,36 @@
 
     # Snapshots
 
-    def to_state(self) -> AllotmentsState:
-        """Return the state for a snapshot; it shares the live objects."""
-        return AllotmentsState(
-            list(self._budgets.values()),
-            list(self._open.values()),
-            list(self._closed_by_holder.values()),
-            list(self._closed_by_other.values()),
-            list(self._provisional.values()),
+    def to_states(self, rows: int) -> Iterator[AllotmentsState]:
+        """Yield the state in parts of at most `rows` rows."""
+        tables = (
+            self._budgets,
+            self._open,
+            self._closed_by_holder,
+            self._closed_by_other,
+            self._provisional,
         )
+        for index, table in enumerate(tables):
+            values = iter(table.values())
+            while part := list(itertools.islice(values, rows)):
+                parts: list[list[Any]] = [[] for _ in tables]
+                parts[index] = part
+                yield AllotmentsState(*parts)
 
     def load_state(self, state: AllotmentsState) -> None:
-        """Restore the state of a snapshot."""
-        self._budgets = {b.organisation: b for b in state.budgets}
-        self.manifest_version = max(
-            (b.manifest_version for b in state.budgets), default=0
-        )
+        """Add a part of a snapshot."""
+        for budget in state.budgets:
+            self._budgets[budget.organisation] = budget
+            self.manifest_version = max(
+                self.manifest_version, budget.manifest_version
+            )
         for allotment in state.open:
             self._add_open(allotment)
-        self._closed_by_holder = {a.id: a for a in state.closed_by_holder}
-        self._closed_by_other = {a.id: a for a in state.closed_by_other}
-        self._provisional = {p.id: p for p in state.provisional}
+        self._closed_by_holder.update(
+            (a.id, a) for a in state.closed_by_holder
+        )
+        self._closed_by_other.update((a.id, a) for a in state.closed_by_other)
+        self._provisional.update((p.id, p) for p in state.provisional)
 
     # Internals
 
--- a/src/basilpond/core/_claims.py
+++ b/src/basilpond/core/_claims.py
@@ -166,10 +166,10 @@
             accepted,
         )
 
-    def to_rows(self) -> list[KeyedIdRow]:
-        """Return the ids for a snapshot, oldest change first."""
-        return [
-            KeyedIdRow(
+    def to_rows(self) -> Iterator[KeyedIdRow]:
+        """Yield the ids for a snapshot, oldest change first."""
+        for key, keyed in self._ids.items():
+            yield KeyedIdRow(
                 key,
                 keyed.time_ms,
                 keyed.holder,
@@ -177,21 +177,17 @@
                 keyed.state,
                 msgspec.Raw(keyed.bill) if keyed.bill else _NO_BILL,
             )
-            for key, keyed in self._ids.items()
-        ]
 
     def load_rows(self, rows: list[KeyedIdRow]) -> None:
-        """Restore the ids of a snapshot."""
-        self._ids = {
-            row.key: _KeyedId(
+        """Add ids of a snapshot, oldest change first."""
+        for row in rows:
+            self._ids[row.key] = _KeyedId(
                 row.time_ms,
                 sys.intern(row.holder),
                 row.body_digest,
                 sys.intern(row.state),
                 b'' if bytes(row.bill) == b'null' else bytes(row.bill),
             )
-            for row in rows
-        }
 
     def _touch(self, key: str, time_ms: int) -> _KeyedId:
         keyed = self._ids.pop(key, None) or _KeyedId(time_ms)
--- a/src/basilpond/core/_ledger.py
+++ b/src/basilpond/core/_ledger.py
@@ -7,8 +7,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Iterator
+import itertools
 import sys
+from typing import Any
+from typing import TypeVar
 
 import msgspec
 
@@ -32,6 +36,8 @@
 from ._records import Return
 from ._records import Transfer
 
+T = TypeVar('T')
+
 HOUR_MS = 3_600_000
 
 # Keys are accepted until `deduplication_window_ms` after their issue time,
@@ -50,19 +56,23 @@
     time_ms: int
 
 
-class _LedgerState(msgspec.Struct):
-    """Snapshot of a ledger."""
+# Encoding or decoding a chunk of this many rows takes 1 to 2 ms.
+CHUNK_ROWS = 256
+
+
+class _Chunk(msgspec.Struct, omit_defaults=True):
+    """Part of a ledger's snapshot; the numbers are in each part."""
 
     offset: int
     time_ms: int
-    writers: list[_Writer]
-    allotments: AllotmentsState
-    keyed_ids: list[KeyedIdRow]
+    writers: list[_Writer] = []
+    allotments: AllotmentsState | None = None
+    keyed_ids: list[KeyedIdRow] = []
 
 
 # Sets and mappings are sorted, so equal ledgers have equal snapshots.
 _state_encoder = msgspec.json.Encoder(order='deterministic')
-_state_decoder = msgspec.json.Decoder(_LedgerState)
+_state_decoder = msgspec.json.Decoder(_Chunk)
 
 
 class Ledger:
@@ -241,16 +251,41 @@
     # Snapshots
 
     def to_snapshot(self) -> bytes:
-        """Return the complete state as JSON; equal states, equal bytes."""
-        return _state_encoder.encode(
-            _LedgerState(
-                self.offset,
-                self.time_ms,
-                list(self._writers.values()),
-                self._allotments.to_state(),
-                self._keyed_ids.to_rows(),
-            )
-        )
+        """Return the complete state; equal states, equal bytes."""
+        return b''.join(self.snapshot_chunks())
+
+    def snapshot_chunks(self) -> Iterator[bytes]:
+        """Yield the state in short steps, as lines of JSON.
+
+        No entry may be applied until the last chunk was taken.
+        """
+        yield self._encode_chunk()
+        for writers in _slices(self._writers.values()):
+            yield self._encode_chunk(writers=writers)
+        for state in self._allotments.to_states(CHUNK_ROWS):
+            yield self._encode_chunk(allotments=state)
+        for rows in _slices(self._keyed_ids.to_rows()):
+            yield self._encode_chunk(keyed_ids=rows)
+
+    def _encode_chunk(self, **fields: Any) -> bytes:
+        chunk = _Chunk(self.offset, self.time_ms, **fields)
+        return _state_encoder.encode(chunk) + b'\n'
+
+    def load_chunk(self, chunk: bytes) -> None:
+        """Add one chunk of a snapshot to a new ledger; in their order.
+
+        Raises
+        ------
+        msgspec.MsgspecError
+            If the data is not a chunk.
+        """
+        state = _state_decoder.decode(chunk)
+        self.offset = state.offset
+        self.time_ms = state.time_ms
+        self._writers.update((w.id, w) for w in state.writers)
+        if state.allotments is not None:
+            self._allotments.load_state(state.allotments)
+        self._keyed_ids.load_rows(state.keyed_ids)
 
     @classmethod
     def from_snapshot(
@@ -263,11 +298,13 @@
         msgspec.MsgspecError
             If the data is not a snapshot.
         """
-        state = _state_decoder.decode(data)
         ledger = cls(deduplication_window_ms=deduplication_window_ms)
-        ledger.offset = state.offset
-        ledger.time_ms = state.time_ms
-        ledger._writers = {w.id: w for w in state.writers}
-        ledger._allotments.load_state(state.allotments)
-        ledger._keyed_ids.load_rows(state.keyed_ids)
+        for chunk in data.splitlines():
+            ledger.load_chunk(chunk)
         return ledger
+
+
+def _slices(rows: Iterable[T]) -> Iterator[list[T]]:
+    iterator = iter(rows)
+    while part := list(itertools.islice(iterator, CHUNK_ROWS)):
+        yield part
--- a/src/basilpond/tasks/_config_task.py
+++ b/src/basilpond/tasks/_config_task.py
@@ -193,7 +193,7 @@
         self._take_over_fold()
         return 1
 
-    def end_page(self) -> None:
+    async def end_page(self) -> None:
         """Append a snapshot when it is due and this router's turn."""
         if (
             self._reader.caught_up
--- a/src/basilpond/tasks/_ledger_task.py
+++ b/src/basilpond/tasks/_ledger_task.py
@@ -6,6 +6,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Collection
+import zlib
 
 from absl import logging
 import msgspec
@@ -28,7 +29,9 @@
 from ._ledger_waiters import Waiters
 from ._snapshot_parts import SnapshotParts
 from ._snapshot_parts import is_last_part
+from ._snapshot_parts import pack_snapshot
 from ._snapshot_parts import split_snapshot
+from ._snapshot_parts import unpack_snapshot
 from ._snapshot_schedule import SnapshotSchedule
 from ._stream_reader import StreamReader
 from ._stream_reader import read_backwards
@@ -206,9 +209,9 @@
             Also when the log holds none of them; another router may append a
             snapshot later.
         """
-        state = await self._find_snapshot(bounds, next_offset)
-        if state is not None:
-            return self._load_snapshot(state)
+        ledger = await self._find_snapshot(bounds, next_offset)
+        if ledger is not None:
+            return self._resume_from(ledger)
         if bounds.earliest_offset > next_offset:
             raise LogUnavailableError(
                 f'entries before {bounds.earliest_offset} are gone and no '
@@ -218,7 +221,7 @@
 
     async def _find_snapshot(
         self, bounds: LogPage, next_offset: int
-    ) -> bytes | None:
+    ) -> Ledger | None:
         """Return the newest usable snapshot that is newer than the state."""
         parts = SnapshotParts()
         async for entry in read_backwards(
@@ -229,20 +232,29 @@
                     bounds.earliest_offset - 1, next_offset
                 ):
                     continue
-                state = parts.add(writer, record)
-                if state is not None:
-                    return state
+                packed = parts.add(writer, record)
+                if packed is None:
+                    continue
+                ledger = await self._decode_snapshot(packed)
+                if ledger is not None:
+                    return ledger
         return None
 
-    def _load_snapshot(self, state: bytes) -> int:
+    async def _decode_snapshot(self, packed: bytes) -> Ledger | None:
+        ledger = Ledger(deduplication_window_ms=self.deduplication_window_ms)
         try:
-            ledger = Ledger.from_snapshot(
-                state, deduplication_window_ms=self.deduplication_window_ms
-            )
+            async for chunk in unpack_snapshot(packed):
+                ledger.load_chunk(chunk)
+        except zlib.error as error:
+            logging.error('snapshot cannot be decompressed: %s', error)
+            return None
         except msgspec.MsgspecError as error:
             raise LogUnavailableError(
                 f'snapshot cannot be decoded: {error}'
             ) from error
+        return ledger
+
+    def _resume_from(self, ledger: Ledger) -> int:
         before, self.ledger = self.ledger, ledger
         self._schedule.start_from(ledger.time_ms, self._now_s())
         logging.info('resumed from a snapshot at offset %d', ledger.offset)
@@ -276,7 +288,7 @@
             self._notice_own_batch(batch.seq)
         return len(batch.records)
 
-    def end_page(self) -> None:
+    async def end_page(self) -> None:
         """Append a snapshot when it is due and this router's turn."""
         if (
             not self._reader.caught_up
@@ -288,10 +300,12 @@
             return
         self._snapshot_pending = True
         offset = self._reader.next_offset - 1
-        state = self.ledger.to_snapshot()
-        self._snapshot_queue.extend(
-            encode(record) for record in split_snapshot(offset, state)
-        )
+        # The reader waits for this method, so no entry changes the state
+        # between two chunks.
+        packed = await pack_snapshot(self.ledger.snapshot_chunks())
+        for record in split_snapshot(offset, packed):
+            self._snapshot_queue.append(encode(record))
+            await asyncio.sleep(0)
         self._queued.set()
         logging.info(
             'appending a snapshot at offset %d in %d parts',
--- a/src/basilpond/tasks/_snapshot_parts.py
+++ b/src/basilpond/tasks/_snapshot_parts.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
 from collections.abc import Iterator
 import zlib
 
@@ -17,6 +20,9 @@
 # batch.
 PART_BYTES = 180 * 1024
 
+# Compressed or decompressed in one step, which takes 1 to 2 ms.
+STEP_BYTES = 64 * 1024
+
 
 class _PartNumber(msgspec.Struct, frozen=True):
     part: int
@@ -27,11 +33,43 @@
     data: bytes
 
 
-def split_snapshot(offset: int, state: bytes) -> Iterator[LedgerSnapshot]:
-    """Return the records of a snapshot in order."""
+async def pack_snapshot(chunks: Iterable[bytes]) -> bytes:
+    """Compress a snapshot and leave the event loop to others in between."""
     # Level 1: the state is JSON with few distinct field names, and a higher
     # level takes several times as long for a few percent.
-    packed = zlib.compress(state, 1)
+    compressor = zlib.compressobj(1)
+    packed = bytearray()
+    for chunk in chunks:
+        for start in range(0, len(chunk), STEP_BYTES):
+            packed += compressor.compress(chunk[start : start + STEP_BYTES])
+            await asyncio.sleep(0)
+    packed += compressor.flush()
+    return bytes(packed)
+
+
+async def unpack_snapshot(packed: bytes) -> AsyncIterator[bytes]:
+    """Yield the chunks of a packed snapshot.
+
+    Raises
+    ------
+    zlib.error
+    """
+    decompressor = zlib.decompressobj()
+    rest = b''
+    while not decompressor.eof:
+        data = decompressor.decompress(packed, STEP_BYTES)
+        packed = decompressor.unconsumed_tail
+        if not (data or packed or decompressor.eof):
+            raise zlib.error('snapshot ends early')
+        *chunks, rest = (rest + data).split(b'\n')
+        await asyncio.sleep(0)
+        for chunk in chunks:
+            yield chunk
+            await asyncio.sleep(0)
+
+
+def split_snapshot(offset: int, packed: bytes) -> Iterator[LedgerSnapshot]:
+    """Return the records of a snapshot in order."""
     parts = -(-len(packed) // PART_BYTES)
     for i in range(parts):
         data = packed[i * PART_BYTES : (i + 1) * PART_BYTES]
@@ -55,7 +93,7 @@
         self._parts: dict[tuple[str, int], dict[int, bytes]] = {}
 
     def add(self, writer: str, record: LedgerSnapshot) -> bytes | None:
-        """Add a part; return the state when it was the last missing one.
+        """Add a part; return the packed state after the last missing one.
 
         Returns
         -------
@@ -69,6 +107,6 @@
             if len(found) < part.parts:
                 return None
             del self._parts[writer, record.offset]
-            return zlib.decompress(b''.join(found[i] for i in sorted(found)))
-        except (msgspec.MsgspecError, zlib.error):
+            return b''.join(found[i] for i in sorted(found))
+        except msgspec.MsgspecError:
             return None
--- a/src/basilpond/tasks/_stream_reader.py
+++ b/src/basilpond/tasks/_stream_reader.py
@@ -45,8 +45,11 @@
         """Fold an entry and return the number of its records."""
         ...
 
-    def end_page(self) -> None:
-        """Act after a read that may have returned nothing."""
+    async def end_page(self) -> None:
+        """Act after a read that may have returned nothing.
+
+        The next entry is folded after this has returned.
+        """
         ...
 
 
@@ -123,7 +126,7 @@
             await self._fold_page(page)
             self.caught_up = self.next_offset >= page.next_offset
             self.synced = self.synced or self.caught_up
-            self.fold.end_page()
+            await self.fold.end_page()
 
     async def _read_page(self) -> LogPage:
         if not self._positioned:
--- a/src/basilpond/tasks/tests/test_ledger_task.py
+++ b/src/basilpond/tasks/tests/test_ledger_task.py
@@ -15,6 +15,7 @@
 from basilpond.core._records import Return
 from basilpond.core._records import decode_batch
 from basilpond.tasks import _ledger_task
+from basilpond.tasks import _snapshot_parts
 from basilpond.tasks._ledger_task import LedgerTask
 from basilpond_testkit.fake_log import FakeLog
 from basilpond_testkit.paused_clock import on_paused_clock
@@ -351,6 +352,37 @@
             assert starter.ledger.to_snapshot() == task.ledger.to_snapshot()
 
 
+@on_paused_clock
+async def test_snapshot_leaves_turns_to_other_tasks():
+    """Guards against streams that stop while a snapshot is built or loaded."""
+    log = FakeLog()
+    rows, turns = 10_000, 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    async with running(log, 'r1~1', snapshot_every_records=10**6) as (task,):
+        await set_budget(task)
+        for i in range(rows):
+            task.submit(Claim('o', f'k{i}', 'd', 'r1~1'))
+        assert await task.flush(60)
+        counter = asyncio.ensure_future(count_turns())
+        packed = await _snapshot_parts.pack_snapshot(
+            task.ledger.snapshot_chunks()
+        )
+        assert turns >= rows / 500
+        turns = 0
+        ledger = await task._decode_snapshot(packed)
+        assert turns >= rows / 500
+        counter.cancel()
+        assert ledger.to_snapshot() == task.ledger.to_snapshot()
+        for broken in (packed[:-20], b'x' + packed):
+            assert await task._decode_snapshot(broken) is None
+
+
 def test_snapshot_of_an_empty_ledger():
     """Guards against a snapshot that an empty ledger cannot give."""
     empty = Ledger().to_snapshot()
