Bound the memory of sealed and ended allotments

Ruled out: forgetting by age. A holder that was paused for longer than the deduplication window would have a copy for a closed allotment acknowledged, and the bill behind it lost.

Change: the newest 4,096 ids are kept one by one; of older ones the highest number per router incarnation, up to which every id counts as ended. Treating an open allotment as ended costs its use at this router but no tokens.

--- a/src/basilpond/core/_accounts.py
+++ b/src/basilpond/core/_accounts.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from ._ended_ids import EndedIds
 from ._records import AllotmentEntry
 from ._records import Bill
 from ._records import Close
@@ -23,6 +24,11 @@
 from ._records import Return
 from ._records import Transfer
 
+# Below 1 MB. A grant or transfer arrives within the time of a few appends or
+# calls, in which far fewer allotments end, so an id that counts as ended by
+# its number has ended indeed.
+MAX_ENDED_IDS = 4096
+
 
 class AllotmentState(enum.Enum):
     """What an allotment may still be used for.
@@ -112,9 +118,8 @@
         self.holder = holder
         self._allotments: dict[str, Allotment] = {}
         self._by_organisation: dict[str, dict[str, Allotment]] = {}
-        # Ids of ended allotments, kept so that a transfer that is received
-        # again has no effect; some 100 bytes each.
-        self._ended: set[str] = set()
+        # So that a transfer that is received again has no effect.
+        self._ended = EndedIds(MAX_ENDED_IDS)
         self._numbers = itertools.count(1)
 
     def new_allotment_id(self) -> str:
--- a/src/basilpond/core/_journal.py
+++ b/src/basilpond/core/_journal.py
@@ -2,7 +2,7 @@
 
 The copies of an allotment are dropped only when this router's own fold has
 decided on them or has closed the allotment. A sealed allotment takes no more
-copies, for as long as the process lives.
+copies; see `EndedIds` for the bound on what is remembered.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ._ended_ids import EndedIds
 from ._records import AllotmentEntry
 from ._records import Bill
 from ._records import Grant
@@ -24,6 +25,10 @@
 # sys.getsizeof on CPython 3.11, rounded up.
 COPY_OVERHEAD_BYTES = 200
 
+# Below 1 MB. An older allotment that is rejected for its number commits
+# through the log alone, and its holder stops using it.
+MAX_SEALED_IDS = 4096
+
 _decoder = msgspec.json.Decoder(Grant | Bill | Transfer | Return)
 _entry_decoder = msgspec.json.Decoder(AllotmentEntry)
 
@@ -74,7 +79,7 @@
         self.max_bytes = max_bytes
         self.used_bytes = 0
         self._copies: dict[str, _Copies] = {}
-        self._sealed: set[str] = set()
+        self._sealed = EndedIds(MAX_SEALED_IDS)
 
     def append(
         self,
--- a/src/basilpond/core/tests/test_accounts.py
+++ b/src/basilpond/core/tests/test_accounts.py
@@ -253,3 +253,22 @@
         )
         == want
     )
+
+
+def test_ended_allotments_are_bounded_and_never_forgotten():
+    """Guards against memory that grows with every allotment, and against a
+    transfer that gives its tokens again.
+    """
+    accounts = _accounts.Accounts('h~1')
+    number = _accounts.MAX_ENDED_IDS + 500
+
+    def add(i):
+        transfer = _records.Transfer('a', i, 'o', 9, f'd~1/{i}', 'h~1')
+        return accounts.add(transfer.new_allotment, 9, transfer)
+
+    for i in range(1, number + 1):
+        assert add(i)
+        accounts.close(f'd~1/{i}')
+    assert len(accounts._ended) <= _accounts.MAX_ENDED_IDS + 1
+    assert not add(1) and not add(number)
+    assert add(number + 1)
--- a/src/basilpond/core/tests/test_journal.py
+++ b/src/basilpond/core/tests/test_journal.py
@@ -118,6 +118,21 @@
     assert journal.entries('d/1') == []
 
 
+def test_seals_are_bounded_and_never_forgotten():
+    """Guards against memory that grows with every lost router, and against a
+    copy for a closed allotment that is acknowledged.
+    """
+    journal = _journal.Journal('p~1', max_bytes=MAX_BYTES)
+    number = _journal.MAX_SEALED_IDS + 500
+    for i in range(1, number + 1):
+        journal.seal(f'h/{i}')
+    assert len(journal._sealed) <= _journal.MAX_SEALED_IDS + 1
+    for name in ('h/1', f'h/{number}'):
+        assert append(journal, grant(name), bill(1, name)) == [name]
+    for name in (f'h/{number + 1}', 'other/1'):
+        assert append(journal, grant(name), bill(1, name)) == []
+
+
 def test_donors_transfer_is_a_copy():
     """Guards against a donor's transfer that is mistaken for a grant."""
     journal = make_journal()
