Write a frame to the caller with two calls less

Whether the caller is gone is read from the protocol's transport attribute; asking the transport whether it is closing took a call and a property per frame.

--- a/src/basilpond/tasks/_answers.py
+++ b/src/basilpond/tasks/_answers.py
@@ -123,14 +123,16 @@
 
     def write_now(self, data: bytes) -> bool:
         """Send part of the body without waiting."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        protocol = self._protocol
+        # A lost connection has no transport. Asking the transport whether it
+        # is closing would take two more calls a frame.
+        if protocol.transport is None:
             raise ConnectionResetError('the caller closed its connection')
         if self._chunked:
             # The framing of aiohttp's writer without its coroutine.
             data = b'%x\r\n%b\r\n' % (len(data), data)
-        transport.write(data)
-        return not self._protocol.writing_paused
+        self._transport.write(data)
+        return not protocol.writing_paused
 
     async def drain(self) -> None:
         """Wait until the transport's buffer is below its limit."""
