Resolve a chosen endpoint by the manifest in force

Cause: a call keeps the manifest that was in force when it arrived, but the endpoint is chosen by the newest. When a publish replaced the endpoints during an upload or a wait in the queue, the chosen one was unknown to the call: it ended with 500 and outcome unknown although nothing had run. A moved endpoint would have been called at its old address.

Change: attempts take the endpoint from the routing table, and choose again when it is gone. The unused lookup of the manifest index is removed.

--- a/src/basilpond/core/_manifest_index.py
+++ b/src/basilpond/core/_manifest_index.py
@@ -66,10 +66,6 @@
         """Return a model by id."""
         return self._models.get(model)
 
-    def endpoint(self, endpoint: str) -> Endpoint | None:
-        """Return an endpoint by id."""
-        return self._endpoints.get(endpoint)
-
     def service(self, service: str) -> Service | None:
         """Return an application service by id."""
         return self._services.get(service)
--- a/src/basilpond/core/_routing.py
+++ b/src/basilpond/core/_routing.py
@@ -211,6 +211,11 @@
         state = self._states.get(endpoint)
         return state is not None and state.is_leaving(now_s)
 
+    def endpoint(self, endpoint: str) -> Endpoint | None:
+        """Return an endpoint of the manifest in force."""
+        state = self._states.get(endpoint)
+        return None if state is None else state.endpoint
+
     def in_flight(self, endpoint: str) -> int:
         """Return this router's running attempts at the endpoint."""
         state = self._states.get(endpoint)
--- a/src/basilpond/tasks/_attempts.py
+++ b/src/basilpond/tasks/_attempts.py
@@ -104,8 +104,12 @@
         return self.idempotent and result.retriable
 
     async def _one(self, query: RouteQuery, attempt: AttemptRunner) -> Attempt:
-        endpoint_id = await self._place(query)
-        endpoint = self.call.index.endpoint(endpoint_id)
+        endpoint = None
+        while endpoint is None:
+            endpoint_id = await self._place(query)
+            # The choice was made by the manifest in force, which may be newer
+            # than the one that decides on the call.
+            endpoint = self.dispatcher.table.endpoint(endpoint_id)
         self.result = result = Attempt(AttemptKind.FAILED, endpoint_id)
         self.log.note(self.call.request_id, 'attempt', endpoint_id)
         try:
