--- a/src/basilpond/tasks/tests/test_callers_api.py
+++ b/src/basilpond/tasks/tests/test_callers_api.py
@@ -13,6 +13,7 @@
 from basilpond.tasks.tests.small_system import chat
 from basilpond.tasks.tests.small_system import running_system
 from basilpond.tasks.tests.small_system import uuid7
+from basilpond.tasks.tests.small_system import wait_until
 
 CHAT = '/v1/chat/completions'
 LIMITS = {'body_bytes': 20_000, 'upload_timeout_ms': 200}
@@ -24,12 +25,6 @@
         yield system
 
 
-async def wait_until(condition):
-    async with asyncio.timeout(5):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
-
-
 def check_refusal(answer, status, code, outcome='not-run'):
     got, headers, body = answer
     error = json.loads(body)['error']
@@ -327,3 +322,24 @@
         answer = await system.call('POST', CHAT, router=1, **other)
         check_refusal(answer, 422, 3001)
         assert system.spent_tokens() == spent > 0
+
+
+async def test_manifest_that_moves_an_endpoint_during_an_upload(system):
+    """Guards against a 500, and a lost place, for an endpoint it is new to."""
+    router = system.routers[0]
+    body = json.dumps(chat()).encode()
+    reader, writer = await asyncio.open_connection(
+        HOST, router.settings.router.caller_port
+    )
+    writer.write(upload_head(len(body)) + body[:5])
+    await wait_until(lambda: router.gateway.open_requests == 1)
+    manifest = system.manifest()
+    manifest['endpoints'][0]['id'] = 'engine-3'
+    manifest['organisations'][0]['endpoints'][0] = 'engine-3'
+    await system.publish(manifest)
+    await wait_until(lambda: router.config_task.version == 2)
+    writer.write(body[5:])
+    answer = await reader.read(-1)
+    writer.close()
+    assert answer.startswith(b'HTTP/1.1 200 '), answer
+    assert router.table.in_flight('engine-3') == 0
