--- a/src/basilpond/core/_config_fold.py
+++ b/src/basilpond/core/_config_fold.py
@@ -1,8 +1,8 @@
 """Fold of the ``config`` stream: which manifest is in force.
 
-A publish is accepted when it replaces the current version and its document
-passes the check. The new version is the entry's offset + 1, so versions rise
-without a counter of their own.
+A publish is accepted when it replaces the current version, its document
+passes the check, and no budget is lowered. The new version is the entry's
+offset + 1, so versions rise without a counter of their own.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from ._codes import ResultCode
 from ._interfaces import LogEntry
 from ._manifest import Manifest
+from ._manifest import check_successor
 from ._manifest import decode_manifest
 from ._records import ManifestPublish
 from ._records import ManifestSnapshot
@@ -117,6 +118,8 @@
             return PublishDecided(publish_id, self.version, False, str(stale))
         try:
             manifest = decode_manifest(document)
+            if self.manifest is not None:
+                check_successor(self.manifest, manifest)
         except BasilpondError as error:
             return PublishDecided(publish_id, self.version, False, str(error))
         self._set(new_version, manifest, document, publish_id)
--- a/src/basilpond/core/_manifest.py
+++ b/src/basilpond/core/_manifest.py
@@ -247,6 +247,28 @@
     return sum(top_up.tokens for top_up in organisation.top_ups)
 
 
+def check_successor(old: Manifest, new: Manifest) -> None:
+    """Check that a manifest lowers no budget of the one that it replaces.
+
+    Routers may have spent a budget to its end, and spend can't be undone.
+
+    Raises
+    ------
+    InvalidFieldError
+    """
+    before = {item.id: budget_tokens(item) for item in old.organisations}
+    for index, organisation in enumerate(new.organisations):
+        tokens = budget_tokens(organisation)
+        paid_tokens = before.get(organisation.id, 0)
+        if tokens < paid_tokens:
+            raise _invalid(
+                f'organisations[{index}].top_ups',
+                tokens,
+                f'a sum of at least {paid_tokens} tokens, which is paid '
+                f'already',
+            )
+
+
 class Change(msgspec.Struct, frozen=True):
     """One difference between two manifests; `None` stands for absent."""
 
--- a/src/basilpond/core/tests/test_config_fold.py
+++ b/src/basilpond/core/tests/test_config_fold.py
@@ -67,3 +67,14 @@
     assert (started.version, started.document) == (10, document(1))
     broken = ManifestSnapshot(50, msgspec.Raw(b'{}'))
     assert not started.load_snapshot(broken)
+
+
+def test_lowered_budget_is_rejected():
+    """Guards against spend above a payment that is taken back."""
+    fold = ConfigFold()
+    fold.apply(publish(0, 'a', 0, document(10)))
+    result = fold.apply(publish(1, 'b', 1, document(9)))
+    assert not result.accepted
+    assert 'top_ups: value 9; allowed: a sum of at least 10' in result.reason
+    assert fold.version == 1
+    assert fold.apply(publish(2, 'c', 1, document(11))).accepted
--- a/src/basilpond_testkit/audit.py
+++ b/src/basilpond_testkit/audit.py
@@ -261,12 +261,23 @@
             manifest = decode_manifest(bytes(record.document))
         except BasilpondError:
             continue
+        if accepted and _lowers_a_budget(accepted[-1].manifest, manifest):
+            continue
         accepted.append(
             ManifestVersion(entry.offset + 1, entry.time_ms, manifest)
         )
     return accepted
 
 
+def _lowers_a_budget(old: Manifest, new: Manifest) -> bool:
+    """Return whether a payment of the old manifest is missing."""
+    paid = _budgets(old)
+    return any(
+        tokens < paid.get(organisation, 0)
+        for organisation, tokens in _budgets(new).items()
+    )
+
+
 def _budgets(manifest: Manifest) -> dict[str, int]:
     return {
         organisation.id: sum(top_up.tokens for top_up in organisation.top_ups)
