Give the routers of the budget benchmark their stock before a cut

Cause: the benchmark cut a data centre off before any request and without a manifest, so its routers had no allotment at all. A fleet that has its manifest keeps a standing allotment on each router.

Ruled out: the size of the stock.

Change: the routers get the manifest at the start.

--- a/src/basilpond_testkit/bench_budget.py
+++ b/src/basilpond_testkit/bench_budget.py
@@ -19,6 +19,7 @@
 from absl import logging
 
 from basilpond.core import _codes
+from basilpond.core import _manifest
 from basilpond.tasks.tests import budget_world
 
 from . import paused_clock
@@ -104,6 +105,20 @@
         budget_tokens=_BUDGET_TOKENS,
         settings={'initial_bound_tokens': _BOUND_TOKENS},
     ) as (world, *routers):
+        # As after the manifest: each router keeps stock before any request.
+        manifest = _manifest.Manifest(
+            organisations=[
+                _manifest.Organisation(
+                    id=budget_world.ORGANISATION,
+                    key_sha256=['0' * 64],
+                    top_ups=[_manifest.TopUp('t1', _BUDGET_TOKENS)],
+                    endpoints=[],
+                )
+            ],
+            endpoints=[],
+        )
+        for router in routers:
+            router.budget.set_budgets(manifest, 2)
         await asyncio.sleep(2)
         start_s = loop.time()
         if cut:
