--- a/src/basilpond/tasks/_body_reader.py
+++ b/src/basilpond/tasks/_body_reader.py
@@ -38,6 +38,7 @@
     ) -> None:
         self._content = response.content
         self._take = take
+        self._at_end = False
         self._ended = False
         self._error: Exception | None = None
         self._paused = False
@@ -50,6 +51,12 @@
             self._transport = connection.transport
             self._inner = connection.protocol
             self._transport.set_protocol(self)
+        # A callback, because asking for the end after each read costs a call
+        # per frame. It runs at once when the body has ended already.
+        response.content.on_eof(self._note_end)
+
+    def _note_end(self) -> None:
+        self._at_end = True
 
     async def read(self) -> bool:
         """Read until the body ends or `take` asks for a pause.
@@ -116,23 +123,23 @@
         self._inner.resume_writing()
 
     def _deliver(self) -> None:
-        content = self._content
         more = True
         try:
-            data = content.read_nowait()
+            data = self._content.read_nowait()
             if data:
                 more = self._take(data)
         except Exception as error:
             self._error = error
             self.close()
-        if content.is_eof():
+        if more and not self._at_end and not self._ended:
+            return
+        if self._at_end:
             # The connection is in the pool now, so the next request must not
             # find this protocol on it.
             self.close()
-        elif not more and not self._ended:
+        elif not self._ended:
             self._paused = True
             if self._transport is not None:
                 self._transport.pause_reading()
-        waiting = self._wake is not None and not self._wake.done()
-        if waiting and (self._ended or self._paused):
+        if self._wake is not None and not self._wake.done():
             self._wake.set_result(None)
