--- a/src/basilpond_testkit/_capacity_core.py
+++ b/src/basilpond_testkit/_capacity_core.py
@@ -374,7 +374,7 @@
     if quiet:
         for member in network.members.values():
             # Waiting until each update was sent often enough takes minutes.
-            member._queue.clear()
+            member._table.queue.clear()
     network.run(0.5)
     network.sent = network.sent_bytes = network.spent_ns = 0
     seconds = 1
--- a/src/basilpond_testkit/tests/test_client.py
+++ b/src/basilpond_testkit/tests/test_client.py
@@ -167,6 +167,6 @@
     async with aiohttp.ClientSession() as session:
         fleet = _fleet.Fleet(tmp_path, session)
         fleet._spawn_stand_in('log', 'log', {'log': {'appends_per_s': 0}})
-        with pytest.raises(_fleet.StartError, match='appends_per_s: 0'):
+        with pytest.raises(_fleet.StartError, match='appends_per_s: value 0'):
             await fleet._wait_for([fleet.log_url])
         await fleet.stop()
