--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m basilpond_testkit.bench
+
+capacity: $(STAMP)
+	$(BIN)/python -m basilpond_testkit.capacity
--- a/src/basilpond_testkit/_capacity_router.py
+++ b/src/basilpond_testkit/_capacity_router.py
@@ -141,6 +141,8 @@
         before_s = processor_s(self.router.pid)
         time.sleep(_MEASURE_S)
         spent_s = processor_s(self.router.pid) - before_s
+        if any(child.poll() is not None for child in self.children):
+            raise _fleet.StartError('a process ended while it was measured')
         return 1000 * spent_s / (time.monotonic() - start_s)
 
     def memory_kb(self) -> float:
--- a/src/basilpond_testkit/_capacity_stand_ins.py
+++ b/src/basilpond_testkit/_capacity_stand_ins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import sys
 
 from aiohttp import web
@@ -16,6 +17,19 @@
 from . import _fleet
 
 
+def _udp_ports(count: int) -> list[int]:
+    """Return ports that are free for UDP; a free TCP port may not be."""
+    sockets = [
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)
+    ]
+    for udp in sockets:
+        udp.bind((_fleet.HOST, 0))
+    ports = [udp.getsockname()[1] for udp in sockets]
+    for udp in sockets:
+        udp.close()
+    return ports
+
+
 async def _load(request: web.Request) -> web.Response:
     return web.json_response(
         {
@@ -54,7 +68,7 @@
             operator_port=1,
             seeds=[(host, int(port))],
         )
-        for number, udp_port in enumerate(_fleet.free_ports(members))
+        for number, udp_port in enumerate(_udp_ports(members))
     ]
     async with asyncio.TaskGroup() as group:
         group.create_task(asyncio.Event().wait())
