--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,11 @@
 
 bench: $(STAMP)
 	$(BIN)/python -m basilpond_testkit.bench
+	$(BIN)/python -m basilpond_testkit.bench_routing
+	$(BIN)/python -m basilpond_testkit.bench_budget
 
 matrix: $(STAMP)
 	$(BIN)/python -m basilpond_testkit.matrix
+
+capacity: $(STAMP)
+	$(BIN)/python -m basilpond_testkit.capacity
--- a/src/basilpond/core/_ended_ids.py
+++ b/src/basilpond/core/_ended_ids.py
@@ -35,7 +35,7 @@
         if allotment in self._ids:
             return True
         router, number = _split(allotment)
-        return number <= self._floors.get(router, 0)
+        return number <= self._floors.get(router, -1)
 
     def add(self, allotment: str) -> None:
         """Note that an allotment has ended."""
@@ -44,7 +44,7 @@
             oldest = next(iter(self._ids))
             del self._ids[oldest]
             router, number = _split(oldest)
-            self._floors[router] = max(number, self._floors.get(router, 0))
+            self._floors[router] = max(number, self._floors.get(router, -1))
 
 
 def _split(allotment: str) -> tuple[str, float]:
