--- a/src/basilpond_testkit/matrix/_endpoints.py
+++ b/src/basilpond_testkit/matrix/_endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 from typing import Any
@@ -207,7 +208,7 @@
         self._watched = watched
         self._ready = b''
         self._error: Exception | None = None
-        self._eof = False
+        self._on_eof: Callable[[], None] = lambda: None
 
     async def readany(self) -> bytes:
         """Return the next chunk, empty at the end."""
@@ -237,7 +238,8 @@
             self._ready = await self.readany()
         except Exception as error:
             self._error = error
-        self._eof = self._error is None and not self._ready
+        if self._error is None and not self._ready:
+            self._on_eof()
 
     def read_nowait(self) -> bytes:
         """Return what has arrived."""
@@ -246,9 +248,9 @@
         ready, self._ready = self._ready, b''
         return ready
 
-    def is_eof(self) -> bool:
-        """Return whether the body has ended."""
-        return self._eof
+    def on_eof(self, callback: Callable[[], None]) -> None:
+        """Call back when the body has ended."""
+        self._on_eof = callback
 
     async def iter_any(self) -> Iterator[bytes]:
         """Yield the chunks."""
