--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -1,5 +1,10 @@
 """Decisions of the router, without I/O, sockets, files, timers or clocks."""
 
+from ._accounts import Accounts
+from ._accounts import Allotment
+from ._accounts import BillDraft
+from ._accounts import Demand
+from ._accounts import Hold
 from ._attempt import Attempt
 from ._attempt import AttemptKind
 from ._chat_request import ChatRequest
@@ -25,7 +30,19 @@
 from ._interfaces import Log
 from ._interfaces import LogEntry
 from ._interfaces import LogPage
+from ._journal import Journal
+from ._journal import JournalFullError
+from ._journal import JournalMessageError
+from ._ledger import HOUR_MS
 from ._ledger import Ledger
+from ._ledger_results import AllotmentClosed
+from ._ledger_results import BudgetApplied
+from ._ledger_results import ClaimAbandoned
+from ._ledger_results import ClaimDecided
+from ._ledger_results import CloseRejected
+from ._ledger_results import EntryApplied
+from ._ledger_results import GrantDecided
+from ._ledger_results import Result
 from ._manifest import Endpoint
 from ._manifest import Manifest
 from ._manifest import Model
@@ -52,18 +69,30 @@
 from ._pricing import chat_bound
 from ._pricing import prompt_bound_tokens
 from ._pricing import response_cost
+from ._records import AllotmentEntry
 from ._records import Batch
 from ._records import Bill
+from ._records import BudgetSet
+from ._records import Claim
+from ._records import ClaimAbandon
 from ._records import Close
+from ._records import Grant
+from ._records import LedgerRecord
 from ._records import LedgerSnapshot
 from ._records import ManifestPublish
+from ._records import ManifestSnapshot
+from ._records import Return
+from ._records import Transfer
 from ._records import decode_batch
+from ._records import decode_config
 from ._records import encode
 from ._request_queue import RequestQueue
 from ._request_queue import Waiting
 from ._retry_budget import RetryBudget
 from ._routing import AttemptVerdict
 from ._routing import EndpointTable
+from ._routing import LeavingSource
+from ._routing import Load
 from ._routing import RouteQuery
 from ._terminal import build_terminal
 from ._terminal import failure_terminal
@@ -72,26 +101,50 @@
 from ._validation import convert_fields
 
 __all__ = [
+    'Accounts',
+    'Allotment',
+    'AllotmentClosed',
+    'AllotmentEntry',
     'Attempt',
     'AttemptKind',
     'AttemptVerdict',
     'BasilpondError',
     'Batch',
     'Bill',
+    'BillDraft',
+    'BudgetApplied',
+    'BudgetSet',
     'ChatBound',
     'ChatRequest',
+    'Claim',
+    'ClaimAbandon',
+    'ClaimAbandoned',
+    'ClaimDecided',
     'Close',
+    'CloseRejected',
     'ConfigFold',
     'CrashCounter',
     'DEDUPLICATION_WINDOW_S',
     'Decision',
     'DecisionTrail',
+    'Demand',
     'Endpoint',
     'EndpointTable',
+    'EntryApplied',
     'GossipKind',
+    'Grant',
+    'GrantDecided',
+    'HOUR_MS',
+    'Hold',
     'InvalidFieldError',
+    'Journal',
+    'JournalFullError',
+    'JournalMessageError',
+    'LeavingSource',
     'Ledger',
+    'LedgerRecord',
     'LedgerSnapshot',
+    'Load',
     'Log',
     'LogEntry',
     'LogPage',
@@ -100,6 +153,7 @@
     'Manifest',
     'ManifestIndex',
     'ManifestPublish',
+    'ManifestSnapshot',
     'Member',
     'MemberState',
     'Membership',
@@ -111,13 +165,16 @@
     'PublishDecided',
     'RefusalError',
     'RequestQueue',
+    'Result',
     'ResultCode',
     'RetryBudget',
+    'Return',
     'Route',
     'RouteQuery',
     'Service',
     'StreamCheck',
     'StreamSummary',
+    'Transfer',
     'Usage',
     'Waiting',
     'WholeCheck',
@@ -128,6 +185,7 @@
     'check_manifest',
     'convert_fields',
     'decode_batch',
+    'decode_config',
     'decode_manifest',
     'diff_manifests',
     'encode',
--- a/src/basilpond/core/tests/test_limits.py
+++ b/src/basilpond/core/tests/test_limits.py
@@ -2,11 +2,11 @@
 from hypothesis import strategies as st
 import pytest
 
+from basilpond.core._adaptive_limit import AdaptiveLimit
 from basilpond.core._codes import ResultCode
-from basilpond.core._limits import AdaptiveLimit
-from basilpond.core._limits import RequestQueue
-from basilpond.core._limits import RetryBudget
-from basilpond.core._limits import Waiting
+from basilpond.core._request_queue import RequestQueue
+from basilpond.core._request_queue import Waiting
+from basilpond.core._retry_budget import RetryBudget
 
 
 @given(
--- a/src/basilpond/tasks/_budget_copies.py
+++ b/src/basilpond/tasks/_budget_copies.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from ..core import _records
-from ..core._manifest import Manifest
+from ..core import BudgetSet
+from ..core import Manifest
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerView
 from ._budget_interfaces import LedgerWriter
@@ -126,8 +126,6 @@
             return
         self._submitted.add(key)
         future = self._ledger_task.submit(
-            _records.BudgetSet(
-                organisation, self._totals[organisation], self._version
-            )
+            BudgetSet(organisation, self._totals[organisation], self._version)
         )
         future.add_done_callback(lambda _: self._submitted.discard(key))
--- a/src/basilpond/tasks/_budget_interfaces.py
+++ b/src/basilpond/tasks/_budget_interfaces.py
@@ -9,11 +9,13 @@
 from typing import Any
 from typing import Protocol
 
-from ..core import _accounts
-from ..core import _records
+from ..core import Bill
+from ..core import BillDraft
+from ..core import Hold
+from ..core import LedgerRecord
 
-BillDraft = _accounts.BillDraft
-Hold = _accounts.Hold
+BillDraft = BillDraft
+Hold = Hold
 
 
 class BudgetView(Protocol):
@@ -79,9 +81,7 @@
         """Iterate over the holders of allotments that are not closed."""
         ...
 
-    def recorded_bill(
-        self, organisation: str, request_id: str
-    ) -> _records.Bill | None:
+    def recorded_bill(self, organisation: str, request_id: str) -> Bill | None:
         """Return the bill of a keyed request."""
         ...
 
@@ -98,7 +98,7 @@
     log_reachable: bool
     synced: bool
 
-    def submit(self, record: _records.LedgerRecord) -> asyncio.Future[Any]:
+    def submit(self, record: LedgerRecord) -> asyncio.Future[Any]:
         """Append a record; done when the own reader has folded it."""
         ...
 
@@ -231,4 +231,4 @@
     """Result of a claim; `bill` is set when `state` is `BILLED`."""
 
     state: ClaimState
-    bill: _records.Bill | None = None
+    bill: Bill | None = None
--- a/src/basilpond/tasks/_budget_task.py
+++ b/src/basilpond/tasks/_budget_task.py
@@ -15,19 +15,20 @@
 from absl import logging
 
 from .. import protocol
-from ..core import _records
-from ..core._accounts import Accounts
-from ..core._accounts import BillDraft
-from ..core._accounts import Hold
-from ..core._codes import BasilpondError
-from ..core._codes import RefusalError
-from ..core._codes import ResultCode
-from ..core._journal import Journal
-from ..core._journal import JournalFullError
-from ..core._journal import JournalMessageError
-from ..core._ledger_results import AllotmentClosed
-from ..core._ledger_results import EntryApplied
-from ..core._manifest import Manifest
+from ..core import Accounts
+from ..core import AllotmentClosed
+from ..core import BasilpondError
+from ..core import Bill
+from ..core import BillDraft
+from ..core import EntryApplied
+from ..core import Grant
+from ..core import Hold
+from ..core import Journal
+from ..core import JournalFullError
+from ..core import JournalMessageError
+from ..core import Manifest
+from ..core import RefusalError
+from ..core import ResultCode
 from ._budget_copies import BudgetCopies
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import ClaimVerdict
@@ -197,13 +198,11 @@
         """State that a claimed request was never sent; does not wait."""
         self._claims.abandon(organisation, request_id)
 
-    def recorded_bill(
-        self, organisation: str, request_id: str
-    ) -> _records.Bill | None:
+    def recorded_bill(self, organisation: str, request_id: str) -> Bill | None:
         """Return the bill that counts for a keyed request."""
         return self._ledger_task.ledger.recorded_bill(organisation, request_id)
 
-    def holder_of(self, bill: _records.Bill) -> str:
+    def holder_of(self, bill: Bill) -> str:
         """Return the incarnation id of the router that issued a bill."""
         view = self._ledger_task.ledger.allotment(bill.allotment)
         if view is not None:
@@ -299,9 +298,7 @@
 
     # Bills
 
-    def _submit_bill(
-        self, billing: _Billing, bill: _records.Bill | None
-    ) -> None:
+    def _submit_bill(self, billing: _Billing, bill: Bill | None) -> None:
         if bill is None:
             self._spawn(self._bill_after_grant(billing))
             return
@@ -365,7 +362,7 @@
             self._note_undecidable(billing, pending.entry, result.reason)
 
     def _note_undecidable(
-        self, billing: _Billing, entry: _records.Bill, reason: str
+        self, billing: _Billing, entry: Bill, reason: str
     ) -> None:
         """Handle a result that does not tell whether the bill counts."""
         recorded = None
@@ -440,7 +437,7 @@
             elif not self._accounts.is_known(view.allotment):
                 # The reply with this transfer was lost. No entry of the
                 # allotment exists, so all of its tokens are unspent.
-                origin = _records.Grant(
+                origin = Grant(
                     view.allotment,
                     view.organisation,
                     view.tokens,
--- a/src/basilpond/tasks/_claims.py
+++ b/src/basilpond/tasks/_claims.py
@@ -5,10 +5,11 @@
 import asyncio
 from typing import Any
 
-from ..core import _records
-from ..core._codes import Outcome
-from ..core._codes import RefusalError
-from ..core._codes import ResultCode
+from ..core import Claim
+from ..core import ClaimAbandon
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
 from ._budget_interfaces import ClaimState
 from ._budget_interfaces import ClaimVerdict
 from ._budget_interfaces import LedgerWriter
@@ -63,9 +64,7 @@
             raise _log_unavailable()
         self._submitted.add(key)
         future = self._ledger_task.submit(
-            _records.Claim(
-                organisation, request_id, body_digest, self._incarnation
-            )
+            Claim(organisation, request_id, body_digest, self._incarnation)
         )
         future.add_done_callback(lambda _: self._submitted.discard(key))
         try:
@@ -88,7 +87,7 @@
         key = (organisation, request_id)
         self._submitted.add(key)
         future = self._ledger_task.submit(
-            _records.ClaimAbandon(organisation, request_id, self._incarnation)
+            ClaimAbandon(organisation, request_id, self._incarnation)
         )
         future.add_done_callback(lambda _: self._submitted.discard(key))
 
--- a/src/basilpond/tasks/_commit.py
+++ b/src/basilpond/tasks/_commit.py
@@ -15,10 +15,14 @@
 from absl import logging
 
 from .. import protocol
-from ..core import _records
-from ..core._accounts import Accounts
-from ..core._accounts import Allotment
-from ..core._codes import BasilpondError
+from ..core import Accounts
+from ..core import Allotment
+from ..core import AllotmentEntry
+from ..core import BasilpondError
+from ..core import Grant
+from ..core import Return
+from ..core import Transfer
+from ..core import encode
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
 from ._budget_interfaces import Members
@@ -55,8 +59,8 @@
         The log has not responded within its time.
     """
 
-    entry: _records.AllotmentEntry
-    origin: _records.Grant | _records.Transfer
+    entry: AllotmentEntry
+    origin: Grant | Transfer
     encoded: bytes
     log: asyncio.Future[Any]
     commit: asyncio.Future[str]
@@ -163,7 +167,7 @@
         """Number of entries that the own fold has not decided on."""
         return len(self._pending)
 
-    def submit(self, entry: _records.AllotmentEntry) -> PendingEntry:
+    def submit(self, entry: AllotmentEntry) -> PendingEntry:
         """Send an entry of an own allotment to the log and a journal peer."""
         loop = asyncio.get_running_loop()
         account = self._accounts.get(entry.allotment)
@@ -172,7 +176,7 @@
         pending = PendingEntry(
             entry,
             account.origin,
-            _records.encode(entry),
+            encode(entry),
             self._ledger_task.submit(entry),
             loop.create_future(),
         )
@@ -183,9 +187,7 @@
         )
         # A Return lost with its holder goes back to the budget by the Close
         # all the same, so only bills and transfers are copied.
-        if account.journal_peer is not None and not isinstance(
-            entry, _records.Return
-        ):
+        if account.journal_peer is not None and not isinstance(entry, Return):
             loop.call_later(
                 self._settings.log_patience_ms / 1000,
                 self._note_patience_over,
@@ -255,7 +257,7 @@
         for pending in batch:
             if pending.entry.allotment not in introduced:
                 introduced.add(pending.entry.allotment)
-                records.append(_records.encode(pending.origin))
+                records.append(encode(pending.origin))
             records.append(pending.encoded)
         frame = protocol.Frame(
             call_id=0,
--- a/src/basilpond/tasks/_endpoint_task.py
+++ b/src/basilpond/tasks/_endpoint_task.py
@@ -18,12 +18,12 @@
 import reactivex
 from reactivex import subject
 
-from ..core import _frames
-from ..core._manifest import Endpoint
-from ..core._manifest import Manifest
-from ..core._routing import EndpointTable
-from ..core._routing import LeavingSource
-from ..core._routing import Load
+from ..core import Endpoint
+from ..core import EndpointTable
+from ..core import LeavingSource
+from ..core import Load
+from ..core import Manifest
+from ..core import StreamCheck
 
 T = TypeVar('T')
 
@@ -420,7 +420,7 @@
             'stream': True,
             'stream_options': {'include_usage': True},
         }
-        check = _frames.StreamCheck(
+        check = StreamCheck(
             attempt_id=attempt_id if endpoint.echoes_request_id else None,
             model=model,
             max_output_tokens=_PROBE_TOKENS,
--- a/src/basilpond/tasks/_ledger_task.py
+++ b/src/basilpond/tasks/_ledger_task.py
@@ -12,18 +12,18 @@
 import msgspec
 from reactivex.subject import Subject
 
-from ..core._codes import LogRateLimitedError
-from ..core._codes import LogUnavailableError
-from ..core._interfaces import Log
-from ..core._interfaces import LogEntry
-from ..core._interfaces import LogPage
-from ..core._ledger import HOUR_MS
-from ..core._ledger import Ledger
-from ..core._ledger_results import Result
-from ..core._records import LedgerRecord
-from ..core._records import LedgerSnapshot
-from ..core._records import decode_batch
-from ..core._records import encode
+from ..core import HOUR_MS
+from ..core import Ledger
+from ..core import LedgerRecord
+from ..core import LedgerSnapshot
+from ..core import Log
+from ..core import LogEntry
+from ..core import LogPage
+from ..core import LogRateLimitedError
+from ..core import LogUnavailableError
+from ..core import Result
+from ..core import decode_batch
+from ..core import encode
 from ._backoff import Backoff
 from ._ledger_waiters import Waiter
 from ._ledger_waiters import Waiters
--- a/src/basilpond/tasks/_ledger_waiters.py
+++ b/src/basilpond/tasks/_ledger_waiters.py
@@ -7,21 +7,21 @@
 from collections.abc import Hashable
 import dataclasses
 
-from ..core._ledger import Ledger
-from ..core._ledger_results import AllotmentClosed
-from ..core._ledger_results import BudgetApplied
-from ..core._ledger_results import ClaimAbandoned
-from ..core._ledger_results import ClaimDecided
-from ..core._ledger_results import CloseRejected
-from ..core._ledger_results import EntryApplied
-from ..core._ledger_results import GrantDecided
-from ..core._ledger_results import Result
-from ..core._records import BudgetSet
-from ..core._records import Claim
-from ..core._records import ClaimAbandon
-from ..core._records import Close
-from ..core._records import Grant
-from ..core._records import LedgerRecord
+from ..core import AllotmentClosed
+from ..core import BudgetApplied
+from ..core import BudgetSet
+from ..core import Claim
+from ..core import ClaimAbandon
+from ..core import ClaimAbandoned
+from ..core import ClaimDecided
+from ..core import Close
+from ..core import CloseRejected
+from ..core import EntryApplied
+from ..core import Grant
+from ..core import GrantDecided
+from ..core import Ledger
+from ..core import LedgerRecord
+from ..core import Result
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/basilpond/tasks/_log_client.py
+++ b/src/basilpond/tasks/_log_client.py
@@ -7,11 +7,11 @@
 import aiohttp
 import msgspec
 
-from ..core._codes import BasilpondError
-from ..core._codes import LogRateLimitedError
-from ..core._codes import LogUnavailableError
-from ..core._interfaces import LogEntry
-from ..core._interfaces import LogPage
+from ..core import BasilpondError
+from ..core import LogEntry
+from ..core import LogPage
+from ..core import LogRateLimitedError
+from ..core import LogUnavailableError
 from ..telemetry import Metrics
 from ..telemetry import NullMetrics
 
--- a/src/basilpond/tasks/_operator_api.py
+++ b/src/basilpond/tasks/_operator_api.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 import msgspec
 
-from ..core._codes import ResultCode
+from ..core import ResultCode
 from ._http_server import HTTP_SERVER_ERROR
 from ._http_server import HttpServer
 
--- a/src/basilpond/tasks/_peer_client.py
+++ b/src/basilpond/tasks/_peer_client.py
@@ -6,9 +6,9 @@
 import itertools
 import random
 
+from ..core import BasilpondError
 from ..core import Member
-from ..core._codes import BasilpondError
-from ..core._codes import ResultCode
+from ..core import ResultCode
 from ..protocol import LENGTH_BYTES
 from ..protocol import Frame
 from ..protocol import Heartbeat
--- a/src/basilpond/tasks/_recovery.py
+++ b/src/basilpond/tasks/_recovery.py
@@ -6,8 +6,8 @@
 
 from absl import logging
 
-from ..core import _records
-from ..core._journal import Journal
+from ..core import Close
+from ..core import Journal
 from ._budget_interfaces import AllotmentView
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
@@ -143,7 +143,7 @@
             len(entries),
         )
         close = self._ledger_task.submit(
-            _records.Close(
+            Close(
                 view.allotment, view.organisation, self._incarnation, entries
             )
         )
--- a/src/basilpond/tasks/_refill.py
+++ b/src/basilpond/tasks/_refill.py
@@ -18,14 +18,15 @@
 import msgspec
 
 from .. import protocol
-from ..core import _records
-from ..core._accounts import Accounts
-from ..core._accounts import Demand
-from ..core._accounts import Hold
-from ..core._codes import BasilpondError
-from ..core._codes import Outcome
-from ..core._codes import RefusalError
-from ..core._codes import ResultCode
+from ..core import Accounts
+from ..core import BasilpondError
+from ..core import Demand
+from ..core import Grant
+from ..core import Hold
+from ..core import Outcome
+from ..core import RefusalError
+from ..core import ResultCode
+from ..core import Transfer
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
 from ._budget_interfaces import Members
@@ -49,7 +50,7 @@
 # Peers that a router without a folded ledger asks in one round.
 ASK_UNKNOWN_PEERS = 6
 
-_transfer_decoder = msgspec.json.Decoder(_records.Transfer)
+_transfer_decoder = msgspec.json.Decoder(Transfer)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -394,7 +395,7 @@
         want_tokens: int,
         min_tokens: int,
     ) -> None:
-        record = _records.Grant(
+        record = Grant(
             allotment=self._accounts.new_allotment_id(),
             organisation=organisation,
             want_tokens=want_tokens,
@@ -417,7 +418,7 @@
     def _note_granted(
         self,
         state: _Organisation,
-        record: _records.Grant,
+        record: Grant,
         future: asyncio.Future[Any],
     ) -> None:
         state.grant = None
--- a/src/basilpond_testkit/bench_routing.py
+++ b/src/basilpond_testkit/bench_routing.py
@@ -17,7 +17,9 @@
 import sys
 import time
 
-from basilpond.core import _limits
+from basilpond.core import RequestQueue
+from basilpond.core import RetryBudget
+from basilpond.core import Waiting
 from basilpond.core import _manifest
 from basilpond.core import _routing
 
@@ -211,10 +213,8 @@
             )
             table.set_manifest(manifest)
             self.tables.append(table)
-        self.queues = [
-            _limits.RequestQueue(max_size=256) for _ in range(_ROUTERS)
-        ]
-        self.budgets = [_limits.RetryBudget() for _ in range(_ROUTERS)]
+        self.queues = [RequestQueue(max_size=256) for _ in range(_ROUTERS)]
+        self.budgets = [RetryBudget() for _ in range(_ROUTERS)]
 
     def submit(self, request: _Request) -> None:
         self.budgets[request.router].record_request()
@@ -233,9 +233,7 @@
             table.start(endpoint, self.now_s, request.digests)
             self.send(request, endpoint)
             return
-        waiting = _limits.Waiting(
-            request, 'org', 5, request.arrival_s + _DEADLINE_S
-        )
+        waiting = Waiting(request, 'org', 5, request.arrival_s + _DEADLINE_S)
         admission = self.queues[request.router].push(waiting, self.now_s)
         self.lost += admission.refusal is not None
 
