Split the stream checks and the refill into modules of one job

Cause: _frames (587 lines) held two checks, _refill (644) both sides of the exchange of tokens between routers. Change: _whole_check, _answer_parts; _allotment_exchange. Conclusion: no change of behaviour.

--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -22,7 +22,6 @@
 from ._decision_trail import DecisionTrail
 from ._frames import StreamCheck
 from ._frames import StreamSummary
-from ._frames import WholeCheck
 from ._idempotency import DEDUPLICATION_WINDOW_S
 from ._idempotency import body_digest
 from ._idempotency import parse_issued_key
@@ -99,6 +98,7 @@
 from ._terminal import length_terminal
 from ._validation import InvalidFieldError
 from ._validation import convert_fields
+from ._whole_check import WholeCheck
 
 __all__ = [
     'Accounts',
--- /dev/null
+++ b/src/basilpond/core/_answer_parts.py
@@ -0,0 +1,67 @@
+"""What the checks of streamed and whole responses share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ._codes import ResultCode
+
+# Tokens without content bytes (end of sequence, partial characters) that a
+# plausible usage may count in addition to one token a byte.
+USAGE_SLACK_TOKENS = 8
+
+FINISH_REASONS = frozenset(
+    ('stop', 'length', 'tool_calls', 'function_call', 'content_filter')
+)
+decode_json = msgspec.json.Decoder().decode
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts reported by the endpoint."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    total_tokens: int | None = None
+
+
+class InvalidAnswerError(Exception):
+    """A response that fails a check; `code` tells which kind."""
+
+    def __init__(self, code: ResultCode = ResultCode.ANSWER_INVALID) -> None:
+        super().__init__(code)
+        self.code = code
+
+
+def text_bytes(value: Any) -> int:
+    """Count the UTF-8 bytes of all strings in a delta or message."""
+    if isinstance(value, str):
+        return len(value.encode())
+    if isinstance(value, dict):
+        return sum(text_bytes(v) for k, v in value.items() if k != 'role')
+    if isinstance(value, list):
+        return sum(map(text_bytes, value))
+    return 0
+
+
+def judge_usage(
+    usage: Usage | None,
+    *,
+    frames: int,
+    content_bytes: int,
+    max_output_tokens: int,
+    prompt_bound_tokens: int | None,
+) -> str:
+    """Return ``''``, ``'missing'`` or ``'implausible'``."""
+    if usage is None:
+        return 'missing'
+    prompt, completion = usage.prompt_tokens, usage.completion_tokens
+    plausible = (
+        prompt >= 0
+        and (prompt_bound_tokens is None or prompt <= prompt_bound_tokens)
+        and frames <= completion <= content_bytes + USAGE_SLACK_TOKENS
+        and completion <= max_output_tokens
+        and usage.total_tokens in (None, prompt + completion)
+    )
+    return '' if plausible else 'implausible'
--- a/src/basilpond/core/_frames.py
+++ b/src/basilpond/core/_frames.py
@@ -1,4 +1,4 @@
-"""Checks on responses of the chat completions API.
+"""Check of a streamed response of the chat completions API.
 
 A stream is checked without parsing each frame: the bytes around the content
 string of one parsed frame form a template, and a frame that differs from the
@@ -13,19 +13,19 @@
 
 import msgspec
 
+from ._answer_parts import FINISH_REASONS
+from ._answer_parts import InvalidAnswerError
+from ._answer_parts import Usage
+from ._answer_parts import decode_json
+from ._answer_parts import judge_usage
+from ._answer_parts import text_bytes
 from ._codes import ResultCode
 
 # An event beyond this size is treated as malformed, so that an endpoint that
 # never ends an event cannot fill the router's memory.
 MAX_EVENT_BYTES = 262_144
-# Tokens without content bytes (end of sequence, partial characters) that a
-# plausible usage may count in addition to one token a byte.
-USAGE_SLACK_TOKENS = 8
 DONE_EVENT = b'data: [DONE]\n\n'
 
-_FINISH_REASONS = frozenset(
-    ('stop', 'length', 'tool_calls', 'function_call', 'content_filter')
-)
 _DELTA_KEYS = frozenset(
     (
         'role',
@@ -41,15 +41,6 @@
 _CONTENT_START = re.compile(rb'"content": ?"')
 _STRING_REST = re.compile(rb'(?:[^"\\]|\\.)*+')
 _decode_str = msgspec.json.Decoder(str).decode
-_decode_any = msgspec.json.Decoder().decode
-
-
-class Usage(msgspec.Struct, frozen=True):
-    """Token counts reported by the endpoint."""
-
-    prompt_tokens: int
-    completion_tokens: int
-    total_tokens: int | None = None
 
 
 class StreamStep(msgspec.Struct, frozen=True, gc=False):
@@ -92,23 +83,6 @@
     cut: bool
 
 
-class WholeSummary(msgspec.Struct, frozen=True, kw_only=True):
-    """Result of a check of a response that is not streamed."""
-
-    complete: bool
-    problem: ResultCode | None
-    content_bytes: int = 0
-    usage: Usage | None = None
-    usage_problem: str = 'missing'
-    finish_reasons: tuple[str, ...] = ()
-
-
-class _InvalidError(Exception):
-    def __init__(self, code: ResultCode = ResultCode.ANSWER_INVALID) -> None:
-        super().__init__(code)
-        self.code = code
-
-
 class _Choice(msgspec.Struct):
     index: int
     delta: dict[str, Any]
@@ -122,51 +96,6 @@
     usage: Usage | None = None
 
 
-class _WholeChoice(msgspec.Struct):
-    index: int
-    message: dict[str, Any]
-    finish_reason: str
-
-
-class _Whole(msgspec.Struct):
-    id: str
-    model: str
-    choices: list[_WholeChoice]
-    usage: Usage | None = None
-
-
-def _text_bytes(value: Any) -> int:
-    """Count the UTF-8 bytes of all strings in a delta or message."""
-    if isinstance(value, str):
-        return len(value.encode())
-    if isinstance(value, dict):
-        return sum(_text_bytes(v) for k, v in value.items() if k != 'role')
-    if isinstance(value, list):
-        return sum(map(_text_bytes, value))
-    return 0
-
-
-def _usage_problem(
-    usage: Usage | None,
-    *,
-    frames: int,
-    content_bytes: int,
-    max_output_tokens: int,
-    prompt_bound_tokens: int | None,
-) -> str:
-    if usage is None:
-        return 'missing'
-    prompt, completion = usage.prompt_tokens, usage.completion_tokens
-    plausible = (
-        prompt >= 0
-        and (prompt_bound_tokens is None or prompt <= prompt_bound_tokens)
-        and frames <= completion <= content_bytes + USAGE_SLACK_TOKENS
-        and completion <= max_output_tokens
-        and usage.total_tokens in (None, prompt + completion)
-    )
-    return '' if plausible else 'implausible'
-
-
 class StreamCheck:
     """Check of one stream of server-sent events with a single choice.
 
@@ -317,7 +246,7 @@
             # its whole answer.
             self._stop(ResultCode.ANSWER_INVALID)
         complete = self._problem is None and self._done
-        usage_problem = _usage_problem(
+        usage_problem = judge_usage(
             self._usage,
             frames=self._frames,
             content_bytes=self._content_bytes,
@@ -395,7 +324,7 @@
                 continue
             try:
                 self._take_event(event, relay)
-            except _InvalidError as error:
+            except InvalidAnswerError as error:
                 self._stop(error.code)
         self._tail = b'' if self._problem or self._cut else data[start:]
         return StreamStep(
@@ -419,11 +348,11 @@
 
     def _take_event(self, event: bytes, relay: list[bytes]) -> None:
         if len(event) > MAX_EVENT_BYTES:
-            raise _InvalidError
+            raise InvalidAnswerError
         lines = [line for line in event.splitlines() if line]
         if self._done:
             if lines:
-                raise _InvalidError
+                raise InvalidAnswerError
             return
         fields = [line for line in lines if not line.startswith(b':')]
         if not fields:
@@ -434,14 +363,14 @@
             return
         if fields[0].startswith(b'event:'):
             if fields[0][6:].strip() == b'error':
-                raise _InvalidError(ResultCode.ENDPOINT_FAILED)
-            raise _InvalidError
+                raise InvalidAnswerError(ResultCode.ENDPOINT_FAILED)
+            raise InvalidAnswerError
         if len(lines) != 1 or not fields[0].startswith(b'data:'):
-            raise _InvalidError
+            raise InvalidAnswerError
         payload = fields[0][5:].strip(b' ')
         if payload == b'[DONE]':
             if self._finish_reason is None:
-                raise _InvalidError(ResultCode.ANSWER_TRUNCATED)
+                raise InvalidAnswerError(ResultCode.ANSWER_TRUNCATED)
             self._done = True
             self._held.append(DONE_EVENT)
             return
@@ -455,14 +384,14 @@
         size = 0
         if choice is None:
             if frame.usage is None:
-                raise _InvalidError
+                raise InvalidAnswerError
         else:
             self._check_choice(choice, fields['choices'][0])
-            size = _text_bytes(choice.delta)
+            size = text_bytes(choice.delta)
         if self._finish_reason is not None:
             # Only a usage frame may follow the finish reason, once.
             if choice is not None or self._held_usage():
-                raise _InvalidError
+                raise InvalidAnswerError
             self._usage = frame.usage
             self._held.append(event)
             return
@@ -488,9 +417,9 @@
 
     def _parse(self, payload: bytes) -> tuple[dict[str, Any], _Frame]:
         try:
-            fields = _decode_any(payload)
+            fields = decode_json(payload)
             if isinstance(fields, dict) and fields.get('error') is not None:
-                raise _InvalidError(ResultCode.ENDPOINT_FAILED)
+                raise InvalidAnswerError(ResultCode.ENDPOINT_FAILED)
             frame = msgspec.convert(fields, _Frame)
         except (
             msgspec.DecodeError,
@@ -498,15 +427,15 @@
             UnicodeDecodeError,
             RecursionError,
         ) as error:
-            raise _InvalidError from error
+            raise InvalidAnswerError from error
         if len(frame.choices) > 1 or frame.model != self._model:
-            raise _InvalidError
+            raise InvalidAnswerError
         form = frozenset(fields) - {'usage'}
         if self._id is None:
             if self._attempt_id is not None and (
                 self._attempt_id not in frame.id
             ):
-                raise _InvalidError
+                raise InvalidAnswerError
             self._id = frame.id
             self._form = form
         terminal = frame.usage is not None or any(
@@ -516,25 +445,25 @@
         if frame.id != self._id or not (
             form >= self._form if terminal else form == self._form
         ):
-            raise _InvalidError
+            raise InvalidAnswerError
         return fields, frame
 
     def _check_choice(self, choice: _Choice, fields: dict[str, Any]) -> None:
         if choice.index != 0 or not choice.delta.keys() <= _DELTA_KEYS:
-            raise _InvalidError
+            raise InvalidAnswerError
         if not isinstance(choice.delta.get('content'), str | None):
-            raise _InvalidError
+            raise InvalidAnswerError
         keys = frozenset(fields)
         if self._choice_keys is None:
             self._choice_keys = keys
         if choice.finish_reason is None:
             if keys != self._choice_keys:
-                raise _InvalidError
+                raise InvalidAnswerError
         elif (
-            choice.finish_reason not in _FINISH_REASONS
+            choice.finish_reason not in FINISH_REASONS
             or not keys >= self._choice_keys
         ):
-            raise _InvalidError
+            raise InvalidAnswerError
 
     def _learn(self, event: bytes, choice: _Choice) -> None:
         """Make `event` the template if only its content string can vary."""
@@ -560,93 +489,3 @@
         self._problem = code
         self._prefix = b''
         self._tail = b''
-
-
-class WholeCheck:
-    """Check of a response in one JSON document.
-
-    Parameters
-    ----------
-    attempt_id : str or None
-        Must be part of the id; None when the endpoint does not echo it.
-    model : str
-    max_output_tokens : int
-    prompt_bound_tokens : int, optional
-    """
-
-    __slots__ = (
-        '_attempt_id',
-        '_max_output_tokens',
-        '_model',
-        '_prompt_bound_tokens',
-    )
-
-    def __init__(
-        self,
-        *,
-        attempt_id: str | None,
-        model: str,
-        max_output_tokens: int,
-        prompt_bound_tokens: int | None = None,
-    ) -> None:
-        self._attempt_id = attempt_id
-        self._model = model
-        self._max_output_tokens = max_output_tokens
-        self._prompt_bound_tokens = prompt_bound_tokens
-
-    def check(self, body: bytes) -> WholeSummary:
-        """Check a complete body.
-
-        Parameters
-        ----------
-        body : bytes
-
-        Returns
-        -------
-        WholeSummary
-        """
-        try:
-            whole = self._parse(body)
-        except _InvalidError as error:
-            return WholeSummary(complete=False, problem=error.code)
-        size = sum(_text_bytes(choice.message) for choice in whole.choices)
-        usage_problem = _usage_problem(
-            whole.usage,
-            frames=0,
-            content_bytes=size,
-            max_output_tokens=self._max_output_tokens,
-            prompt_bound_tokens=self._prompt_bound_tokens,
-        )
-        return WholeSummary(
-            complete=True,
-            problem=None,
-            content_bytes=size,
-            usage=None if usage_problem else whole.usage,
-            usage_problem=usage_problem,
-            finish_reasons=tuple(c.finish_reason for c in whole.choices),
-        )
-
-    def _parse(self, body: bytes) -> _Whole:
-        try:
-            fields = _decode_any(body)
-            if isinstance(fields, dict) and fields.get('error') is not None:
-                raise _InvalidError(ResultCode.ENDPOINT_FAILED)
-            whole = msgspec.convert(fields, _Whole)
-        except (
-            msgspec.DecodeError,
-            msgspec.ValidationError,
-            UnicodeDecodeError,
-            RecursionError,
-        ) as error:
-            raise _InvalidError from error
-        echoed = self._attempt_id is None or self._attempt_id in whole.id
-        valid = (
-            echoed
-            and whole.model == self._model
-            and len(whole.choices) == 1
-            and whole.choices[0].index == 0
-            and whole.choices[0].finish_reason in _FINISH_REASONS
-        )
-        if not valid:
-            raise _InvalidError
-        return whole
--- /dev/null
+++ b/src/basilpond/tasks/_allotment_exchange.py
@@ -0,0 +1,213 @@
+"""Tokens that routers ask of each other and give to each other."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+import random
+from typing import Any
+
+from absl import logging
+import msgspec
+
+from .. import protocol
+from ..core import Accounts
+from ..core import BasilpondError
+from ..core import Transfer
+from ._budget_interfaces import BudgetSettings
+from ._budget_interfaces import LedgerWriter
+from ._budget_interfaces import Members
+from ._budget_interfaces import MemberView
+from ._budget_interfaces import Peers
+from ._commit import Committer
+
+# Peers that a router without a folded ledger asks in one round.
+ASK_UNKNOWN_PEERS = 6
+
+_transfer_decoder = msgspec.json.Decoder(Transfer)
+
+
+class AllotmentExchange:
+    """Both sides of a request for an allotment between routers.
+
+    Parameters
+    ----------
+    ledger_task : LedgerWriter
+    members : Members
+    peers : Peers
+    accounts : Accounts
+    committer : Committer
+    settings : BudgetSettings
+    """
+
+    def __init__(
+        self,
+        ledger_task: LedgerWriter,
+        members: Members,
+        peers: Peers,
+        accounts: Accounts,
+        committer: Committer,
+        settings: BudgetSettings,
+    ) -> None:
+        self._ledger_task = ledger_task
+        self._members = members
+        self._peers = peers
+        self._accounts = accounts
+        self._committer = committer
+        self._settings = settings
+
+    def _reaches_log(self) -> bool:
+        return self._ledger_task.log_reachable and self._ledger_task.synced
+
+    def journal_peer(self, organisation: str) -> str | None:
+        """Choose the journal peer with the fewest own allotments."""
+        used = collections.Counter(
+            account.journal_peer
+            for account in self._accounts.allotments(organisation)
+        )
+        return self._committer.choose_journal_peer(used.__getitem__)
+
+    def candidates(
+        self, organisation: str, *, own_first: bool
+    ) -> list[MemberView]:
+        """Return the peers that may have tokens, the most likely first.
+
+        Parameters
+        ----------
+        organisation : str
+        own_first : bool
+            Prefer the own data centre: peers elsewhere may be cut off together
+            with the log, and a call to them ends by its timeout.
+        """
+        live = list(self._members.live())
+        random.shuffle(live)
+        remaining = self._ledger_task.ledger.remaining_by_holder(organisation)
+        if not self._ledger_task.synced:
+            live = live[:ASK_UNKNOWN_PEERS]
+        # A transfer during an outage is not in the fold.
+        candidates = [
+            member
+            for member in live
+            if remaining.get(member.incarnation_id, 0) > 0
+            or not self._reaches_log()
+        ]
+        candidates.sort(
+            key=lambda member: (
+                own_first and member.data_centre != self._settings.data_centre,
+                -remaining.get(member.incarnation_id, 0),
+            )
+        )
+        return candidates
+
+    async def ask(
+        self, member: MemberView, organisation: str, need_tokens: int
+    ) -> int:
+        """Ask one peer; return what it returned to the budget."""
+        frame = protocol.Frame(
+            call_id=0,
+            is_reply=False,
+            ask_allotment=protocol.AskAllotment(
+                organisation=organisation,
+                need_tokens=max(1, need_tokens),
+                holder=self._accounts.holder,
+                journal_peer=self.journal_peer(organisation),
+                log_unreachable=not self._reaches_log(),
+            ),
+        )
+        try:
+            reply = await self._peers.call(
+                member, frame, timeout_s=self._settings.peer_timeout_s
+            )
+        except BasilpondError:
+            return 0
+        reply = reply.ask_allotment_reply
+        if reply is None:
+            return 0
+        if reply.transfer is not None:
+            self.receive_transfer(member, reply.transfer)
+        return max(0, reply.returned_tokens)
+
+    def receive_transfer(self, donor: MemberView, data: bytes) -> None:
+        """Use a transfer and append it, in case its donor cannot.
+
+        The donor has committed it, so its journal peer or the log knows it,
+        and the fold applies it once. Bills on the new allotment don't have to
+        wait for the donor then.
+        """
+        try:
+            transfer = _transfer_decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            logging.error('malformed transfer from a peer: %s', error)
+            return
+        if transfer.holder != self._accounts.holder:
+            logging.error('transfer for another holder, %s', transfer.holder)
+            return
+        ledger = self._ledger_task.ledger
+        source = ledger.allotment(transfer.allotment)
+        if source is not None and source.holder not in (
+            '',  # its own transfer is not in the log
+            donor.incarnation_id,
+        ):
+            logging.error(
+                '%s sent a transfer from an allotment of %s',
+                donor.incarnation_id,
+                source.holder,
+            )
+            return
+        if not self._accounts.add(
+            transfer.new_allotment, transfer.tokens, transfer
+        ):
+            return
+        received = ledger.allotment(transfer.new_allotment)
+        if received is None or not received.holder:
+            self._ledger_task.submit(transfer)
+
+    async def give_back(self, message: Any) -> int:
+        """Return tokens to the budget for a peer; return the sum."""
+        free = self._accounts.free_tokens(message.organisation)
+        amount = min(free, max(message.need_tokens, free // 2))
+        pending = [
+            self._committer.submit(entry)
+            for entry in self._accounts.give_back(message.organisation, amount)
+        ]
+        if not pending:
+            return 0
+        # The asker gives up after its own timeout; the tokens go back to the
+        # budget in any case.
+        await asyncio.wait(
+            [item.log for item in pending],
+            timeout=self._settings.peer_timeout_s / 2,
+        )
+        return sum(
+            item.entry.tokens
+            for item in pending
+            if item.log.done() and item.log.result().accepted
+        )
+
+    async def transfer(self, message: Any) -> bytes | None:
+        """Return a committed transfer, encoded, or None without tokens."""
+        entry = self._accounts.transfer(
+            message.organisation,
+            message.need_tokens,
+            holder=message.holder,
+            journal_peer=message.journal_peer,
+            usable=self._committer.is_usable,
+        )
+        if entry is None:
+            return None
+        pending = self._committer.submit(entry)
+        committed = await self._is_committed(
+            pending.commit, lambda: pending.log.result().accepted
+        )
+        return pending.encoded if committed else None
+
+    async def _is_committed(
+        self, commit: asyncio.Future[str], accepted: Callable[[], bool]
+    ) -> bool:
+        done, _ = await asyncio.wait(
+            [commit], timeout=self._settings.peer_timeout_s * 0.8
+        )
+        if not done:
+            return False
+        return commit.result() == 'journal' or accepted()
--- a/src/basilpond/tasks/tests/test_budget_task.py
+++ b/src/basilpond/tasks/tests/test_budget_task.py
@@ -344,7 +344,7 @@
             await wait_until(
                 lambda: not list(r3.ledger_task.ledger.allotments_of('r1~1'))
             )
-        r3.budget._refill._receive_transfer(
+        r3.budget._refill._exchange.receive_transfer(
             donor.member, _records.encode(forged)
         )
         await asyncio.sleep(2)
