Keep queued requests that no endpoint could take

Cause: a request that was taken from the queue while no endpoint had room was pushed again as if it were new. The push could refuse it, and nobody told its caller, so that the call hung until its caller left; each vain attempt also counted as a service and made the queue promise too much. Ruled out: the expiry timer, which looks only at requests still in the queue. Change: put_back restores a request without a new admission and takes the service back.

--- a/src/basilpond/core/_request_queue.py
+++ b/src/basilpond/core/_request_queue.py
@@ -124,10 +124,7 @@
             evicted = self._make_room(waiting.organisation)
             if evicted is None:
                 return Admission(ResultCode.QUEUE_FULL)
-        self._sequence += 1
-        bisect.insort(self._entries, (*key, waiting))
-        self._counts[waiting.organisation] += 1
-        self._next_expiry_s = min(self._next_expiry_s, waiting.deadline_s)
+        self._insert(waiting)
         return Admission(evicted=evicted)
 
     def pop(self, now_s: float) -> Waiting[T] | None:
@@ -139,6 +136,16 @@
         self._services += 1
         return self._remove(0)
 
+    def put_back(self, waiting: Waiting[T], now_s: float) -> None:
+        """Queue a request again that was taken but could not be placed.
+
+        It was admitted before and is not judged again; the attempt to place
+        it does not count as a service.
+        """
+        self._advance(now_s)
+        self._services = max(0.0, self._services - 1)
+        self._insert(waiting)
+
     def discard(self, waiting: Waiting[T], now_s: float) -> bool:
         """Remove a request whose caller has left."""
         for index, entry in enumerate(self._entries):
@@ -154,6 +161,13 @@
         expired, self._expired = self._expired, []
         return expired
 
+    def _insert(self, waiting: Waiting[T]) -> None:
+        key = (waiting.priority, waiting.deadline_s, self._sequence)
+        self._sequence += 1
+        bisect.insort(self._entries, (*key, waiting))
+        self._counts[waiting.organisation] += 1
+        self._next_expiry_s = min(self._next_expiry_s, waiting.deadline_s)
+
     def _remove(self, index: int) -> Waiting[T]:
         waiting = self._entries.pop(index)[3]
         self._counts[waiting.organisation] -= 1
--- a/src/basilpond/tasks/_dispatcher.py
+++ b/src/basilpond/tasks/_dispatcher.py
@@ -134,7 +134,7 @@
             self.table.start(endpoint, now_s, place.query.prefix_digests)
             place.chosen.set_result(endpoint)
         for waiting in skipped:
-            self.queue.push(waiting, now_s)
+            self.queue.put_back(waiting, now_s)
 
     def may_retry(self) -> bool:
         """Take one retry from the budget."""
