--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -3,33 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import enum
+import time
 
 from ..routing import AllotmentRows
 from ..routing import Allotments
 from ..routing import Catalogue
 from ..routing import Hold
-from ..routing import parse_row_key
-from ..routing import row_key
+from ..routing import Row
+from ..routing import Stamp
 from ._decision_log import DecisionLog
-from ._follower import TopicFollower
-from ._interfaces import Log
-from ._interfaces import LogAppendError
-from ._interfaces import LogUnavailableError
-from ._interfaces import Record
+from ._fleet_records import alive_record
+from ._fleet_records import budget_record
+from ._fleet_records import parse_pair
+from ._fleet_records import router_of
+from ._log_writer import LogWriter
 
-BUDGET_TOPIC = 'keyed.budgets'
 # Requests wait this long for tokens; a grant takes two calls of 4 ms, or of
 # 240 ms where the store is slow.
 GRANT_TIMEOUT_S = 1.0
+# Time in which other routers answer a request for tokens.
+_PEER_TIMEOUT_S = 0.05
 # Pause between two looks at the allotments.
 _TICK_S = 0.1
+# Time after which a stamp is written even if no allotment changes.
+_STAMP_INTERVAL_S = 0.5
 _RATE_INTERVAL_S = 0.5
-# Pause in which records of all routers gather; a router that waits for its
-# own record does not pause.
-READ_GAP_S = 0.2
-_FIRST_BACKOFF_S = 0.05
-_MAX_BACKOFF_S = 0.5
 # The state of the budgets counts as current for this long after a read.
 _FRESH_S = 2.5
 
@@ -41,80 +41,109 @@
     UNAVAILABLE = 'no grant from the log in time'
 
 
+def read_stamp() -> Stamp:
+    """Return the time by the clocks of this machine."""
+    boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return Stamp(int(boot_s * 1000), int(time.time() * 1000))
+
+
 class BudgetTask:
     """Holds for requests, and the appends that pay for them.
 
     Parameters
     ----------
-    log : Log
     holder : str
         Unique to this start of the router.
+    writer : LogWriter
     decisions : DecisionLog
+    clock : callable
+        Returns a Stamp.
     """
 
-    def __init__(self, log: Log, holder: str, decisions: DecisionLog) -> None:
-        self._log = log
+    def __init__(
+        self,
+        holder: str,
+        writer: LogWriter,
+        decisions: DecisionLog,
+        clock: Callable[[], Stamp] = read_stamp,
+    ) -> None:
         self._holder = holder
+        self._writer = writer
         self._decisions = decisions
+        self._clock = clock
+        self._started = clock()
         self._rows = AllotmentRows()
+        self._stamps: dict[str, Stamp] = {}
         self.allotments = Allotments(holder, self._rows)
-        self.follower = TopicFollower(
-            log, BUDGET_TOPIC, self, decisions, READ_GAP_S
-        )
-        self._consistent_from = 0
-        self._sequence = 0
+        self.ask_peers: Callable[[str, int], None] = lambda name, tokens: None
+        self.hurry_reader: Callable[[], None] = lambda: None
+        self._consistent_from: int | None = None
         self._changed = asyncio.Event()
         self._kick = asyncio.Event()
         self._read_s = float('-inf')
+        self._reachable = False
         self._stopping = False
 
     # State of the topic.
 
-    def apply_newest(self, records: list[Record], end: int) -> None:
-        """Take the rows of all holders."""
-        self._consistent_from = end
-        self._fold(records)
-        if not records or max(r.offset for r in records) < end:
-            # Nothing was appended meanwhile, or it is read next.
-            self._decide(end)
+    def fold(self, key: str, value: bytes | None, offset: int) -> None:
+        """Take a row."""
+        organisation, _, holder = key.rpartition('/')
+        try:
+            row = Row(*parse_pair(value))
+        except ValueError as error:
+            self._decisions.event(
+                'budget_row_unreadable',
+                key=key,
+                log_offset=offset,
+                reason=str(error),
+            )
+            return
+        self._rows.apply(organisation, holder, row, offset)
 
-    def apply(self, records: list[Record], end: int) -> None:
-        """Take rows in order."""
-        self._fold(records)
-        self._decide(end)
+    def fold_stamp(self, holder: str, value: bytes | None) -> None:
+        """Take the stamp of a former start of this router."""
+        if router_of(holder) != router_of(self._holder):
+            return
+        try:
+            self._stamps[holder] = Stamp(*parse_pair(value))
+        except ValueError as error:
+            self._decisions.event(
+                'stamp_unreadable', holder=holder, reason=str(error)
+            )
 
-    def note_contact(self, *, reachable: bool) -> None:
-        """Take whether the store answers."""
-        if reachable:
-            self._read_s = asyncio.get_running_loop().time()
+    def start_from(self, end: int, ahead: bool) -> None:
+        """Take that the newest row of each holder was folded.
 
-    def _fold(self, records: list[Record]) -> None:
-        for record in records:
-            parsed = parse_row_key(record.key)
-            if parsed is None:
-                continue
-            value = record.value or b'0'
-            if not value.isdigit():
-                self._decisions.event(
-                    'budget_row_unreadable',
-                    key=record.key,
-                    offset=record.offset,
-                )
-                continue
-            self._rows.apply(*parsed, int(value), record.offset)
+        Parameters
+        ----------
+        end : int
+            The rows are consistent once all records before it are folded.
+        ahead : bool
+            Whether rows behind `end` were among them.
+        """
+        self._consistent_from = end + ahead
 
-    def _decide(self, end: int) -> None:
-        if end < self._consistent_from:
+    def decide(self, end: int) -> None:
+        """Decide raises once the records before `end` are folded."""
+        if self._consistent_from is None or end < self._consistent_from:
             return
         for name, tokens, granted in self.allotments.decide(end):
             self._decisions.event(
                 'allotment_granted' if granted else 'allotment_denied',
+                routine=granted,
                 organisation=name,
                 tokens=tokens,
                 log_offset=end,
                 total=self._rows.total(name),
             )
-        self._wake()
+        self.wake()
+
+    def note_contact(self, *, reachable: bool) -> None:
+        """Take whether the store answers."""
+        self._reachable = reachable
+        if reachable:
+            self._read_s = asyncio.get_running_loop().time()
 
     # Requests.
 
@@ -124,7 +153,7 @@
             self.allotments.set_limit(
                 organisation.name, organisation.prepaid_tokens
             )
-        self._wake()
+        self.wake()
 
     async def hold(
         self, organisation: str, tokens: int, timeout_s: float
@@ -141,42 +170,71 @@
         -------
         Hold or Denial
         """
-        hold = self.allotments.hold(organisation, tokens)
+        hold = self._try_hold(organisation, tokens)
         if hold is not None:
             return hold
-        try:
-            async with asyncio.timeout(min(GRANT_TIMEOUT_S, timeout_s)):
-                while True:
-                    if self._is_fresh() and self.allotments.is_exhausted(
-                        organisation, tokens
-                    ):
-                        return Denial.EXHAUSTED
-                    self.allotments.ask(organisation, tokens)
-                    self._kick.set()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        last_s = started_s + min(GRANT_TIMEOUT_S, timeout_s)
+        asked = False
+        while True:
+            exhausted = self.allotments.is_exhausted(organisation, tokens)
+            if exhausted or not self._reachable:
+                # Only other routers may have tokens now.
+                last_s = min(last_s, started_s + _PEER_TIMEOUT_S)
+                if not asked:
+                    asked = True
+                    self.ask_peers(
+                        organisation,
+                        self.allotments.shortage(organisation, tokens),
+                    )
+            if not exhausted:
+                self.allotments.ask(organisation, tokens)
+                self._kick.set()
+            try:
+                async with asyncio.timeout_at(last_s):
                     await self._changed.wait()
-                    hold = self.allotments.hold(organisation, tokens)
-                    if hold is not None:
-                        return hold
-        except TimeoutError:
-            return Denial.UNAVAILABLE
+            except TimeoutError:
+                if exhausted and self._is_fresh():
+                    return Denial.EXHAUSTED
+                return Denial.UNAVAILABLE
+            hold = self._try_hold(organisation, tokens)
+            if hold is not None:
+                return hold
 
     def settle(self, hold: Hold, spent_tokens: int) -> None:
         """Replace a hold by what the request consumed."""
         self.allotments.settle(hold, spent_tokens)
 
+    def give(self, organisation: str, tokens: int, share: float) -> int:
+        """Give tokens to another router; see `Allotments.give`."""
+        boot_ms = self._clock().boot_ms
+        return self.allotments.give(organisation, tokens, share, boot_ms)
+
+    def receive(self, organisation: str, tokens: int) -> None:
+        """Take tokens of another router."""
+        self.allotments.receive(organisation, tokens)
+        self.wake()
+
+    def _try_hold(self, organisation: str, tokens: int) -> Hold | None:
+        boot_ms = self._clock().boot_ms
+        return self.allotments.hold(organisation, tokens, boot_ms)
+
     # Appends.
 
     async def run(self) -> None:
         """Append changes of allotments until cancelled."""
         loop = asyncio.get_running_loop()
-        rated_s = loop.time()
+        stamped_s = float('-inf')
+        reduced = False
         while True:
-            elapsed_s = loop.time() - rated_s
-            if elapsed_s >= _RATE_INTERVAL_S:
-                self.allotments.update_rates(elapsed_s)
-                rated_s = loop.time()
-            if self.follower.synced.is_set() and not self._stopping:
-                await self._append(self.allotments.changes())
+            if self._consistent_from is not None and not self._stopping:
+                if not reduced:
+                    reduced = True
+                    await self._reduce_predecessors()
+                due = loop.time() - stamped_s >= _STAMP_INTERVAL_S
+                if await self._append(self.allotments.changes, stamp=due):
+                    stamped_s = loop.time()
             try:
                 async with asyncio.timeout(_TICK_S):
                     await self._kick.wait()
@@ -184,60 +242,77 @@
                 pass
             self._kick.clear()
 
+    async def observe(self) -> None:
+        """Update the rates of consumption until cancelled."""
+        loop = asyncio.get_running_loop()
+        rated_s = loop.time()
+        while True:
+            await asyncio.sleep(_RATE_INTERVAL_S)
+            now_s = loop.time()
+            self.allotments.update_rates(now_s - rated_s)
+            rated_s = now_s
+            self._decisions.event(
+                'allotments',
+                routine=True,
+                reachable=self._reachable,
+                read_age_s=round(now_s - self._read_s, 2),
+                owned_used_budget=self.allotments.balances(),
+            )
+
     async def give_back(self) -> None:
         """Return what is free, when the router stops."""
         self._stopping = True
-        await self._append(self.allotments.release_all())
+        await self._append(self.allotments.release_all, stamp=False)
 
-    async def _append(self, changes: list[tuple[str, int]]) -> None:
-        if not changes:
-            return
-        records = [
-            (row_key(name, self._holder), b'%d' % tokens)
-            for name, tokens in changes
-        ]
-        # The same append is repeated until its outcome is known, so that it
-        # is executed once and before any later one.
-        backoff_s = _FIRST_BACKOFF_S
-        while True:
-            try:
-                offset = await self._log.append(
-                    BUDGET_TOPIC,
-                    records,
-                    producer=self._holder,
-                    sequence=self._sequence,
-                )
-                break
-            except LogAppendError as error:
-                # The sequence has gone on: an earlier try was executed.
-                offset = None
-                self._decisions.event('append_repeated', reason=str(error))
-                break
-            except LogUnavailableError as error:
-                self._decisions.event(
-                    'append_unknown',
-                    routine=True,
-                    topic=BUDGET_TOPIC,
-                    sequence=self._sequence,
-                    reason=str(error),
-                )
-                await asyncio.sleep(backoff_s)
-                backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
-        self._sequence += 1
-        self.follower.hurry()
-        self._decisions.event(
-            'allotment_rows_written',
-            routine=True,
-            rows=dict(changes),
-            log_offset=offset,
-        )
+    async def _append(
+        self, changes: Callable[[Stamp], dict[str, Row]], *, stamp: bool
+    ) -> bool:
+        rows: dict[str, Row] = {}
+
+        def collect() -> list[tuple[str, bytes]]:
+            now = self._clock()
+            rows.update(changes(now))
+            if not rows and not stamp:
+                return []
+            records = [
+                budget_record(name, self._holder, row)
+                for name, row in rows.items()
+            ]
+            return [*records, alive_record(self._holder, now)]
+
+        appended = await self._writer.append(collect)
+        if appended and rows:
+            self.allotments.note_written(rows)
+            self.hurry_reader()
+            self.wake()
+        return appended
+
+    async def _reduce_predecessors(self) -> None:
+        records = []
+        for holder, stamp in self._stamps.items():
+            if holder == self._holder:
+                continue
+            proven = stamp.proves_ceiling(self._started)
+            freed = 0
+            for name, row in self._rows.of_holder(holder).items():
+                if proven and row.owned > row.ceiling:
+                    freed += row.owned - row.ceiling
+                    reduced = Row(row.ceiling, row.ceiling)
+                    records.append(budget_record(name, holder, reduced))
+            self._decisions.event(
+                'predecessor_found',
+                holder=holder,
+                ended_before_outage=proven,
+                freed_tokens=freed,
+                stamp_age_ms=self._started.boot_ms - stamp.boot_ms,
+            )
+        await self._writer.append(lambda: records)
 
     def _is_fresh(self) -> bool:
         now_s = asyncio.get_running_loop().time()
-        return self.follower.synced.is_set() and (
-            now_s - self._read_s < _FRESH_S
-        )
+        return now_s - self._read_s < _FRESH_S
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Let requests that wait for tokens try again."""
         self._changed.set()
         self._changed = asyncio.Event()
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -28,6 +28,7 @@
 from ._interfaces import CallError
 from ._interfaces import NodeSettings
 from ._interfaces import Wire
+from ._peers import PeerTask
 from ._sending import Sender
 from ._sending import SendOutcome
 
@@ -54,6 +55,7 @@
     configuration : ConfigurationState
     directory : EndpointDirectory
     budgets : BudgetTask
+    peers : PeerTask
     decisions : DecisionLog
     rng : random.Random
     """
@@ -65,6 +67,7 @@
         configuration: ConfigurationState,
         directory: EndpointDirectory,
         budgets: BudgetTask,
+        peers: PeerTask,
         decisions: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -73,12 +76,11 @@
         self._configuration = configuration
         self._directory = directory
         self._budgets = budgets
+        self._peers = peers
         self._decisions = decisions
         self._rng = rng
-        self._sender = Sender(wire, directory, decisions)
+        self._sender = Sender(wire, directory, peers, decisions)
         self._retries: dict[str, RetryShare] = {}
-        # Live routers, this one included.
-        self.routers = 1
 
     async def handle(
         self, request: CallerRequest, responder: Responder
@@ -215,7 +217,7 @@
             return False
         now_s = asyncio.get_running_loop().time()
         share = self._retry_share(call.service)
-        return share.try_repeat(now_s, self.routers)
+        return share.try_repeat(now_s, self._peers.live_routers())
 
     def _retry_share(self, service: str) -> RetryShare:
         share = self._retries.get(service)
--- /dev/null
+++ b/src/basilpond/node/_fleet_records.py
@@ -0,0 +1,55 @@
+"""Records of the routers' own topic."""
+
+from __future__ import annotations
+
+from ..routing import Row
+from ..routing import Stamp
+
+FLEET_TOPIC = 'keyed.fleet'
+ROUTER_KIND = 'router'
+BUDGET_KIND = 'budget'
+ALIVE_KIND = 'alive'
+
+Record = tuple[str, bytes]
+
+
+def router_record(router_id: str, address: str) -> Record:
+    """Return the record that announces a router."""
+    return f'{ROUTER_KIND}/{router_id}', address.encode()
+
+
+def alive_record(holder: str, stamp: Stamp) -> Record:
+    """Return the record of a holder's last stamp."""
+    return (
+        f'{ALIVE_KIND}/{holder}',
+        b'%d %d' % (stamp.boot_ms, stamp.wall_ms),
+    )
+
+
+def budget_record(organisation: str, holder: str, row: Row) -> Record:
+    """Return the record of a budget row."""
+    return (
+        f'{BUDGET_KIND}/{organisation}/{holder}',
+        b'%d %d' % (row.owned, row.ceiling),
+    )
+
+
+def parse_pair(value: bytes | None) -> tuple[int, int]:
+    """Return the two numbers of a row or stamp.
+
+    Raises
+    ------
+    ValueError
+    """
+    first, second = (value or b'0 0').split()
+    return int(first), int(second)
+
+
+def new_holder(router_id: str, suffix: str) -> str:
+    """Return an id that is unique to one start of a router."""
+    return f'{router_id}~{suffix}'
+
+
+def router_of(holder: str) -> str:
+    """Return the router whose start a holder is."""
+    return holder.rpartition('~')[0]
--- /dev/null
+++ b/src/basilpond/node/_log_writer.py
@@ -0,0 +1,97 @@
+"""Appends to one topic, each executed once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ._decision_log import DecisionLog
+from ._interfaces import Log
+from ._interfaces import LogAppendError
+from ._interfaces import LogUnavailableError
+
+_FIRST_BACKOFF_S = 0.05
+_MAX_BACKOFF_S = 0.5
+
+
+class LogWriter:
+    """Producer of one topic, with one append outstanding.
+
+    An append without an answer may have been executed, or may be later. It
+    is repeated with its sequence number until its outcome is known, so that
+    it is executed once and before any later one.
+
+    Parameters
+    ----------
+    log : Log
+    topic, producer : str
+    decisions : DecisionLog
+    """
+
+    def __init__(
+        self, log: Log, topic: str, producer: str, decisions: DecisionLog
+    ) -> None:
+        self._log = log
+        self._topic = topic
+        self._producer = producer
+        self._decisions = decisions
+        self._sequence = 0
+        self._lock = asyncio.Lock()
+
+    async def append(
+        self, collect: Callable[[], list[tuple[str, bytes]]]
+    ) -> bool:
+        """Append what `collect` returns when it is this append's turn.
+
+        Returns
+        -------
+        bool
+            Whether there was anything to append.
+        """
+        async with self._lock:
+            records = collect()
+            if not records:
+                return False
+            backoff_s = _FIRST_BACKOFF_S
+            while not await self._try(records):
+                await asyncio.sleep(backoff_s)
+                backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
+            self._sequence += 1
+            return True
+
+    async def _try(self, records: list[tuple[str, bytes]]) -> bool:
+        try:
+            offset = await self._log.append(
+                self._topic,
+                records,
+                producer=self._producer,
+                sequence=self._sequence,
+            )
+        except LogAppendError as error:
+            # The log has gone on to the next number: an earlier try that got
+            # no answer was executed.
+            self._decisions.event(
+                'append_was_executed',
+                topic=self._topic,
+                sequence=self._sequence,
+                reason=str(error),
+            )
+            return True
+        except LogUnavailableError as error:
+            self._decisions.event(
+                'append_unknown',
+                routine=True,
+                topic=self._topic,
+                sequence=self._sequence,
+                reason=str(error),
+            )
+            return False
+        self._decisions.event(
+            'appended',
+            routine=True,
+            topic=self._topic,
+            sequence=self._sequence,
+            log_offset=offset,
+            records=len(records),
+        )
+        return True
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -14,16 +14,25 @@
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._dispatcher import Dispatcher
+from ._fleet_records import FLEET_TOPIC
+from ._fleet_records import new_holder
+from ._fleet_records import router_record
+from ._fleet_topic import FleetTopic
 from ._follower import TopicFollower
 from ._interfaces import Log
 from ._interfaces import NodeSettings
 from ._interfaces import Wire
+from ._log_writer import LogWriter
+from ._peers import PeerTask
 from ._ready import ReadyServer
 
 # Pause between two reads of the configuration and of the endpoints. Endpoints
 # write every 1.2 s; a leaving one loses its requests within 2 s.
 _CONFIGURATION_GAP_S = 0.05
 _ENDPOINTS_GAP_S = 0.25
+# Pause in which records of all routers gather; a router that waits for its
+# own record does not pause.
+_FLEET_GAP_S = 0.2
 # The load balancer asks every second and takes a router out after two misses.
 _STOP_NOTICE_S = 2.5
 # Part of the grace time that is left for giving back allotments.
@@ -51,23 +60,42 @@
         self._settings = settings
         self._decisions = decisions
         self._stopping = False
-        self.holder = f'{settings.node_id}~{os.urandom(6).hex()}'
+        self.holder = new_holder(settings.node_id, os.urandom(6).hex())
         self.configuration = ConfigurationState(
             wire, decisions, self._apply_configuration
         )
         self.directory = EndpointDirectory(
             wire, decisions, settings.prompt_reuse_s
         )
-        self.budgets = BudgetTask(log, self.holder, decisions)
+        self._writer = LogWriter(log, FLEET_TOPIC, self.holder, decisions)
+        self.budgets = BudgetTask(self.holder, self._writer, decisions)
+        self.peers = PeerTask(
+            settings.node_id,
+            self.holder,
+            self.directory,
+            self.budgets,
+            decisions,
+            self._configuration_version,
+        )
+        self.budgets.ask_peers = self.peers.ask_tokens
         self.dispatcher = Dispatcher(
             settings,
             wire,
             self.configuration,
             self.directory,
             self.budgets,
+            self.peers,
             decisions,
             random.Random(),
         )
+        fleet = TopicFollower(
+            log,
+            FLEET_TOPIC,
+            FleetTopic(self.budgets, self.peers),
+            decisions,
+            _FLEET_GAP_S,
+        )
+        self.budgets.hurry_reader = fleet.hurry
         self._followers = (
             TopicFollower(
                 log,
@@ -83,13 +111,14 @@
                 decisions,
                 _ENDPOINTS_GAP_S,
             ),
-            self.budgets.follower,
+            fleet,
         )
         self._callers = CallerServer(
             self.dispatcher.handle, ConnectionLimits(), self._note_reject
         )
         self._ready = ReadyServer(wire.ready_path, self.is_ready)
         self._tasks: list[asyncio.Task[None]] = []
+        self._announcement: asyncio.Task[None] | None = None
 
     def is_ready(self) -> bool:
         """Whether requests can be served."""
@@ -102,10 +131,17 @@
     async def start(self) -> None:
         """Listen and follow the log."""
         await self._ready.listen(*self._settings.ready_address)
+        await self.peers.listen(self._settings.host, self._settings.peer_port)
         await self._callers.listen(*self._settings.caller_address)
         jobs = [follower.run() for follower in self._followers]
-        jobs += [self.budgets.run(), self._flush_log()]
+        jobs += [
+            self.budgets.run(),
+            self.budgets.observe(),
+            self.peers.run(),
+            self._flush_log(),
+        ]
         self._tasks = [asyncio.create_task(job) for job in jobs]
+        self._announcement = asyncio.create_task(self._announce())
         self._decisions.event(
             'started',
             holder=self.holder,
@@ -165,6 +201,15 @@
             'request_malformed', status=status, reason=reason
         )
 
+    def _configuration_version(self) -> int:
+        catalogue = self.configuration.catalogue
+        return -1 if catalogue is None else catalogue.version
+
+    async def _announce(self) -> None:
+        address = f'{self._settings.host}:{self._settings.peer_port}'
+        record = router_record(self._settings.node_id, address)
+        await self._writer.append(lambda: [record])
+
     async def _flush_log(self) -> None:
         while True:
             await asyncio.sleep(0.25)
--- /dev/null
+++ b/src/basilpond/node/_peers.py
@@ -0,0 +1,285 @@
+"""Datagrams between routers: load, cached prompts, crashes, allotments."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from pathlib import Path
+import typing
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.thrift import TException
+from thriftpy2.utils import deserialize
+from thriftpy2.utils import serialize
+
+from ..routing import PeerReport
+from ._budgets import BudgetTask
+from ._decision_log import DecisionLog
+from ._directory import EndpointDirectory
+
+messages = thriftpy2.load(
+    str(Path(__file__).with_name('peer.thrift')), module_name='peer_thrift'
+)
+
+# Shortest time between two reports; requests to an engine arrive about every
+# 100 ms and occupy it for as long.
+REPORT_INTERVAL_S = 0.05
+# Datagrams that a router sends in a second at most, so that its cost does
+# not grow with the number of routers; their reports come less often instead.
+MAX_DATAGRAMS_PER_S = 160.0
+# A router not heard of for this long is not counted as live.
+LIVE_S = 5.0
+# Datagrams to routers that are not live, which may be back.
+_SILENT_INTERVAL_S = 1.0
+_MAX_DATAGRAM_BYTES = 60_000
+# Donors asked at a time, and the part of its free tokens that one gives.
+_MAX_DONORS = 4
+_DONATED_SHARE = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    address: tuple[str, int]
+    heard_s: float = float('-inf')
+    sent_s: float = float('-inf')
+    holder: str = ''
+    configuration_version: int = -1
+
+
+class PeerTask(asyncio.DatagramProtocol):
+    """Owner of the datagram socket.
+
+    Parameters
+    ----------
+    router_id, holder : str
+    directory : EndpointDirectory
+    budgets : BudgetTask
+    decisions : DecisionLog
+    configuration_version : callable
+        Returns the version in force here.
+    """
+
+    def __init__(
+        self,
+        router_id: str,
+        holder: str,
+        directory: EndpointDirectory,
+        budgets: BudgetTask,
+        decisions: DecisionLog,
+        configuration_version: Callable[[], int],
+    ) -> None:
+        self._router_id = router_id
+        self._holder = holder
+        self._directory = directory
+        self._budgets = budgets
+        self._decisions = decisions
+        self._configuration_version = configuration_version
+        self._peers: dict[str, _Peer] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._factory = TCyBinaryProtocolFactory()
+        # Runs sent to endpoints since the last two reports.
+        self._runs: dict[str, list[int]] = {}
+        self._last_runs: dict[str, list[int]] = {}
+        self._number = 0
+        self._transfers: dict[tuple[str, int], None] = {}
+
+    async def listen(self, host: str, port: int) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        self._transport = typing.cast('asyncio.DatagramTransport', transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore a router whose port is closed; it may be back."""
+        self._decisions.event('peer_error', routine=True, reason=str(exc))
+
+    def note_address(self, router_id: str, value: bytes | None) -> None:
+        """Take the address of a router from the log."""
+        if router_id == self._router_id:
+            return
+        if value is None:
+            self._peers.pop(router_id, None)
+            return
+        host, _, port = value.decode('latin-1').rpartition(':')
+        if port.isdigit():
+            self._peers[router_id] = _Peer((host, int(port)))
+
+    def note_runs(self, endpoint_id: str, keys: list[int]) -> None:
+        """Note prompt parts that were sent to an endpoint."""
+        self._runs.setdefault(endpoint_id, []).extend(keys)
+
+    def live_routers(self) -> int:
+        """Return the number of live routers, this one included."""
+        return 1 + sum(1 for _ in self._live())
+
+    def _live(self) -> list[_Peer]:
+        now_s = asyncio.get_running_loop().time()
+        return [p for p in self._peers.values() if now_s - p.heard_s < LIVE_S]
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            peers = max(1, len(self._peers))
+            interval_s = max(REPORT_INTERVAL_S, peers / MAX_DATAGRAMS_PER_S)
+            await asyncio.sleep(interval_s)
+            self._budgets.allotments.routers = self.live_routers()
+            self._send_reports(loop.time())
+
+    def _send_reports(self, now_s: float) -> None:
+        due = [
+            peer
+            for peer in self._peers.values()
+            if now_s - peer.heard_s < LIVE_S
+            or now_s - peer.sent_s >= _SILENT_INTERVAL_S
+        ]
+        if not due:
+            return
+        data = self._encode(report=self._report())
+        for peer in due:
+            peer.sent_s = now_s
+            self._send(data, peer)
+
+    def _report(self) -> object:
+        loads = [
+            messages.EndpointLoad(
+                endpoint=entry.endpoint.id,
+                running=len(entry.load.placed),
+                work=int(entry.load.work),
+            )
+            for entry in self._directory
+            if entry.load.placed or entry.load.reported
+        ]
+        for entry in self._directory:
+            entry.load.reported = bool(entry.load.placed)
+        both = {
+            endpoint: self._last_runs.get(endpoint, [])
+            + self._runs.get(endpoint, [])
+            for endpoint in {*self._last_runs, *self._runs}
+        }
+        self._last_runs, self._runs = self._runs, {}
+        return messages.Report(
+            loads=loads,
+            cached=[
+                messages.CachedRuns(endpoint=endpoint, keys=keys)
+                for endpoint, keys in both.items()
+            ],
+            crashes=[],
+            leaving=[],
+            configuration_version=self._configuration_version(),
+        )
+
+    def _encode(self, **fields: object) -> bytes:
+        datagram = messages.Datagram(
+            holder=self._holder, router=self._router_id, **fields
+        )
+        return serialize(datagram, self._factory)
+
+    def _send(self, data: bytes, peer: _Peer) -> None:
+        if self._transport is not None and len(data) <= _MAX_DATAGRAM_BYTES:
+            self._transport.sendto(data, peer.address)
+
+    # Receiving.
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a datagram of another router."""
+        try:
+            datagram = deserialize(messages.Datagram(), data, self._factory)
+        except (TException, ValueError, EOFError, TypeError) as error:
+            self._decisions.event(
+                'peer_unreadable', routine=True, reason=str(error)
+            )
+            return
+        if not datagram.router or datagram.router == self._router_id:
+            return
+        peer = self._peers.get(datagram.router)
+        if peer is None:
+            peer = self._peers[datagram.router] = _Peer(addr)
+        now_s = asyncio.get_running_loop().time()
+        if now_s - peer.heard_s >= LIVE_S:
+            self._decisions.event('peer_live', router=datagram.router)
+        peer.heard_s = now_s
+        peer.address = addr
+        peer.holder = datagram.holder
+        if datagram.report is not None:
+            self._take_report(datagram, peer, now_s)
+        if datagram.request is not None:
+            self._donate(datagram.request, peer)
+        if datagram.transfer is not None:
+            self._take_transfer(datagram.holder, datagram.transfer)
+
+    def _take_report(
+        self, datagram: object, peer: _Peer, now_s: float
+    ) -> None:
+        report = datagram.report
+        peer.configuration_version = report.configuration_version or -1
+        for load in report.loads or ():
+            entry = self._directory.find(load.endpoint)
+            if entry is not None:
+                entry.load.peers[datagram.router] = PeerReport(
+                    load.running, load.work, now_s
+                )
+        for cached in report.cached or ():
+            entry = self._directory.find(cached.endpoint)
+            if entry is not None:
+                for key in cached.keys:
+                    entry.load.cache.touch(key, now_s)
+
+    # Allotments.
+
+    def ask_tokens(self, organisation: str, tokens: int) -> None:
+        """Ask live routers for tokens that they do not need."""
+        peers = self._live()
+        if not peers:
+            return
+        self._number += 1
+        start = self._number % len(peers)
+        request = messages.AllotmentRequest(
+            number=self._number, organisation=organisation, tokens=tokens
+        )
+        data = self._encode(request=request)
+        for peer in (peers[start:] + peers[:start])[:_MAX_DONORS]:
+            self._send(data, peer)
+
+    def _donate(self, request: object, peer: _Peer) -> None:
+        tokens = self._budgets.give(
+            request.organisation, request.tokens, _DONATED_SHARE
+        )
+        if not tokens:
+            return
+        self._number += 1
+        transfer = messages.AllotmentTransfer(
+            number=self._number,
+            organisation=request.organisation,
+            tokens=tokens,
+        )
+        self._decisions.event(
+            'allotment_given',
+            routine=True,
+            organisation=request.organisation,
+            tokens=tokens,
+            to=peer.holder,
+        )
+        self._send(self._encode(transfer=transfer), peer)
+
+    def _take_transfer(self, holder: str, transfer: object) -> None:
+        # Networks may deliver a datagram twice.
+        key = (holder, transfer.number)
+        if key in self._transfers:
+            return
+        self._transfers[key] = None
+        self._budgets.receive(transfer.organisation, transfer.tokens)
+        self._decisions.event(
+            'allotment_received',
+            routine=True,
+            organisation=transfer.organisation,
+            tokens=transfer.tokens,
+            source=holder,
+        )
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -18,6 +18,7 @@
 from ._directory import EndpointEntry
 from ._interfaces import Verdict
 from ._interfaces import Wire
+from ._peers import PeerTask
 
 # Largest answer that is held whole before it is passed on.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -50,14 +51,20 @@
     ----------
     wire : Wire
     directory : EndpointDirectory
+    peers : PeerTask
     decisions : DecisionLog
     """
 
     def __init__(
-        self, wire: Wire, directory: EndpointDirectory, decisions: DecisionLog
+        self,
+        wire: Wire,
+        directory: EndpointDirectory,
+        peers: PeerTask,
+        decisions: DecisionLog,
     ) -> None:
         self._wire = wire
         self._directory = directory
+        self._peers = peers
         self._decisions = decisions
 
     async def send(
@@ -121,8 +128,11 @@
             last_event_id=call.events.last_id,
         )
         connection.begin(message, self._wire.echo_field(call.facts))
-        for key, _ in call.prompt_runs:
-            entry.load.cache.touch(key, now_s)
+        if call.prompt_runs:
+            keys = [key for key, _ in call.prompt_runs]
+            for key in keys:
+                entry.load.cache.touch(key, now_s)
+            self._peers.note_runs(entry.endpoint.id, keys)
 
     async def _take_answer(
         self,
--- /dev/null
+++ b/src/basilpond/node/peer.thrift
@@ -0,0 +1,51 @@
+// Datagrams between routers.
+
+// Load that the sender puts on an endpoint.
+struct EndpointLoad {
+  1: string endpoint,
+  2: i32 running,
+  // Prompt tokens that are not read yet.
+  3: i64 work
+}
+
+// Prompt parts that the sender sent to an endpoint lately.
+struct CachedRuns {
+  1: string endpoint,
+  2: list<i64> keys
+}
+
+struct Crash {
+  1: string digest,
+  2: i32 count,
+  3: i32 age_ms
+}
+
+struct Report {
+  1: list<EndpointLoad> loads,
+  2: list<CachedRuns> cached,
+  3: list<Crash> crashes,
+  4: list<string> leaving,
+  5: i64 configuration_version
+}
+
+// A router without the log asks another one for tokens.
+struct AllotmentRequest {
+  1: i64 number,
+  2: string organisation,
+  3: i64 tokens
+}
+
+// Tokens that the sender no longer owns.
+struct AllotmentTransfer {
+  1: i64 number,
+  2: string organisation,
+  3: i64 tokens
+}
+
+struct Datagram {
+  1: string holder,
+  2: string router,
+  3: optional Report report,
+  4: optional AllotmentRequest request,
+  5: optional AllotmentTransfer transfer
+}
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -11,8 +11,8 @@
 from ._prepaid import AllotmentRows
 from ._prepaid import Allotments
 from ._prepaid import Hold
-from ._prepaid import parse_row_key
-from ._prepaid import row_key
+from ._prepaid import Row
+from ._prepaid import Stamp
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prefix_runs
 from ._retry_policy import SendResult
@@ -46,12 +46,12 @@
     'RetryShare',
     'Route',
     'RouteKind',
+    'Row',
     'SendResult',
+    'Stamp',
     'choose_endpoint',
     'choose_service',
     'may_send_again',
-    'parse_row_key',
     'prefill_work',
     'prefix_runs',
-    'row_key',
 ]
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -102,6 +102,7 @@
         'endpoint',
         'peers',
         'placed',
+        'reported',
         'slowness',
         'work',
     )
@@ -111,6 +112,8 @@
         self.cache = PromptCache(cache_keep_s)
         self.placed: dict[Placed, None] = {}
         self.peers: dict[str, PeerReport] = {}
+        # Whether the last report to other routers named load here.
+        self.reported = False
         # Prompt tokens of own requests that are not read yet.
         self.work = 0.0
         # Ratio of the time to the first token to its forecast.
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -9,64 +9,134 @@
 add up to at most the budget. It gives back what it does not need by lowering
 its own allotment first and its row afterwards. So no holder ever owns more
 than its row says, and the sum of what was granted never exceeds the budget,
-whatever is lost, delayed or paused. No clock is involved. The row of a killed
-router stays: what it had sent cannot be known.
+whatever is lost, delayed or paused.
+
+Allotments are large, to last through an outage of the log, and a killed
+router must not take them with it. So a row has a ceiling, too: while the log
+answers, a router consumes up to the ceiling only and raises it ahead of its
+use. It goes beyond the ceiling no earlier than `OUTAGE_S` after the stamp of
+the last record that it has composed. The next start on the same machine that
+begins sooner after the stamp in the log proves that its predecessor never
+did, and reduces the predecessor's row to its ceiling.
 """
 
 from __future__ import annotations
 
 import dataclasses
 
+# Time from the last stamp after which a router may exceed its ceiling, by a
+# clock that counts suspended time. Processes are back 0.6 to 0.8 s after they
+# were killed and stamp every 0.5 s.
+OUTAGE_S = 2.0
+# An allotment lasts this long at the present rate where the budget is ample:
+# outages of the platform's store take 4 to 9 s.
+ALLOTMENT_S = 10.0
+# Part of what is not spent that routers may own without using it.
+IDLE_SHARE = 0.6
+# A ceiling is this far ahead of the use at the present rate, so that most
+# requests do not wait for it.
+_CEILING_S = 1.5
+# Both are refilled below this share of their targets.
+_REFILL_BELOW = 0.6
+# Allotments are given back above this multiple of the target.
+_RETURN_ABOVE = 1.5
+# Weight of the newest interval in the rate of consumption.
+_RATE_WEIGHT = 0.2
 
-@dataclasses.dataclass(slots=True)
-class _Row:
-    tokens: int
-    offset: int
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Row:
+    """Row of a holder.
+
+    Parameters
+    ----------
+    owned : int
+        Tokens that the holder may consume, ever.
+    ceiling : int
+        Tokens that it consumes at most while the log answers.
+    """
+
+    owned: int
+    ceiling: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stamp:
+    """Time of a holder's record.
+
+    Parameters
+    ----------
+    boot_ms : int
+        Clock of the machine that counts suspended time.
+    wall_ms : int
+        Time of day. Both clocks have to agree, as the first one begins anew
+        when the machine does.
+    """
+
+    boot_ms: int
+    wall_ms: int
+
+    def proves_ceiling(self, successor: Stamp) -> bool:
+        """Whether the holder ended before it could exceed its ceiling.
+
+        Parameters
+        ----------
+        successor : Stamp
+            Taken when the next process on the same machine started.
+        """
+        limit_ms = OUTAGE_S * 1000
+        return (
+            0 <= successor.boot_ms - self.boot_ms < limit_ms
+            and 0 <= successor.wall_ms - self.wall_ms < limit_ms
+        )
+
+
+_NO_ROW = Row(0, 0)
 
 
 class AllotmentRows:
     """Rows of all holders, folded from the log."""
 
-    __slots__ = ('_rows', '_totals')
+    __slots__ = ('_ceilings', '_rows', '_totals')
 
     def __init__(self) -> None:
-        self._rows: dict[str, dict[str, _Row]] = {}
+        self._rows: dict[str, dict[str, tuple[Row, int]]] = {}
         self._totals: dict[str, int] = {}
+        self._ceilings: dict[str, int] = {}
 
     def apply(
-        self, organisation: str, holder: str, tokens: int, offset: int
+        self, organisation: str, holder: str, row: Row, offset: int
     ) -> None:
         """Take a row; an older one than the known is ignored."""
         rows = self._rows.setdefault(organisation, {})
-        row = rows.get(holder)
-        if row is None:
-            row = rows[holder] = _Row(0, -1)
-        if offset <= row.offset:
+        known, known_offset = rows.get(holder, (_NO_ROW, -1))
+        if offset <= known_offset:
             return
         total = self._totals.get(organisation, 0)
-        self._totals[organisation] = total + tokens - row.tokens
-        row.tokens = tokens
-        row.offset = offset
+        self._totals[organisation] = total + row.owned - known.owned
+        ceiling = self._ceilings.get(organisation, 0)
+        self._ceilings[organisation] = ceiling + row.ceiling - known.ceiling
+        rows[holder] = row, offset
 
     def total(self, organisation: str) -> int:
-        """Return the sum of the rows of an organisation."""
+        """Return what the holders of an organisation's tokens own."""
         return self._totals.get(organisation, 0)
 
-    def row(self, organisation: str, holder: str) -> tuple[int, int]:
-        """Return tokens and offset of a row; offset -1 if there is none."""
-        row = self._rows.get(organisation, {}).get(holder)
-        return (0, -1) if row is None else (row.tokens, row.offset)
+    def total_ceiling(self, organisation: str) -> int:
+        """Return the sum of the ceilings of an organisation's rows."""
+        return self._ceilings.get(organisation, 0)
 
+    def row(self, organisation: str, holder: str) -> tuple[Row, int]:
+        """Return a row and its offset; offset -1 if there is none."""
+        return self._rows.get(organisation, {}).get(holder, (_NO_ROW, -1))
 
-def row_key(organisation: str, holder: str) -> str:
-    """Return the key of a row in the log."""
-    return f'{organisation}/{holder}'
-
-
-def parse_row_key(key: str) -> tuple[str, str] | None:
-    """Return organisation and holder, None for keys of other kinds."""
-    organisation, separator, holder = key.rpartition('/')
-    return (organisation, holder) if separator and organisation else None
+    def of_holder(self, holder: str) -> dict[str, Row]:
+        """Return the rows of a holder by organisation."""
+        return {
+            organisation: rows[holder][0]
+            for organisation, rows in self._rows.items()
+            if holder in rows
+        }
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -78,31 +148,20 @@
     settled: bool = False
 
 
-# An allotment lasts this long at the present rate where the budget is ample:
-# outages of the platform's store take 4 to 9 s.
-ALLOTMENT_S = 8.0
-# All idle allotments together keep to this share of what nobody has been
-# granted, so that little is out of reach when the budget ends or all routers
-# are killed.
-IDLE_SHARE = 1 / 6
-# An allotment is refilled below this share of its target, and given back
-# above that multiple.
-_REFILL_BELOW = 0.6
-_RETURN_ABOVE = 1.5
-# Weight of the newest second in the rate of consumption.
-_RATE_WEIGHT = 0.4
-
-
 @dataclasses.dataclass(slots=True)
 class _Account:
-    # Granted to this router, ever.
+    # Granted to this router by the log, ever.
     granted: int = 0
-    # Spent, or held for requests in progress.
+    # Acknowledged by the log.
+    ceiling: int = 0
+    # Received from other routers, whose rows still count it.
+    received: int = 0
+    # Spent, held for requests in progress, or given to other routers.
     used: int = 0
-    # Row value that was written and is not decided yet.
-    asked: int | None = None
-    # Row value that the log holds or will hold.
-    written: int = 0
+    # Newest row that was appended or is being appended.
+    written: Row = _NO_ROW
+    # Whether the newest row raises what is owned and is not decided yet.
+    raising: bool = False
     # Sum of the bounds of the requests that wait.
     wanted: int = 0
     rate_per_s: float = 0.0
@@ -110,8 +169,18 @@
     limit: int | None = None
 
     @property
-    def free(self) -> int:
-        return self.granted - self.used
+    def own_use(self) -> int:
+        """Use that the router's own row has to cover."""
+        return max(0, self.used - self.received)
+
+    @property
+    def owned_free(self) -> int:
+        return self.granted + self.received - self.used
+
+    @property
+    def ready_free(self) -> int:
+        covered = min(self.granted, self.ceiling)
+        return covered + self.received - self.used
 
 
 class Allotments:
@@ -124,12 +193,13 @@
     rows : AllotmentRows
     """
 
-    __slots__ = ('_accounts', '_holder', '_rows', 'routers')
+    __slots__ = ('_accounts', '_holder', '_rows', '_stamp_ms', 'routers')
 
     def __init__(self, holder: str, rows: AllotmentRows) -> None:
         self._holder = holder
         self._rows = rows
         self._accounts: dict[str, _Account] = {}
+        self._stamp_ms: int | None = None
         # Live routers, this one included.
         self.routers = 1
 
@@ -137,10 +207,20 @@
         """Take the budget of an organisation; None is unlimited."""
         self._account(organisation).limit = tokens
 
-    def hold(self, organisation: str, tokens: int) -> Hold | None:
+    def in_outage(self, boot_ms: int) -> bool:
+        """Whether ceilings no longer bind."""
+        return (
+            self._stamp_ms is not None
+            and boot_ms - self._stamp_ms >= OUTAGE_S * 1000
+        )
+
+    def hold(
+        self, organisation: str, tokens: int, boot_ms: int
+    ) -> Hold | None:
         """Set tokens aside, if the allotment has them."""
         account = self._account(organisation)
-        if account.limit is not None and account.free < tokens:
+        limited = account.limit is not None
+        if limited and self._free(account, boot_ms) < tokens:
             return None
         account.used += tokens
         account.recent += tokens
@@ -154,57 +234,100 @@
         account = self._account(hold.organisation)
         account.used -= hold.tokens - spent_tokens
 
+    def give(
+        self, organisation: str, tokens: int, share: float, boot_ms: int
+    ) -> int:
+        """Give tokens to another router, whose row does not count them.
+
+        Parameters
+        ----------
+        organisation : str
+        tokens : int
+            Wanted.
+        share : float
+            Part of the free tokens that is given at most.
+        boot_ms : int
+
+        Returns
+        -------
+        int
+            Tokens that this router no longer owns.
+        """
+        account = self._accounts.get(organisation)
+        if account is None or account.limit is None or tokens <= 0:
+            return 0
+        free = self._free(account, boot_ms)
+        given = max(0, min(tokens, int(free * share)))
+        account.used += given
+        return given
+
+    def receive(self, organisation: str, tokens: int) -> None:
+        """Take tokens that another router gave up."""
+        assert tokens >= 0, tokens
+        self._account(organisation).received += tokens
+
     def ask(self, organisation: str, tokens: int) -> None:
-        """Note that requests wait for this many tokens."""
+        """Note that a request waits for this many tokens."""
         self._account(organisation).wanted += tokens
 
-    def is_exhausted(self, organisation: str, tokens: int) -> bool:
-        """Whether the budget cannot cover a request.
+    def shortage(self, organisation: str, tokens: int) -> int:
+        """Return how much to ask other routers for.
 
-        What other routers own counts as spent. It is a small share of what
-        nobody owned when they were granted it.
+        Includes what this router uses in a second, so that each request does
+        not ask anew.
         """
         account = self._account(organisation)
+        return max(0, tokens + int(account.rate_per_s) - account.owned_free)
+
+    def is_exhausted(self, organisation: str, tokens: int) -> bool:
+        """Whether nobody but other routers owns what a request needs."""
+        account = self._account(organisation)
         if account.limit is None:
             return False
-        return account.free + self._unowned(organisation, account) < tokens
+        unowned = self._unowned(organisation, account)
+        return account.owned_free + unowned < tokens
 
     def update_rates(self, elapsed_s: float) -> None:
-        """Update the rates of consumption, about once a second."""
+        """Update the rates of consumption."""
         for account in self._accounts.values():
             rate = account.recent / elapsed_s
             account.rate_per_s += _RATE_WEIGHT * (rate - account.rate_per_s)
             account.recent = 0
 
-    def changes(self) -> list[tuple[str, int]]:
+    def changes(self, stamp: Stamp) -> dict[str, Row]:
         """Decide which rows to write.
 
+        Parameters
+        ----------
+        stamp : Stamp
+            Now; appended with the rows.
+
         Returns
         -------
-        list of (str, int)
-            Organisation and the new value of this router's row. The caller
-            appends them to the log, in this order and all of them.
+        dict of str to Row
+            The caller appends all of them and then calls `note_written`.
         """
-        rows = []
+        self._stamp_ms = stamp.boot_ms
+        rows = {}
         for organisation, account in self._accounts.items():
-            if account.asked is not None or account.limit is None:
-                continue
-            row, _ = self._rows.row(organisation, self._holder)
-            if row != account.written:
-                # The last change has to be folded first: a raise must not
-                # be decided by an older record of the same value.
+            if account.limit is None:
                 continue
-            value = self._next_value(organisation, account)
-            if value is None:
+            row = self._next_row(organisation, account)
+            if row == account.written:
                 continue
-            if value > account.granted:
-                account.asked = value
-            else:
-                account.granted = value
-            account.written = value
-            rows.append((organisation, value))
+            account.raising = account.raising or row.owned > account.granted
+            # What is given back is not owned from now on.
+            account.granted = min(account.granted, row.owned)
+            account.ceiling = min(account.ceiling, row.ceiling)
+            account.written = row
+            rows[organisation] = row
         return rows
 
+    def note_written(self, rows: dict[str, Row]) -> None:
+        """Take that the log has acknowledged rows."""
+        for organisation, row in rows.items():
+            self._accounts[organisation].ceiling = row.ceiling
+
     def decide(self, offset: int) -> list[tuple[str, int, bool]]:
         """Decide the raises whose records have been folded.
 
@@ -220,45 +343,49 @@
         """
         decided = []
         for organisation, account in self._accounts.items():
-            if account.asked is None:
-                continue
-            tokens, row_offset = self._rows.row(organisation, self._holder)
-            if row_offset < 0 or tokens != account.asked:
+            if not account.raising:
                 continue
-            if row_offset >= offset:
+            row, row_offset = self._rows.row(organisation, self._holder)
+            if row != account.written or not 0 <= row_offset < offset:
                 continue
             assert account.limit is not None
             granted = self._rows.total(organisation) <= account.limit
-            raised = account.asked - account.granted
-            account.asked = None
+            raised = row.owned - account.granted
+            account.raising = False
             # Requests that still wait ask again.
             account.wanted = 0
             if granted:
-                account.granted = tokens
+                account.granted = row.owned
             decided.append((organisation, raised, granted))
         return decided
 
-    def release_all(self) -> list[tuple[str, int]]:
+    def release_all(self, stamp: Stamp) -> dict[str, Row]:
         """Give back what is free, when the router stops.
 
         Returns
         -------
-        list of (str, int)
-            Rows to write, as from `changes`.
+        dict of str to Row
+            As from `changes`.
         """
-        rows = []
+        self._stamp_ms = stamp.boot_ms
+        rows = {}
         for organisation, account in self._accounts.items():
-            if account.asked is not None or account.written == account.used:
+            if account.raising:
                 continue
-            account.granted = account.written = account.used
-            rows.append((organisation, account.used))
+            owned = min(account.granted, account.own_use)
+            row = Row(owned, owned)
+            if row != account.written:
+                account.granted = account.ceiling = owned
+                account.written = row
+                rows[organisation] = row
         return rows
 
     def balances(self) -> dict[str, tuple[int, int, int | None]]:
-        """Return granted and used tokens and budget by organisation."""
+        """Return owned and used tokens and budget by organisation."""
         return {
-            name: (account.granted, account.used, account.limit)
+            name: (account.granted + account.received, account.used, limit)
             for name, account in self._accounts.items()
+            if (limit := account.limit) is not None
         }
 
     def _account(self, organisation: str) -> _Account:
@@ -267,35 +394,63 @@
             account = self._accounts[organisation] = _Account()
         return account
 
+    def _free(self, account: _Account, boot_ms: int) -> int:
+        if self.in_outage(boot_ms):
+            return account.owned_free
+        return account.ready_free
+
     def _unowned(self, organisation: str, account: _Account) -> int:
         assert account.limit is not None
-        # Own tokens that were asked for and denied return with the next row.
-        own_excess = max(0, account.written - account.granted)
-        total = self._rows.total(organisation)
-        return account.limit - total + own_excess
+        # A row that is not decided or was denied is not owned.
+        excess = max(0, account.written.owned - account.granted)
+        row, _ = self._rows.row(organisation, self._holder)
+        if row != account.written:
+            excess = 0
+        return account.limit - self._rows.total(organisation) + excess
+
+    def _next_row(self, organisation: str, account: _Account) -> Row:
+        folded, _ = self._rows.row(organisation, self._holder)
+        if account.raising or folded != account.written:
+            # A raise must not be decided by an older record, so the last
+            # change is folded before the next one.
+            return account.written
+        owned = self._next_owned(organisation, account)
+        ceiling = self._next_ceiling(account, owned)
+        account.wanted = 0
+        return Row(owned, ceiling)
 
-    def _next_value(self, organisation: str, account: _Account) -> int | None:
-        if account.written > account.granted:
+    def _next_owned(self, organisation: str, account: _Account) -> int:
+        if account.written.owned > account.granted:
             # The last raise was denied: correct the row before another.
             return account.granted
-        unowned = self._unowned(organisation, account)
-        pool = max(0, unowned) + max(0, account.free)
-        target = int(
-            min(
-                ALLOTMENT_S * account.rate_per_s,
-                pool * IDLE_SHARE / max(1, self.routers),
-            )
-        )
-        missing = max(0, account.wanted - max(0, account.free))
-        account.wanted = 0
-        if missing and unowned > 0:
+        unowned = max(0, self._unowned(organisation, account))
+        free = max(0, account.owned_free)
+        part = self._part(organisation, account)
+        most = int((unowned + free) * IDLE_SHARE * part)
+        target = min(int(ALLOTMENT_S * account.rate_per_s), most)
+        missing = max(0, account.wanted - free)
+        if missing:
             return account.granted + min(unowned, max(missing, target))
-        if account.free < _REFILL_BELOW * target:
-            raise_by = min(unowned, target - account.free)
-            return account.granted + raise_by if raise_by > 0 else None
-        if (
-            account.free > _RETURN_ABOVE * target
-            and account.free > pool * IDLE_SHARE / max(1, self.routers)
-        ):
-            return account.granted - (account.free - target)
-        return None
+        if account.owned_free < _REFILL_BELOW * target:
+            raise_by = target - account.owned_free
+            return account.granted + min(unowned, raise_by)
+        if free > _RETURN_ABOVE * max(target, 1) and free > most:
+            return account.granted - min(account.granted, free - target)
+        return account.granted
+
+    def _part(self, organisation: str, account: _Account) -> float:
+        # Callers of an organisation may all be at one router. Ceilings follow
+        # the use, so they tell whose callers are where.
+        total = self._rows.total_ceiling(organisation)
+        used = account.written.ceiling / total if total else 0.0
+        return max(1 / max(1, self.routers), min(1.0, used))
+
+    def _next_ceiling(self, account: _Account, owned: int) -> int:
+        ahead = int(_CEILING_S * account.rate_per_s)
+        least = account.own_use + account.wanted
+        ceiling = min(account.written.ceiling, owned)
+        if ceiling < min(owned, least + _REFILL_BELOW * ahead):
+            return min(owned, least + ahead)
+        if ceiling > least + 4 * ahead:
+            return min(owned, least + ahead)
+        return ceiling
--- a/src/basilpond/routing/_prompt_cache.py
+++ b/src/basilpond/routing/_prompt_cache.py
@@ -4,9 +4,13 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+import struct
+
+import xxhash
 
 from ._types import PromptPart
 
+_PAIR = struct.Struct('<QQ')
 # Runs of parts remembered by endpoint; the sites have some 400 shared parts.
 _MAX_RUNS = 4096
 
@@ -21,7 +25,7 @@
     key = 0
     tokens = 0
     for part in parts:
-        key = hash((key, part.id)) & 0xFFFFFFFFFFFFFFFF
+        key = xxhash.xxh64_intdigest(_PAIR.pack(key, part.id)) >> 1
         tokens += part.tokens
         runs.append((key, tokens))
     return runs
