Gather tokens from other routers in two rounds and learn the tokens of an event

Cause: without the store, tokens were left in parts at other routers, and each stream was billed at twice its output. Ruled out: waiting for the store, which does not answer for 8 s. Change: two rounds of requests to all live routers; a store that takes over 100 ms is doubted at once; the tokens of an event are bounded by the streams seen; allotments for 15 s.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -23,12 +23,16 @@
 # Requests wait this long for tokens; a grant takes two calls of 4 ms, or of
 # 240 ms where the store is slow.
 GRANT_TIMEOUT_S = 1.0
-# Time in which other routers answer a request for tokens.
-_PEER_TIMEOUT_S = 0.05
+# Time in which other routers answer a request for tokens, and the part of
+# their free tokens that they give in each round.
+_PEER_TIMEOUT_S = 0.025
+_PEER_ROUNDS = (0.5, 1.0)
+# An append that takes longer makes the store doubtful. It takes 4 ms.
+_DOUBT_S = 0.1
 # Pause between two looks at the allotments.
 _TICK_S = 0.1
 # Time after which a stamp is written even if no allotment changes.
-_STAMP_INTERVAL_S = 0.5
+_STAMP_INTERVAL_S = 0.3
 _RATE_INTERVAL_S = 0.5
 # The state of the budgets counts as current for this long after a read.
 _FRESH_S = 2.5
@@ -75,7 +79,9 @@
         self._rows = AllotmentRows()
         self._stamps: dict[str, Stamp] = {}
         self.allotments = Allotments(holder, self._rows)
-        self.ask_peers: Callable[[str, int], None] = lambda name, tokens: None
+        self.ask_peers: Callable[[str, int, float], None] = (
+            lambda name, tokens, share: None
+        )
         self.hurry_reader: Callable[[], None] = lambda: None
         self._consistent_from: int | None = None
         self._changed = asyncio.Event()
@@ -174,33 +180,46 @@
         if hold is not None:
             return hold
         loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        last_s = started_s + min(GRANT_TIMEOUT_S, timeout_s)
-        asked = False
+        last_s = loop.time() + min(GRANT_TIMEOUT_S, timeout_s)
+        rounds = list(_PEER_ROUNDS)
         while True:
             exhausted = self.allotments.is_exhausted(organisation, tokens)
-            if exhausted or not self._reachable:
-                # Only other routers may have tokens now.
-                last_s = min(last_s, started_s + _PEER_TIMEOUT_S)
-                if not asked:
-                    asked = True
-                    self.ask_peers(
-                        organisation,
-                        self.allotments.shortage(organisation, tokens),
-                    )
             if not exhausted:
                 self.allotments.ask(organisation, tokens)
                 self._kick.set()
-            try:
-                async with asyncio.timeout_at(last_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                if exhausted and self._is_fresh():
-                    return Denial.EXHAUSTED
-                return Denial.UNAVAILABLE
-            hold = self._try_hold(organisation, tokens)
+            until_s = loop.time() + _DOUBT_S
+            if exhausted or self._is_doubtful():
+                # Only other routers may have tokens now.
+                if not rounds:
+                    if exhausted and self._is_fresh():
+                        return Denial.EXHAUSTED
+                    return Denial.UNAVAILABLE
+                wanted = self.allotments.shortage(organisation, tokens)
+                self.ask_peers(organisation, wanted, rounds.pop(0))
+                until_s = loop.time() + _PEER_TIMEOUT_S
+            hold = await self._wait_hold(
+                organisation, tokens, min(until_s, last_s)
+            )
             if hold is not None:
                 return hold
+            if loop.time() >= last_s:
+                return Denial.UNAVAILABLE
+
+    async def _wait_hold(
+        self, organisation: str, tokens: int, until_s: float
+    ) -> Hold | None:
+        try:
+            async with asyncio.timeout_at(until_s):
+                while True:
+                    await self._changed.wait()
+                    hold = self._try_hold(organisation, tokens)
+                    if hold is not None:
+                        return hold
+        except TimeoutError:
+            return None
+
+    def _is_doubtful(self) -> bool:
+        return not self._reachable or self._writer.waiting_s > _DOUBT_S
 
     def settle(self, hold: Hold, spent_tokens: int) -> None:
         """Replace a hold by what the request consumed."""
--- a/src/basilpond/node/_call.py
+++ b/src/basilpond/node/_call.py
@@ -61,6 +61,7 @@
         'runs',
         'sends',
         'service',
+        'spent',
         'started_s',
         'version',
         'whole',
@@ -90,6 +91,7 @@
         self.deadline_s = request.started_s + allowed_s
         self.prompt_runs = prefix_runs(facts.parts)
         self.hold: Hold | None = None
+        self.spent: int | None = None
         self.sends = 0
         # Sends after which the request may have run.
         self.runs = 0
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -11,6 +11,7 @@
 from ..routing import CallFacts
 from ..routing import Catalogue
 from ..routing import Choice
+from ..routing import EventTokens
 from ..routing import Organisation
 from ..routing import RetryShare
 from ..routing import Route
@@ -40,9 +41,6 @@
 _GRANT_RETRY_S = 0.5
 # Time in which endpoints that turned a request away empty their queues.
 _BUSY_RETRY_S = 0.3
-# Most tokens that one event of a stream holds, from the sheets of the sites
-# (5, and 9 after they have grown).
-_TOKENS_PER_EVENT = 10
 
 
 class Dispatcher:
@@ -81,6 +79,7 @@
         self._rng = rng
         self._sender = Sender(wire, directory, peers, decisions)
         self._retries: dict[str, RetryShare] = {}
+        self._event_tokens = EventTokens()
 
     async def handle(
         self, request: CallerRequest, responder: Responder
@@ -252,9 +251,17 @@
             raise RefusedError(504, 'time limit reached')
 
     def _settle(self, call: Call) -> None:
-        if call.hold is not None:
-            spent = call.spent_tokens(_TOKENS_PER_EVENT)
-            self._budgets.settle(call.hold, spent)
+        if call.hold is None:
+            return
+        if call.facts.last_event_id is None:
+            self._event_tokens.record(
+                call.service,
+                events=call.events.count,
+                allowed_tokens=call.facts.max_output_tokens,
+            )
+        spent = call.spent_tokens(self._event_tokens.bound(call.service))
+        self._budgets.settle(call.hold, spent)
+        call.spent = spent
 
     def _refuse(
         self,
@@ -291,5 +298,8 @@
             took_s=round(now_s - call.started_s, 4),
             first_s=first_s and round(first_s - call.started_s, 4),
             events=call.events.count or None,
+            organisation=call.organisation and call.organisation.name,
+            held=call.hold and call.hold.tokens,
+            spent=call.spent,
             sends=call.sends,
         )
--- a/src/basilpond/node/_log_writer.py
+++ b/src/basilpond/node/_log_writer.py
@@ -37,6 +37,14 @@
         self._decisions = decisions
         self._sequence = 0
         self._lock = asyncio.Lock()
+        self._since_s: float | None = None
+
+    @property
+    def waiting_s(self) -> float:
+        """Time for which the present append has had no answer."""
+        if self._since_s is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._since_s
 
     async def append(
         self, collect: Callable[[], list[tuple[str, bytes]]]
@@ -52,10 +60,12 @@
             records = collect()
             if not records:
                 return False
+            self._since_s = asyncio.get_running_loop().time()
             backoff_s = _FIRST_BACKOFF_S
             while not await self._try(records):
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
+            self._since_s = None
             self._sequence += 1
             return True
 
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -34,9 +34,8 @@
 # Datagrams to routers that are not live, which may be back.
 _SILENT_INTERVAL_S = 1.0
 _MAX_DATAGRAM_BYTES = 60_000
-# Donors asked at a time, and the part of its free tokens that one gives.
-_MAX_DONORS = 4
-_DONATED_SHARE = 0.5
+# Routers asked for tokens at a time.
+_MAX_DONORS = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -234,15 +233,18 @@
 
     # Allotments.
 
-    def ask_tokens(self, organisation: str, tokens: int) -> None:
-        """Ask live routers for tokens that they do not need."""
+    def ask_tokens(self, organisation: str, tokens: int, share: float) -> None:
+        """Ask live routers for a share of their free tokens."""
         peers = self._live()
         if not peers:
             return
         self._number += 1
         start = self._number % len(peers)
         request = messages.AllotmentRequest(
-            number=self._number, organisation=organisation, tokens=tokens
+            number=self._number,
+            organisation=organisation,
+            tokens=tokens,
+            percent=int(100 * share),
         )
         data = self._encode(request=request)
         for peer in (peers[start:] + peers[:start])[:_MAX_DONORS]:
@@ -250,7 +252,9 @@
 
     def _donate(self, request: object, peer: _Peer) -> None:
         tokens = self._budgets.give(
-            request.organisation, request.tokens, _DONATED_SHARE
+            request.organisation,
+            request.tokens,
+            min(100, max(0, request.percent or 0)) / 100,
         )
         if not tokens:
             return
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -32,7 +32,9 @@
 struct AllotmentRequest {
   1: i64 number,
   2: string organisation,
-  3: i64 tokens
+  3: i64 tokens,
+  // Part of its free tokens that the receiver gives at most.
+  4: i32 percent
 }
 
 // Tokens that the sender no longer owns.
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from ._catalogue import Catalogue
 from ._catalogue import choose_service
+from ._event_tokens import EventTokens
 from ._placement import Choice
 from ._placement import EndpointLoad
 from ._placement import PeerReport
@@ -37,6 +38,7 @@
     'Configuration',
     'Endpoint',
     'EndpointLoad',
+    'EventTokens',
     'Hold',
     'Organisation',
     'PeerReport',
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -26,13 +26,13 @@
 
 # Time from the last stamp after which a router may exceed its ceiling, by a
 # clock that counts suspended time. Processes are back 0.6 to 0.8 s after they
-# were killed and stamp every 0.5 s.
-OUTAGE_S = 2.0
+# were killed and stamp every 0.3 s.
+OUTAGE_S = 1.5
 # An allotment lasts this long at the present rate where the budget is ample:
 # outages of the platform's store take 4 to 9 s.
-ALLOTMENT_S = 10.0
+ALLOTMENT_S = 15.0
 # Part of what is not spent that routers may own without using it.
-IDLE_SHARE = 0.6
+IDLE_SHARE = 0.8
 # A ceiling is this far ahead of the use at the present rate, so that most
 # requests do not wait for it.
 _CEILING_S = 1.5
