Keep long prompts away from streams, weigh reading again

Ruled out: waits for the first token (22 of 440 late), slow endpoints (ratios near 1), the router (0.03 cores). Change: long prompts cost by the streams that pause beside them and go to a part of the endpoints that others avoid; reading again counts twice.

--- a/src/basilpond/node/_call.py
+++ b/src/basilpond/node/_call.py
@@ -56,6 +56,7 @@
         'last_part_s',
         'longest_pause_s',
         'organisation',
+        'pause_end_s',
         'prompt_runs',
         'request',
         'responder',
@@ -103,6 +104,7 @@
         self.first_byte_s: float | None = None
         self.last_part_s = 0.0
         self.longest_pause_s = 0.0
+        self.pause_end_s = 0.0
         # Whether the caller got a whole answer of an endpoint.
         self.whole = False
 
@@ -120,7 +122,9 @@
             self.first_byte_s = now_s
         else:
             pause_s = now_s - self.last_part_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+            if pause_s > self.longest_pause_s:
+                self.longest_pause_s = pause_s
+                self.pause_end_s = now_s
         self.last_part_s = now_s
 
     def spent_tokens(self, tokens_per_event: int) -> int:
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import traceback
 
 from ..http1 import CallerRequest
 from ..http1 import Responder
@@ -96,6 +97,16 @@
             await self._serve(call)
         except RefusedError as refusal:
             self._refuse(request, responder, facts, refusal)
+        except Exception as error:
+            # A defect must not close the connection without an answer.
+            self._decisions.event(
+                'defect',
+                request=facts and facts.request_id,
+                reason=repr(error),
+                trace=traceback.format_exc(limit=-4),
+            )
+            defect = RefusedError(500, 'defect of the router')
+            self._refuse(request, responder, facts, defect)
         finally:
             if call is not None:
                 self._note_end(call)
@@ -298,6 +309,9 @@
             took_s=round(now_s - call.started_s, 4),
             first_s=first_s and round(first_s - call.started_s, 4),
             pause_s=round(call.longest_pause_s, 4) or None,
+            pause_end_s=round(call.pause_end_s - call.started_s, 4)
+            if call.longest_pause_s
+            else None,
             events=call.events.count or None,
             organisation=call.organisation and call.organisation.name,
             held=call.hold and call.hold.tokens,
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -12,6 +12,8 @@
 import dataclasses
 import random
 
+from ._long_prompts import LONG_PROMPT_TOKENS
+from ._long_prompts import long_prompt_endpoints
 from ._prompt_cache import PromptCache
 from ._types import Endpoint
 
@@ -22,6 +24,15 @@
 # Attention makes a token of a long prompt dearer: half of 0.33 ms for each
 # million pairs, in tokens of 1/65 ms.
 PAIR_WEIGHT = 1.1e-5
+# Time to the first token of a short prompt at an idle engine.
+_BASE_S = 0.03
+# Reading a shared part again delays the other requests of its endpoint, too,
+# so it costs this much more than the request's own wait.
+_REREAD_WEIGHT = 1.0
+# Cost of reading a long prompt, by the streams that pause beside it, and of
+# starting a stream at an endpoint for long prompts.
+_PAUSED_STREAM_S = 0.06
+_BESIDE_LONG_S = 0.15
 # Time that a running request adds to the first token of another.
 _RUNNING_S = 0.0004
 # Time by which a full endpoint is worse than one with a free slot.
@@ -143,7 +154,7 @@
         full = running - self.endpoint.slots
         if full >= 0:
             wait_s += _FULL_S * (1 + full / self.endpoint.slots)
-        return wait_s * self.slowness
+        return (wait_s + (_BASE_S if work else 0.0)) * self.slowness
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of recent requests that failed here."""
@@ -180,8 +191,7 @@
         self.work -= placed.work
         if placed.work:
             observed_s = now_s - placed.started_s
-            forecast_s = max(0.02, placed.forecast_s / self.slowness)
-            ratio = observed_s / forecast_s
+            ratio = observed_s * self.slowness / placed.forecast_s
             ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
             self.slowness += _SPEED_WEIGHT * (ratio - self.slowness)
 
@@ -269,17 +279,29 @@
     best_cost_s = 0.0
     best_ejected = True
     candidates = 0
+    loads = list(loads)
+    reserved = long_prompt_endpoints(
+        load.endpoint.id for load in loads if prompt_tokens
+    )
+    is_long = prompt_tokens >= LONG_PROMPT_TOKENS
+    # The last part belongs to the request itself.
+    shared_tokens = runs[-2][1] if len(runs) > 1 else 0
     for load in loads:
         candidates += 1
-        cached = load.cache.cached_tokens(runs, now_s) if runs else 0
-        cached = min(cached, prompt_tokens)
+        cached = load.cache.cached_tokens(runs[:-1], now_s)
         work = prefill_work(prompt_tokens, cached) if prompt_tokens else 0.0
         forecast_s = load.forecast_s(work, now_s)
+        if is_long:
+            beside_s = _PAUSED_STREAM_S * load.running(now_s)
+        else:
+            beside_s = _BESIDE_LONG_S * (load.endpoint.id in reserved)
         cost_s = (
             forecast_s
+            + _REREAD_WEIGHT * (shared_tokens - cached) / PREFILL_TOKENS_PER_S
             + load.stalled_s(now_s)
             + _FAILURE_S * load.failure_share(now_s)
             + load.endpoint.slow_start_s * 0.1
+            + beside_s
             + (load.endpoint.data_centre != data_centre) * _REMOTE_S
             + 0.001 * rng.random()
         )
