--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -28,7 +28,7 @@
 _BASE_S = 0.03
 # Reading a shared part again delays the other requests of its endpoint, too,
 # so it costs this much more than the request's own wait.
-_REREAD_WEIGHT = 1.0
+_REREAD_WEIGHT = 2.0
 # Cost of reading a long prompt, by the streams that pause beside it, and of
 # starting a stream at an endpoint for long prompts.
 _PAUSED_STREAM_S = 0.06
