Own a part of each budget before it is used; give received tokens back

Change: routers own 0.3 of the pool together whatever they use; rows become negative when received tokens are returned.

--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -33,6 +33,9 @@
 ALLOTMENT_S = 15.0
 # Part of what is not spent that routers may own without using it.
 IDLE_SHARE = 0.8
+# Part that routers own together whatever they use, so that an outage right
+# after a start, or of callers that move, finds tokens.
+_LEAST_SHARE = 0.3
 # A ceiling is this far ahead of the use at the present rate, so that most
 # requests do not wait for it.
 _CEILING_S = 1.5
@@ -170,8 +173,12 @@
 
     @property
     def own_use(self) -> int:
-        """Use that the router's own row has to cover."""
-        return max(0, self.used - self.received)
+        """Use that the router's own row has to cover.
+
+        Negative when tokens of other routers are left; the row becomes so,
+        too, when they are given back.
+        """
+        return self.used - self.received
 
     @property
     def owned_free(self) -> int:
@@ -372,7 +379,7 @@
         for organisation, account in self._accounts.items():
             if account.raising:
                 continue
-            owned = min(account.granted, account.own_use)
+            owned = account.own_use
             row = Row(owned, owned)
             if row != account.written:
                 account.granted = account.ceiling = owned
@@ -425,9 +432,11 @@
             return account.granted
         unowned = max(0, self._unowned(organisation, account))
         free = max(0, account.owned_free)
-        part = self._part(organisation, account)
-        most = int((unowned + free) * IDLE_SHARE * part)
-        target = min(int(ALLOTMENT_S * account.rate_per_s), most)
+        pool = unowned + free
+        most = pool * IDLE_SHARE * self._part(organisation, account)
+        least = pool * _LEAST_SHARE / max(1, self.routers)
+        wished = max(ALLOTMENT_S * account.rate_per_s, least)
+        target = int(min(wished, most))
         missing = max(0, account.wanted - free)
         if missing:
             return account.granted + min(unowned, max(missing, target))
@@ -435,7 +444,7 @@
             raise_by = target - account.owned_free
             return account.granted + min(unowned, raise_by)
         if free > _RETURN_ABOVE * max(target, 1) and free > most:
-            return account.granted - min(account.granted, free - target)
+            return account.granted - (free - target)
         return account.granted
 
     def _part(self, organisation: str, account: _Account) -> float:
