Give up on silent endpoints, count crashes of requests, hand tokens on at a stop

Cause: requests to endpoints that hang waited to their end; a request that crashes its endpoint was sent on without bound; a router that stopped while the store was away took its allotments with it. Ruled out: status checks, which are priced and pass on such endpoints. Change: patience for the first byte and for pauses where a request may be repeated; the crash counter moves to routing and is told by datagrams, with endpoints that leave; free tokens go to live routers at a stop; a failed connection costs no repeat; Retry-After grows with the outage.

--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of the router, without I/O, sockets, files, timers or clocks."""
 
+from ..routing import CrashCounter
 from ._accounts import Accounts
 from ._accounts import Allotment
 from ._accounts import BillDraft
@@ -17,7 +18,6 @@
 from ._codes import ResultCode
 from ._config_fold import ConfigFold
 from ._config_fold import PublishDecided
-from ._crash_counter import CrashCounter
 from ._decision_trail import Decision
 from ._decision_trail import DecisionTrail
 from ._frames import StreamCheck
--- a/src/basilpond/core/tests/test_health.py
+++ b/src/basilpond/core/tests/test_health.py
@@ -2,10 +2,10 @@
 from hypothesis import strategies as st
 import pytest
 
-from basilpond.core._crash_counter import CrashCounter
 from basilpond.core._outlier_ejection import OutlierEjection
 from basilpond.core._quarantine import Quarantine
 from basilpond.core._quarantine import QuarantineState
+from basilpond.routing import CrashCounter
 
 GROUP = ('e1', 'e2', 'e3', 'e4')
 
--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -34,6 +34,7 @@
     BROKEN = 'broken'
     MALFORMED = 'malformed'
     FOREIGN = 'foreign'
+    SLOW = 'slow'
 
 
 class ExchangeError(Exception):
@@ -269,6 +270,11 @@
             return False
         return True
 
+    def give_up(self, detail: str) -> None:
+        """End an exchange whose answer takes too long."""
+        if not self._complete:
+            self._fail(ExchangeFailure.SLOW, detail)
+
     def is_usable(self) -> bool:
         """Whether an idle connection may carry another exchange."""
         return (
--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -151,6 +151,11 @@
         if reachable:
             self._read_s = asyncio.get_running_loop().time()
 
+    @property
+    def outage_s(self) -> float:
+        """Time since the store last answered."""
+        return asyncio.get_running_loop().time() - self._read_s
+
     # Requests.
 
     def set_limits(self, catalogue: Catalogue) -> None:
@@ -188,7 +193,7 @@
                 self.allotments.ask(organisation, tokens)
                 self._kick.set()
             until_s = loop.time() + _DOUBT_S
-            if exhausted or self._is_doubtful():
+            if exhausted or self.is_doubtful():
                 # Only other routers may have tokens now.
                 if not rounds:
                     if exhausted and self._is_fresh():
@@ -218,7 +223,8 @@
         except TimeoutError:
             return None
 
-    def _is_doubtful(self) -> bool:
+    def is_doubtful(self) -> bool:
+        """Whether the store has not answered for a while."""
         return not self._reachable or self._writer.waiting_s > _DOUBT_S
 
     def settle(self, hold: Hold, spent_tokens: int) -> None:
@@ -230,6 +236,15 @@
         boot_ms = self._clock().boot_ms
         return self.allotments.give(organisation, tokens, share, boot_ms)
 
+    def free_tokens(self) -> dict[str, int]:
+        """Return the tokens that this router could give, if any."""
+        boot_ms = self._clock().boot_ms
+        return {
+            name: free
+            for name in self.allotments.balances()
+            if (free := self.allotments.free(name, boot_ms)) > 0
+        }
+
     def receive(self, organisation: str, tokens: int) -> None:
         """Take tokens of another router."""
         self.allotments.receive(organisation, tokens)
--- a/src/basilpond/node/_call.py
+++ b/src/basilpond/node/_call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 from ..http1 import CallerRequest
 from ..http1 import EventSplitter
 from ..http1 import Responder
@@ -47,7 +49,9 @@
     """
 
     __slots__ = (
+        'connects',
         'deadline_s',
+        'digest',
         'endpoints',
         'events',
         'facts',
@@ -92,10 +96,23 @@
         if facts.deadline_s is not None:
             allowed_s = min(allowed_s, facts.deadline_s)
         self.deadline_s = request.started_s + allowed_s
+        # The same caller's same request, whatever its id.
+        self.digest = xxhash.xxh3_128_hexdigest(
+            b'\0'.join(
+                (
+                    request.method,
+                    request.target,
+                    (facts.key or '').encode(),
+                    request.body,
+                )
+            )
+        )
         self.prompt_runs = prefix_runs(facts.parts)
         self.hold: Hold | None = None
         self.spent: int | None = None
         self.sends = 0
+        # Connections that failed.
+        self.connects = 0
         # Sends after which the request may have run.
         self.runs = 0
         # Endpoints tried, the last one last.
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 
 from ..http1 import ConnectionPool
 from ..routing import Catalogue
@@ -164,6 +165,23 @@
             self._regained_s = loop.time()
         self._reachable = reachable
 
+    def leaving(self) -> list[str]:
+        """Return the starts of endpoints that are leaving."""
+        return [
+            _incarnation_text(entry.endpoint)
+            for entry in self._entries.values()
+            if entry.endpoint.leaving
+        ]
+
+    def mark_leaving(self, incarnation: str, source: str) -> None:
+        """Take from another router that an endpoint is leaving."""
+        entry = self._entries.get(incarnation.rpartition('@')[0])
+        if entry is None or entry.endpoint.leaving:
+            return
+        if _incarnation_text(entry.endpoint) == incarnation:
+            self._put(dataclasses.replace(entry.endpoint, leaving=True))
+            self._note('leaving_told', entry.endpoint, source)
+
     def mark_misdirected(self, entry: EndpointEntry) -> None:
         """Remove an endpoint whose address another server has."""
         self._remove(entry.endpoint.id, 'address belongs to another server')
@@ -178,6 +196,9 @@
             if same and known.endpoint.service == endpoint.service:
                 if endpoint.leaving and not known.endpoint.leaving:
                     self._note('endpoint_leaving', endpoint)
+                if known.endpoint.leaving and not endpoint.leaving:
+                    # An entry older than what another router knows.
+                    return
                 known.endpoint = endpoint
                 known.load.endpoint = endpoint
                 return
@@ -222,3 +243,7 @@
             boot_ms=endpoint.boot_ms,
             reason=reason,
         )
+
+
+def _incarnation_text(endpoint: Endpoint) -> str:
+    return f'{endpoint.id}@{endpoint.boot_ms}'
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -9,13 +9,16 @@
 from ..http1 import CallerRequest
 from ..http1 import Responder
 from ..http1 import find
+from ..routing import MAX_CONNECTS
 from ..routing import CallFacts
 from ..routing import Catalogue
 from ..routing import Choice
+from ..routing import CrashCounter
 from ..routing import EventTokens
 from ..routing import Organisation
 from ..routing import RetryShare
 from ..routing import Route
+from ..routing import SendResult
 from ..routing import choose_endpoint
 from ..routing import choose_service
 from ..routing import may_send_again
@@ -42,6 +45,11 @@
 _GRANT_RETRY_S = 0.5
 # Time in which endpoints that turned a request away empty their queues.
 _BUSY_RETRY_S = 0.3
+# An outage that has lasted for some time lasts about as long again; callers
+# come back no later than this, as the outage may end before.
+_MAX_RETRY_S = 4.0
+# A request that crashed several endpoints is not run again soon.
+_POISON_RETRY_S = 30.0
 
 
 class Dispatcher:
@@ -55,6 +63,7 @@
     directory : EndpointDirectory
     budgets : BudgetTask
     peers : PeerTask
+    crashes : CrashCounter
     decisions : DecisionLog
     rng : random.Random
     """
@@ -67,6 +76,7 @@
         directory: EndpointDirectory,
         budgets: BudgetTask,
         peers: PeerTask,
+        crashes: CrashCounter,
         decisions: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -76,9 +86,10 @@
         self._directory = directory
         self._budgets = budgets
         self._peers = peers
+        self._crashes = crashes
         self._decisions = decisions
         self._rng = rng
-        self._sender = Sender(wire, directory, peers, decisions)
+        self._sender = Sender(wire, directory, peers, crashes, decisions)
         self._retries: dict[str, RetryShare] = {}
         self._event_tokens = EventTokens()
 
@@ -156,6 +167,10 @@
     async def _serve(self, call: Call) -> None:
         loop = asyncio.get_running_loop()
         self._retry_share(call.service).record_request(loop.time())
+        if self._is_poison(call, loop.time()):
+            raise RefusedError(
+                503, 'crashed several endpoints', _POISON_RETRY_S
+            )
         await self._reserve(call)
         try:
             async with asyncio.timeout_at(call.deadline_s):
@@ -175,13 +190,17 @@
         if hold is Denial.EXHAUSTED:
             raise RefusedError(402, hold.value)
         if isinstance(hold, Denial):
-            raise RefusedError(503, hold.value, _GRANT_RETRY_S)
+            outage_s = self._budgets.outage_s
+            retry_s = min(_MAX_RETRY_S, max(_GRANT_RETRY_S, outage_s))
+            raise RefusedError(503, hold.value, retry_s)
         call.hold = hold
 
     async def _send_until_answered(self, call: Call) -> None:
         while True:
             entry, choice = self._choose(call)
-            outcome = await self._sender.send(call, entry, choice)
+            outcome = await self._sender.send(
+                call, entry, choice, lambda: self._may_give_up(call)
+            )
             if outcome.result is None:
                 return
             if not self._may_repeat(call, outcome):
@@ -221,13 +240,37 @@
 
     def _may_repeat(self, call: Call, outcome: SendOutcome) -> bool:
         assert outcome.result is not None
+        if outcome.result is SendResult.NOT_SENT:
+            # Nothing arrived, so it is no repeat for the service.
+            return call.connects < MAX_CONNECTS
+        now_s = asyncio.get_running_loop().time()
         if not may_send_again(
             call.route, outcome.result, sends=call.sends, runs=call.runs
         ):
             return False
+        if self._is_poison(call, now_s):
+            return False
+        share = self._retry_share(call.service)
+        allowed = share.try_repeat(now_s, self._peers.live_routers())
+        if not allowed:
+            self._decisions.event(
+                'repeat_denied',
+                request=call.facts.request_id,
+                service=call.service,
+                routers=self._peers.live_routers(),
+            )
+        return allowed
+
+    def _may_give_up(self, call: Call) -> bool:
+        if call.runs >= call.route.max_attempts:
+            return False
         now_s = asyncio.get_running_loop().time()
         share = self._retry_share(call.service)
-        return share.try_repeat(now_s, self._peers.live_routers())
+        others = len(self._directory.candidates(call.service)) > 1
+        return others and share.has_room(now_s, self._peers.live_routers())
+
+    def _is_poison(self, call: Call, now_s: float) -> bool:
+        return self._crashes.is_stopped(call.digest, call.digest, now_s)
 
     def _retry_share(self, service: str) -> RetryShare:
         share = self._retries.get(service)
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -9,6 +9,7 @@
 from ..http1 import CallerServer
 from ..http1 import ConnectionLimits
 from ..routing import Catalogue
+from ..routing import CrashCounter
 from ._budgets import BudgetTask
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
@@ -33,6 +34,8 @@
 # Pause in which records of all routers gather; a router that waits for its
 # own record does not pause.
 _FLEET_GAP_S = 0.2
+# Crashes of endpoints after which a request is not run again.
+_MAX_CRASHES = 3
 # The load balancer asks every second and takes a router out after two misses.
 _STOP_NOTICE_S = 2.5
 # Part of the grace time that is left for giving back allotments.
@@ -67,6 +70,7 @@
         self.directory = EndpointDirectory(
             wire, decisions, settings.prompt_reuse_s
         )
+        crashes = CrashCounter(max_crashes=_MAX_CRASHES)
         self._writer = LogWriter(log, FLEET_TOPIC, self.holder, decisions)
         self.budgets = BudgetTask(self.holder, self._writer, decisions)
         self.peers = PeerTask(
@@ -74,6 +78,7 @@
             self.holder,
             self.directory,
             self.budgets,
+            crashes,
             decisions,
             self._configuration_version,
         )
@@ -85,6 +90,7 @@
             self.directory,
             self.budgets,
             self.peers,
+            crashes,
             decisions,
             random.Random(),
         )
@@ -181,7 +187,9 @@
             async with asyncio.timeout(_STOP_MARGIN_S / 2):
                 await self.budgets.give_back()
         except TimeoutError:
-            self._decisions.event('allotments_not_returned')
+            # The log is away: other routers can use the tokens meanwhile.
+            self._decisions.event('allotments_given_away')
+            self.peers.give_away()
         self._decisions.event('stopped', cut=cut)
         self._decisions.close()
 
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import itertools
 from pathlib import Path
 import typing
 
@@ -14,6 +15,7 @@
 from thriftpy2.utils import deserialize
 from thriftpy2.utils import serialize
 
+from ..routing import CrashCounter
 from ..routing import PeerReport
 from ._budgets import BudgetTask
 from ._decision_log import DecisionLog
@@ -34,6 +36,8 @@
 # Datagrams to routers that are not live, which may be back.
 _SILENT_INTERVAL_S = 1.0
 _MAX_DATAGRAM_BYTES = 60_000
+# Crashes told in one report; few requests crash endpoints at a time.
+_MAX_CRASHES = 32
 # Routers asked for tokens at a time.
 _MAX_DONORS = 8
 
@@ -55,6 +59,7 @@
     router_id, holder : str
     directory : EndpointDirectory
     budgets : BudgetTask
+    crashes : CrashCounter
     decisions : DecisionLog
     configuration_version : callable
         Returns the version in force here.
@@ -66,6 +71,7 @@
         holder: str,
         directory: EndpointDirectory,
         budgets: BudgetTask,
+        crashes: CrashCounter,
         decisions: DecisionLog,
         configuration_version: Callable[[], int],
     ) -> None:
@@ -73,6 +79,7 @@
         self._holder = holder
         self._directory = directory
         self._budgets = budgets
+        self._crashes = crashes
         self._decisions = decisions
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -141,12 +148,12 @@
         ]
         if not due:
             return
-        data = self._encode(report=self._report())
+        data = self._encode(report=self._report(now_s))
         for peer in due:
             peer.sent_s = now_s
             self._send(data, peer)
 
-    def _report(self) -> object:
+    def _report(self, now_s: float) -> object:
         loads = [
             messages.EndpointLoad(
                 endpoint=entry.endpoint.id,
@@ -170,8 +177,15 @@
                 messages.CachedRuns(endpoint=endpoint, keys=keys)
                 for endpoint, keys in both.items()
             ],
-            crashes=[],
-            leaving=[],
+            crashes=[
+                messages.Crash(
+                    digest=digest, count=count, age_ms=int(age_s * 1000)
+                )
+                for digest, count, age_s in itertools.islice(
+                    self._crashes.own_counts(now_s), _MAX_CRASHES
+                )
+            ],
+            leaving=self._directory.leaving(),
             configuration_version=self._configuration_version(),
         )
 
@@ -219,6 +233,16 @@
     ) -> None:
         report = datagram.report
         peer.configuration_version = report.configuration_version or -1
+        for crash in report.crashes or ():
+            self._crashes.merge(
+                datagram.holder,
+                crash.digest,
+                crash.count,
+                age_s=crash.age_ms / 1000,
+                now_s=now_s,
+            )
+        for incarnation in report.leaving or ():
+            self._directory.mark_leaving(incarnation, datagram.router)
         for load in report.loads or ():
             entry = self._directory.find(load.endpoint)
             if entry is not None:
@@ -250,24 +274,32 @@
         for peer in (peers[start:] + peers[:start])[:_MAX_DONORS]:
             self._send(data, peer)
 
+    def give_away(self) -> None:
+        """Give all free tokens to live routers, when the log is away."""
+        for name, tokens in self._budgets.free_tokens().items():
+            peers = self._live()
+            if peers:
+                peer = peers[self._number % len(peers)]
+                self._transfer(name, tokens, 1.0, peer)
+
     def _donate(self, request: object, peer: _Peer) -> None:
-        tokens = self._budgets.give(
-            request.organisation,
-            request.tokens,
-            min(100, max(0, request.percent or 0)) / 100,
-        )
+        share = min(100, max(0, request.percent or 0)) / 100
+        self._transfer(request.organisation, request.tokens, share, peer)
+
+    def _transfer(
+        self, organisation: str, wanted: int, share: float, peer: _Peer
+    ) -> None:
+        tokens = self._budgets.give(organisation, wanted, share)
         if not tokens:
             return
         self._number += 1
         transfer = messages.AllotmentTransfer(
-            number=self._number,
-            organisation=request.organisation,
-            tokens=tokens,
+            number=self._number, organisation=organisation, tokens=tokens
         )
         self._decisions.event(
             'allotment_given',
             routine=True,
-            organisation=request.organisation,
+            organisation=organisation,
             tokens=tokens,
             to=peer.holder,
         )
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from ..http1 import AnswerHead
@@ -10,9 +11,12 @@
 from ..http1 import ExchangeFailure
 from ..http1 import PeerConnection
 from ..routing import Choice
+from ..routing import CrashCounter
 from ..routing import Placed
 from ..routing import RouteKind
 from ..routing import SendResult
+from ..routing import first_byte_patience_s
+from ..routing import pause_patience_s
 from ._call import Call
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
@@ -37,12 +41,74 @@
     head : AnswerHead or None
         A failure that the endpoint answered.
     body : bytes
+    broken : bool
+        Whether the connection ended before the answer did.
     """
 
     result: SendResult | None
     reason: str = ''
     head: AnswerHead | None = None
     body: bytes = b''
+    broken: bool = False
+
+
+class Patience:
+    """Limit on the wait for an answer that may be fetched elsewhere.
+
+    Parameters
+    ----------
+    call : Call
+    forecast_s : float
+        Time to the first byte that was expected.
+    may_give_up : callable
+    """
+
+    __slots__ = (
+        '_call',
+        '_connection',
+        '_forecast_s',
+        '_may_give_up',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        call: Call,
+        forecast_s: float,
+        may_give_up: Callable[[], bool],
+    ) -> None:
+        self._call = call
+        self._forecast_s = forecast_s
+        self._may_give_up = may_give_up
+        self._connection: PeerConnection | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self, connection: PeerConnection) -> None:
+        """Wait for the first byte."""
+        if not self._call.route.repeatable:
+            return
+        self._connection = connection
+        self._set(first_byte_patience_s(self._call.route, self._forecast_s))
+
+    def note_part(self) -> None:
+        """Wait for the next part."""
+        if self._connection is not None:
+            self.stop()
+            self._set(pause_patience_s(self._call.route))
+
+    def stop(self) -> None:
+        """Wait no longer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _set(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._expire, delay_s)
+
+    def _expire(self, delay_s: float) -> None:
+        if self._connection is not None and self._may_give_up():
+            self._connection.give_up(f'no answer for {delay_s:.3f} s')
 
 
 class Sender:
@@ -53,6 +119,7 @@
     wire : Wire
     directory : EndpointDirectory
     peers : PeerTask
+    crashes : CrashCounter
     decisions : DecisionLog
     """
 
@@ -61,47 +128,68 @@
         wire: Wire,
         directory: EndpointDirectory,
         peers: PeerTask,
+        crashes: CrashCounter,
         decisions: DecisionLog,
     ) -> None:
         self._wire = wire
         self._directory = directory
         self._peers = peers
+        self._crashes = crashes
         self._decisions = decisions
 
     async def send(
-        self, call: Call, entry: EndpointEntry, choice: Choice
+        self,
+        call: Call,
+        entry: EndpointEntry,
+        choice: Choice,
+        may_give_up: Callable[[], bool],
     ) -> SendOutcome:
         """Send a request and pass a successful answer on.
 
         Cancelling closes the connection, at which the endpoint drops the
         request.
+
+        Parameters
+        ----------
+        call : Call
+        entry : EndpointEntry
+        choice : Choice
+        may_give_up : callable
+            Asked when the answer takes long; whether another endpoint may be
+            tried.
         """
         loop = asyncio.get_running_loop()
         load = entry.load
         connection: PeerConnection | None = entry.pool.take_idle()
         placed = load.place(choice.work, loop.time())
-        call.sends += 1
         call.endpoints.append(entry.endpoint.id)
         started = False
+        patience = Patience(call, choice.forecast_s, may_give_up)
         try:
             if connection is None:
                 connection = await entry.pool.connect()
             started = True
+            call.sends += 1
             call.runs += 1
             self._begin(call, entry, connection)
+            patience.start(connection)
             head = await connection.read_head()
+            if call.route.kind is not RouteKind.STREAM:
+                patience.stop()
             outcome = await self._take_answer(
-                call, entry, connection, head, placed
+                call, entry, connection, head, placed, patience
             )
         except ExchangeError as error:
             outcome = self._classify(error)
         finally:
+            patience.stop()
             if connection is not None:
                 entry.pool.release(connection)
             load.remove(placed)
         if outcome.result is not None and outcome.result.proves_not_run:
             call.runs -= started
-        self._learn(entry, outcome)
+        call.connects += not started
+        self._learn(call, entry, outcome)
         if outcome.result is not None:
             self._decisions.event(
                 'send_failed',
@@ -111,6 +199,7 @@
                 reason=outcome.reason,
                 sends=call.sends,
                 runs=call.runs,
+                events=call.events.count or None,
             )
         return outcome
 
@@ -140,10 +229,13 @@
         connection: PeerConnection,
         head: AnswerHead,
         placed: Placed,
+        patience: Patience,
     ) -> SendOutcome:
         verdict = self._wire.judge_answer(head)
         if verdict is Verdict.SUCCESS and call.route.kind is RouteKind.STREAM:
-            return await self._relay(call, entry, connection, head, placed)
+            return await self._relay(
+                call, entry, connection, head, placed, patience
+            )
         if verdict is Verdict.UNPROVEN:
             return SendOutcome(SendResult.UNKNOWN, 'success without proof')
         body = await self._read_body(connection)
@@ -180,6 +272,7 @@
         connection: PeerConnection,
         head: AnswerHead,
         placed: Placed,
+        patience: Patience,
     ) -> SendOutcome:
         loop = asyncio.get_running_loop()
         responder = call.responder
@@ -187,6 +280,7 @@
         while part := await connection.read_part():
             now_s = loop.time()
             call.note_part(now_s)
+            patience.note_part()
             entry.load.note_first_byte(placed, now_s)
             # Only whole events count; another endpoint may have to go on
             # after the last one.
@@ -211,12 +305,19 @@
     def _classify(self, error: ExchangeError) -> SendOutcome:
         if error.failure is ExchangeFailure.CONNECT:
             return SendOutcome(SendResult.NOT_SENT, str(error))
-        return SendOutcome(SendResult.UNKNOWN, str(error))
+        broken = error.failure is ExchangeFailure.BROKEN
+        return SendOutcome(SendResult.UNKNOWN, str(error), broken=broken)
 
-    def _learn(self, entry: EndpointEntry, outcome: SendOutcome) -> None:
+    def _learn(
+        self, call: Call, entry: EndpointEntry, outcome: SendOutcome
+    ) -> None:
         now_s = asyncio.get_running_loop().time()
         failed = outcome.result is not None
         entry.load.record_result(failed=failed, now_s=now_s)
+        if outcome.result is None:
+            self._crashes.clear(call.digest)
+        if outcome.broken:
+            self._crashes.record(call.digest, call.digest, now_s)
         if outcome.result is SendResult.NOT_SENT:
             ejected_s = entry.load.eject(now_s)
             self._decisions.event(
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from ._catalogue import Catalogue
 from ._catalogue import choose_service
+from ._crash_counter import CrashCounter
 from ._event_tokens import EventTokens
 from ._placement import Choice
 from ._placement import EndpointLoad
@@ -16,8 +17,11 @@
 from ._prepaid import Stamp
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prefix_runs
+from ._retry_policy import MAX_CONNECTS
 from ._retry_policy import SendResult
+from ._retry_policy import first_byte_patience_s
 from ._retry_policy import may_send_again
+from ._retry_policy import pause_patience_s
 from ._retry_share import RetryShare
 from ._types import CallerLimits
 from ._types import CallFacts
@@ -37,9 +41,11 @@
     'Choice',
     'Configuration',
     'Endpoint',
+    'CrashCounter',
     'EndpointLoad',
     'EventTokens',
     'Hold',
+    'MAX_CONNECTS',
     'Organisation',
     'PeerReport',
     'Placed',
@@ -53,7 +59,9 @@
     'Stamp',
     'choose_endpoint',
     'choose_service',
+    'first_byte_patience_s',
     'may_send_again',
+    'pause_patience_s',
     'prefill_work',
     'prefix_runs',
 ]
--- a/src/basilpond/core/_crash_counter.py
+++ b/src/basilpond/routing/_crash_counter.py
@@ -34,12 +34,20 @@
     ----------
     max_entries : int
         Oldest entries are dropped beyond this number.
+    max_crashes : int
+        Crashes after which a request is stopped.
     """
 
-    __slots__ = ('_entries', '_max_entries')
+    __slots__ = ('_entries', '_max_crashes', '_max_entries')
 
-    def __init__(self, *, max_entries: int = _MAX_ENTRIES) -> None:
+    def __init__(
+        self,
+        *,
+        max_entries: int = _MAX_ENTRIES,
+        max_crashes: int = MAX_CRASHES,
+    ) -> None:
         self._max_entries = max_entries
+        self._max_crashes = max_crashes
         # Ordered by time of the last crash.
         self._entries: dict[str, _Entry] = {}
 
@@ -48,6 +56,10 @@
         for key in dict.fromkeys((body_digest, request_id)):
             self._touch(key, now_s).own += 1
 
+    def clear(self, body_digest: str) -> None:
+        """Forget crashes of a request that has run to its end."""
+        self._entries.pop(body_digest, None)
+
     def is_stopped(
         self, body_digest: str, request_id: str, now_s: float
     ) -> bool:
@@ -56,7 +68,7 @@
         return any(
             entry is not None
             and now_s - entry.last_s < _EXPIRY_S
-            and entry.crashes >= MAX_CRASHES
+            and entry.crashes >= self._max_crashes
             for entry in entries
         )
 
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -233,6 +233,10 @@
         account.recent += tokens
         return Hold(organisation, tokens)
 
+    def free(self, organisation: str, boot_ms: int) -> int:
+        """Return the tokens that a request may take now."""
+        return self._free(self._account(organisation), boot_ms)
+
     def settle(self, hold: Hold, spent_tokens: int) -> None:
         """Replace a hold by what the request consumed."""
         assert not hold.settled, 'hold settled twice'
--- a/src/basilpond/routing/_retry_policy.py
+++ b/src/basilpond/routing/_retry_policy.py
@@ -5,10 +5,24 @@
 import enum
 
 from ._types import Route
+from ._types import RouteKind
 
 # A request that several endpoints turned away unread is better refused, with
 # a time to come back, than sent around.
 MAX_SENDS = 3
+# Connections that failed, after which a request is refused instead.
+MAX_CONNECTS = 4
+# An answer that may be fetched elsewhere is waited for this many times its
+# objective; one in a hundred takes five times the mean.
+_SAFE_PATIENCE = 1.5
+# First event of a stream: multiples of the objective and of the forecast.
+_STREAM_PATIENCE = 2.0
+_FORECAST_PATIENCE = 3.0
+_FORECAST_MARGIN_S = 0.4
+# Pause between two events, in multiples of the longest one on time. Callers
+# leave after eight of them or two seconds.
+_PAUSE_PATIENCE = 3.0
+_MIN_PAUSE_PATIENCE_S = 1.0
 
 
 class SendResult(enum.Enum):
@@ -47,3 +61,28 @@
     if sends >= MAX_SENDS or runs >= route.max_attempts:
         return False
     return route.repeatable or (runs == 0 and result.proves_not_run)
+
+
+def first_byte_patience_s(route: Route, forecast_s: float) -> float:
+    """Return how long to wait for an answer before another endpoint is tried.
+
+    Answers the load pattern of single endpoints that hang while their status
+    is good. Applies to routes whose requests may be repeated.
+
+    Parameters
+    ----------
+    route : Route
+    forecast_s : float
+        Time to the first byte that was expected at the endpoint.
+    """
+    if route.kind is RouteKind.SAFE:
+        return _SAFE_PATIENCE * route.objective_s
+    return max(
+        _STREAM_PATIENCE * route.objective_s,
+        _FORECAST_PATIENCE * forecast_s + _FORECAST_MARGIN_S,
+    )
+
+
+def pause_patience_s(route: Route) -> float:
+    """Return how long to wait for the next event of a resumable stream."""
+    return max(_MIN_PAUSE_PATIENCE_S, _PAUSE_PATIENCE * route.pause_s)
--- a/src/basilpond/routing/_retry_share.py
+++ b/src/basilpond/routing/_retry_share.py
@@ -6,7 +6,7 @@
 
 # Part of the fleet's allowance that routers use: their windows do not begin
 # at the same moment.
-_SAFETY = 0.6
+_SAFETY = 0.8
 
 
 class RetryShare:
@@ -44,14 +44,18 @@
         routers : int
             Routers that share the slack.
         """
+        if not self.has_room(now_s, routers):
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def has_room(self, now_s: float, routers: int) -> bool:
+        """Whether a repeat is left."""
         self._expire(now_s)
         allowed = _SAFETY * (
             self._share * len(self._requests) + self._slack / max(1, routers)
         )
-        if len(self._repeats) + 1 > allowed:
-            return False
-        self._repeats.append(now_s)
-        return True
+        return len(self._repeats) + 1 <= allowed
 
     def _expire(self, now_s: float) -> None:
         start_s = now_s - self._window_s
