Serve metrics and reload the settings

Cause: operators had log lines only, and a changed settings file went unread. Ruled out: statsd, which the users' tools do not read. Change: counters and histograms by prometheus_client at the address of the deploy file; the settings file is read on SIGHUP and when its bytes change.

--- a/src/basilpond/node/_call.py
+++ b/src/basilpond/node/_call.py
@@ -32,6 +32,11 @@
         self.reason = reason
         self.retry_after_s = retry_after_s
 
+    @property
+    def label(self) -> str:
+        """Reason without the details of one request."""
+        return self.reason.partition(':')[0].partition(' in version')[0]
+
 
 class Call:
     """A request in progress.
--- a/src/basilpond/node/_decision_log.py
+++ b/src/basilpond/node/_decision_log.py
@@ -43,6 +43,7 @@
         self._written = 0
         self._routine = 0
         self._dropped = 0
+        self.dropped_total = 0
         self._thread = threading.Thread(
             target=self._write_batches, name='decision-log', daemon=True
         )
@@ -68,6 +69,7 @@
             routine and self._routine >= _ROUTINE_LINES_PER_S
         ):
             self._dropped += 1
+            self.dropped_total += 1
             return
         self._written += 1
         self._routine += routine
@@ -90,6 +92,7 @@
             self._queue.put_nowait(batch)
         except queue.Full:
             self._dropped += len(self._lines)
+            self.dropped_total += len(self._lines)
         self._lines.clear()
 
     def close(self, timeout_s: float = 0.5) -> None:
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -33,6 +33,7 @@
 from ._interfaces import CallError
 from ._interfaces import NodeSettings
 from ._interfaces import Wire
+from ._metrics import NodeMetrics
 from ._peers import PeerTask
 from ._sending import Sender
 from ._sending import SendOutcome
@@ -64,6 +65,7 @@
     budgets : BudgetTask
     peers : PeerTask
     crashes : CrashCounter
+    metrics : NodeMetrics
     decisions : DecisionLog
     rng : random.Random
     """
@@ -77,6 +79,7 @@
         budgets: BudgetTask,
         peers: PeerTask,
         crashes: CrashCounter,
+        metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -87,12 +90,23 @@
         self._budgets = budgets
         self._peers = peers
         self._crashes = crashes
+        self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
         self._sender = Sender(wire, directory, peers, crashes, decisions)
         self._retries: dict[str, RetryShare] = {}
         self._event_tokens = EventTokens()
 
+    def apply_settings(self, settings: NodeSettings) -> None:
+        """Take changed settings."""
+        self._settings = settings
+        for share in self._retries.values():
+            share.change(
+                settings.retry_share,
+                settings.retry_slack,
+                settings.retry_window_s,
+            )
+
     async def handle(
         self, request: CallerRequest, responder: Responder
     ) -> None:
@@ -187,12 +201,15 @@
         loop = asyncio.get_running_loop()
         left_s = call.deadline_s - loop.time()
         hold = await self._budgets.hold(call.organisation.name, tokens, left_s)
+        if isinstance(hold, Denial):
+            self._metrics.count_grant(hold.name.lower())
         if hold is Denial.EXHAUSTED:
             raise RefusedError(402, hold.value)
         if isinstance(hold, Denial):
             outage_s = self._budgets.outage_s
             retry_s = min(_MAX_RETRY_S, max(_GRANT_RETRY_S, outage_s))
             raise RefusedError(503, hold.value, retry_s)
+        self._metrics.count_grant('held')
         call.hold = hold
 
     async def _send_until_answered(self, call: Call) -> None:
@@ -201,6 +218,9 @@
             outcome = await self._sender.send(
                 call, entry, choice, lambda: self._may_give_up(call)
             )
+            self._metrics.count_send(
+                call.service, outcome.result.value if outcome.result else 'ok'
+            )
             if outcome.result is None:
                 return
             if not self._may_repeat(call, outcome):
@@ -332,6 +352,7 @@
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
         )
+        self._metrics.count_refusal(refusal.status, refusal.label)
         if responder.started:
             responder.abort()
             return
@@ -343,6 +364,13 @@
     def _note_end(self, call: Call) -> None:
         now_s = asyncio.get_running_loop().time()
         first_s = call.first_byte_s
+        self._metrics.count_request(
+            call.route.name,
+            call.responder.status,
+            took_s=now_s - call.started_s,
+            first_byte_s=first_s and first_s - call.started_s,
+            pause_s=call.longest_pause_s,
+        )
         self._decisions.event(
             'answered' if call.whole else 'ended',
             routine=call.whole,
--- /dev/null
+++ b/src/basilpond/node/_metrics.py
@@ -0,0 +1,170 @@
+"""Counters and histograms in the text format of operators' tools."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import prometheus_client
+
+from ..http1 import CallerRequest
+from ..http1 import CallerServer
+from ..http1 import ConnectionLimits
+from ..http1 import Responder
+
+# Seconds around the objectives of the sites: 0.125 to 0.8 for a first byte,
+# 0.3 for a pause.
+_LATENCY_BUCKETS_S = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.125,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.2,
+    2.0,
+    4.0,
+    8.0,
+    15.0,
+)
+
+
+class NodeMetrics:
+    """Metrics of one router."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = self._counter(
+            'basilpond_requests',
+            'Requests by route and status',
+            'route',
+            'status',
+        )
+        self._sends = self._counter(
+            'basilpond_sends',
+            'Sends to endpoints by service and result',
+            'service',
+            'result',
+        )
+        self._refusals = self._counter(
+            'basilpond_refusals',
+            'Refusals by status and reason',
+            'status',
+            'reason',
+        )
+        self._denied = self._counter(
+            'basilpond_grants', 'Requests for tokens by result', 'result'
+        )
+        self._first_byte = self._histogram(
+            'basilpond_first_byte_seconds', 'Time to the first byte', 'route'
+        )
+        self._pause = self._histogram(
+            'basilpond_longest_pause_seconds',
+            'Longest pause within a stream',
+            'route',
+        )
+        self._duration = self._histogram(
+            'basilpond_request_seconds', 'Time to the last byte', 'route'
+        )
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                f'basilpond_{name}', text, registry=self._registry
+            )
+            for name, text in (
+                ('active_requests', 'Requests in progress'),
+                ('live_routers', 'Live routers, this one included'),
+                ('configuration_version', 'Version in force'),
+                ('endpoints', 'Endpoints that the platform lists'),
+                ('store_read_age_seconds', 'Age of the last read'),
+                ('log_lines_dropped', 'Log lines that were not written'),
+            )
+        }
+
+    def count_request(
+        self,
+        route: str,
+        status: int,
+        *,
+        took_s: float,
+        first_byte_s: float | None,
+        pause_s: float,
+    ) -> None:
+        """Count an answered request."""
+        self._requests.labels(route, status).inc()
+        self._duration.labels(route).observe(took_s)
+        if first_byte_s is not None:
+            self._first_byte.labels(route).observe(first_byte_s)
+        if pause_s:
+            self._pause.labels(route).observe(pause_s)
+
+    def count_refusal(self, status: int, reason: str) -> None:
+        """Count an answer of the router's own."""
+        self._refusals.labels(status, reason).inc()
+
+    def count_send(self, service: str, result: str) -> None:
+        """Count a send to an endpoint."""
+        self._sends.labels(service, result).inc()
+
+    def count_grant(self, result: str) -> None:
+        """Count a request for tokens."""
+        self._denied.labels(result).inc()
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set one of the gauges."""
+        self._gauges[name].set(value)
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            name, text, labels, registry=self._registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            name,
+            text,
+            labels,
+            registry=self._registry,
+            buckets=_LATENCY_BUCKETS_S,
+        )
+
+
+class MetricsServer:
+    """Serves the metrics at any path.
+
+    Parameters
+    ----------
+    metrics : NodeMetrics
+    update : callable
+        Sets the gauges before they are read.
+    """
+
+    def __init__(
+        self, metrics: NodeMetrics, update: Callable[[], None]
+    ) -> None:
+        self._metrics = metrics
+        self._update = update
+        self._server = CallerServer(
+            self._handle, ConnectionLimits(), lambda status, reason: None
+        )
+
+    async def listen(self, host: str, port: int) -> None:
+        """Accept connections."""
+        await self._server.listen(host, port)
+
+    async def _handle(
+        self, request: CallerRequest, responder: Responder
+    ) -> None:
+        self._update()
+        kind = (b'content-type', b'text/plain; version=0.0.4; charset=utf-8')
+        responder.respond(200, [kind], self._metrics.render())
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+import dataclasses
 import os
+from pathlib import Path
 import random
 
 from ..http1 import CallerServer
@@ -24,8 +27,11 @@
 from ._interfaces import NodeSettings
 from ._interfaces import Wire
 from ._log_writer import LogWriter
+from ._metrics import MetricsServer
+from ._metrics import NodeMetrics
 from ._peers import PeerTask
 from ._ready import ReadyServer
+from ._settings_watch import SettingsWatch
 
 # Pause between two reads of the configuration and of the endpoints. Endpoints
 # write every 1.2 s; a leaving one loses its requests within 2 s.
@@ -63,6 +69,8 @@
         self._settings = settings
         self._decisions = decisions
         self._stopping = False
+        self._metrics = NodeMetrics()
+        self._watch: SettingsWatch | None = None
         self.holder = new_holder(settings.node_id, os.urandom(6).hex())
         self.configuration = ConfigurationState(
             wire, decisions, self._apply_configuration
@@ -91,6 +99,7 @@
             self.budgets,
             self.peers,
             crashes,
+            self._metrics,
             decisions,
             random.Random(),
         )
@@ -136,6 +145,8 @@
 
     async def start(self) -> None:
         """Listen and follow the log."""
+        metrics = MetricsServer(self._metrics, self._update_gauges)
+        await metrics.listen(self._settings.host, self._settings.metrics_port)
         await self._ready.listen(*self._settings.ready_address)
         await self.peers.listen(self._settings.host, self._settings.peer_port)
         await self._callers.listen(*self._settings.caller_address)
@@ -209,6 +220,44 @@
             'request_malformed', status=status, reason=reason
         )
 
+    def watch_settings(
+        self, path: Path, load: Callable[[Path], NodeSettings]
+    ) -> None:
+        """Reload the settings when their file changes."""
+        self._watch = SettingsWatch(
+            path, load, self._apply_settings, self._decisions
+        )
+        self._tasks.append(asyncio.create_task(self._watch.run()))
+
+    def ask_reload(self) -> None:
+        """Read the settings file at once."""
+        if self._watch is not None:
+            self._watch.ask()
+
+    def _apply_settings(self, settings: NodeSettings) -> None:
+        # Addresses and names stay those that the process started with.
+        self._settings = dataclasses.replace(
+            self._settings,
+            stop_grace_s=settings.stop_grace_s,
+            drain_s=settings.drain_s,
+            retry_share=settings.retry_share,
+            retry_slack=settings.retry_slack,
+            retry_window_s=settings.retry_window_s,
+            prompt_reuse_s=settings.prompt_reuse_s,
+        )
+        self.dispatcher.apply_settings(self._settings)
+
+    def _update_gauges(self) -> None:
+        for name, value in (
+            ('active_requests', self._callers.active),
+            ('live_routers', self.peers.live_routers()),
+            ('configuration_version', self._configuration_version()),
+            ('endpoints', len(self.directory)),
+            ('store_read_age_seconds', self.budgets.outage_s),
+            ('log_lines_dropped', self._decisions.dropped_total),
+        ):
+            self._metrics.set_gauge(name, value)
+
     def _configuration_version(self) -> int:
         catalogue = self.configuration.catalogue
         return -1 if catalogue is None else catalogue.version
--- /dev/null
+++ b/src/basilpond/node/_settings_watch.py
@@ -0,0 +1,89 @@
+"""Reload of a settings file, on request or when its bytes change."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import xxhash
+
+from ._decision_log import DecisionLog
+from ._interfaces import NodeSettings
+
+# The file may change without a signal.
+INTERVAL_S = 1.0
+
+
+class SettingsWatch:
+    """Task that reads a settings file again.
+
+    Parameters
+    ----------
+    path : Path
+    load : callable
+        Returns the settings of a path; raises ValueError if they cannot be
+        used.
+    apply : callable
+        Called with changed settings.
+    decisions : DecisionLog
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        load: Callable[[Path], NodeSettings],
+        apply: Callable[[NodeSettings], None],
+        decisions: DecisionLog,
+    ) -> None:
+        self._path = path
+        self._load = load
+        self._apply = apply
+        self._decisions = decisions
+        self._digest = self._read_digest()
+        self._asked = asyncio.Event()
+
+    def ask(self) -> None:
+        """Read the file at once."""
+        self._asked.set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(INTERVAL_S):
+                    await self._asked.wait()
+            except TimeoutError:
+                pass
+            asked = self._asked.is_set()
+            self._asked.clear()
+            self.check(asked=asked)
+
+    def check(self, *, asked: bool) -> None:
+        """Apply the file if it changed."""
+        digest = self._read_digest()
+        changed = digest != self._digest
+        if not changed and not asked:
+            return
+        self._digest = digest
+        reason = None
+        if changed:
+            try:
+                self._apply(self._load(self._path))
+            except ValueError as error:
+                # The settings in force stay.
+                reason = str(error)
+        self._decisions.event(
+            'settings_kept' if reason else 'settings_reloaded',
+            asked=asked,
+            changed=changed,
+            digest=digest,
+            reason=reason,
+        )
+
+    def _read_digest(self) -> str | None:
+        try:
+            return xxhash.xxh3_64_hexdigest(self._path.read_bytes())
+        except OSError:
+            # A file that is being replaced is read again later.
+            return None
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -9,6 +9,9 @@
 
 from ..node import NodeSettings
 
+# As in the deploy file, where operators' tools find it.
+METRICS_PORT = 9464
+
 
 class SettingsError(ValueError):
     """The settings file cannot be used; the text names the field."""
@@ -96,7 +99,7 @@
             caller_address=split_address(file.listen.front),
             ready_address=split_address(file.listen.ready),
             peer_port=file.port_range[0],
-            metrics_port=file.port_range[1],
+            metrics_port=METRICS_PORT,
             store_address=split_address(file.platform.address),
             store_writes_per_s=file.platform.writes_per_s,
             store_reads_per_s=file.platform.reads_per_s,
--- a/src/basilpond/programs/platform_router.py
+++ b/src/basilpond/programs/platform_router.py
@@ -30,14 +30,15 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     node = Node(
         settings,
         PlatformWire(),
         PlatformLog(settings.store_address),
         decisions,
     )
+    loop.add_signal_handler(signal.SIGHUP, node.ask_reload)
     await node.start()
+    node.watch_settings(path, load_settings)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
--- a/src/basilpond/routing/_retry_share.py
+++ b/src/basilpond/routing/_retry_share.py
@@ -30,6 +30,12 @@
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def change(self, share: float, slack: float, window_s: float) -> None:
+        """Take changed settings."""
+        self._share = share
+        self._slack = slack
+        self._window_s = window_s
+
     def record_request(self, now_s: float) -> None:
         """Count a request of a caller."""
         self._requests.append(now_s)
