Compare a sample of endpoints by sums of reports

Cause: a choice added up the reports of all routers for all endpoints (73 x 70 on the grown deployment), so its cost grew with the number of routers. Ruled out: fewer reports, which makes them older for small fleets. Change: sums are kept as reports arrive and expire; at most 16 endpoints and those that keep the prompt are compared.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -11,6 +11,7 @@
 from ..routing import Catalogue
 from ..routing import Endpoint
 from ..routing import EndpointLoad
+from ..routing import long_prompt_endpoints
 from ._decision_log import DecisionLog
 from ._interfaces import Record
 from ._interfaces import Wire
@@ -207,6 +208,7 @@
         self._entries[endpoint.id] = entry
         service = self._by_service.setdefault(endpoint.service, {})
         service[endpoint.id] = entry
+        self._divide(endpoint.service)
         self._note('endpoint_added', endpoint)
 
     def _lapse(self, endpoint_id: str) -> None:
@@ -230,8 +232,15 @@
             return
         self._by_service[entry.endpoint.service].pop(endpoint_id, None)
         entry.pool.close()
+        self._divide(entry.endpoint.service)
         self._note('endpoint_removed', entry.endpoint, reason)
 
+    def _divide(self, service: str) -> None:
+        entries = self._by_service[service]
+        reserved = long_prompt_endpoints(entries)
+        for endpoint_id, entry in entries.items():
+            entry.load.for_long_prompts = endpoint_id in reserved
+
     def _note(
         self, event: str, endpoint: Endpoint, reason: str | None = None
     ) -> None:
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -22,6 +22,7 @@
 from ..routing import choose_endpoint
 from ..routing import choose_service
 from ..routing import may_send_again
+from ..routing import sample_loads
 from ._budgets import BudgetTask
 from ._budgets import Denial
 from ._call import Call
@@ -231,7 +232,11 @@
         entries = self._directory.candidates(call.service)
         fresh = [e for e in entries if e.endpoint.id not in call.endpoints]
         choice = choose_endpoint(
-            (entry.load for entry in fresh or entries),
+            sample_loads(
+                [entry.load for entry in fresh or entries],
+                call.prompt_runs,
+                self._rng,
+            ),
             prompt_tokens=call.facts.prompt_tokens,
             runs=call.prompt_runs,
             data_centre=self._settings.data_centre,
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -36,6 +36,8 @@
 # Datagrams to routers that are not live, which may be back.
 _SILENT_INTERVAL_S = 1.0
 _MAX_DATAGRAM_BYTES = 60_000
+# Pause between two looks for old reports.
+_EXPIRY_INTERVAL_S = 0.5
 # Crashes told in one report; few requests crash endpoints at a time.
 _MAX_CRASHES = 32
 # Routers asked for tokens at a time.
@@ -132,12 +134,17 @@
     async def run(self) -> None:
         """Report until cancelled."""
         loop = asyncio.get_running_loop()
+        expired_s = loop.time()
         while True:
             peers = max(1, len(self._peers))
             interval_s = max(REPORT_INTERVAL_S, peers / MAX_DATAGRAMS_PER_S)
             await asyncio.sleep(interval_s)
             self._budgets.allotments.routers = self.live_routers()
             self._send_reports(loop.time())
+            if loop.time() - expired_s >= _EXPIRY_INTERVAL_S:
+                expired_s = loop.time()
+                for entry in self._directory:
+                    entry.load.expire_reports(expired_s)
 
     def _send_reports(self, now_s: float) -> None:
         due = [
@@ -246,8 +253,9 @@
         for load in report.loads or ():
             entry = self._directory.find(load.endpoint)
             if entry is not None:
-                entry.load.peers[datagram.router] = PeerReport(
-                    load.running, load.work, now_s
+                entry.load.take_report(
+                    datagram.router,
+                    PeerReport(load.running, load.work, now_s),
                 )
         for cached in report.cached or ():
             entry = self._directory.find(cached.endpoint)
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -4,12 +4,14 @@
 from ._catalogue import choose_service
 from ._crash_counter import CrashCounter
 from ._event_tokens import EventTokens
+from ._long_prompts import long_prompt_endpoints
 from ._placement import Choice
 from ._placement import EndpointLoad
 from ._placement import PeerReport
 from ._placement import Placed
 from ._placement import choose_endpoint
 from ._placement import prefill_work
+from ._placement import sample_loads
 from ._prepaid import AllotmentRows
 from ._prepaid import Allotments
 from ._prepaid import Hold
@@ -60,8 +62,10 @@
     'choose_endpoint',
     'choose_service',
     'first_byte_patience_s',
+    'long_prompt_endpoints',
     'may_send_again',
     'pause_patience_s',
     'prefill_work',
     'prefix_runs',
+    'sample_loads',
 ]
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -13,7 +13,6 @@
 import random
 
 from ._long_prompts import LONG_PROMPT_TOKENS
-from ._long_prompts import long_prompt_endpoints
 from ._prompt_cache import PromptCache
 from ._types import Endpoint
 
@@ -49,6 +48,8 @@
 _SPEED_WEIGHT = 0.1
 _MIN_SLOWNESS = 0.5
 _MAX_SLOWNESS = 6.0
+# Endpoints compared for one request, besides those that keep its prompt.
+_MAX_COMPARED = 16
 # Reports of other routers older than this are ignored.
 _REPORT_MAX_AGE_S = 2.0
 # An answer that is late by this multiple of the forecast and this time marks
@@ -107,11 +108,14 @@
     __slots__ = (
         '_ejected_until_s',
         '_ejection_s',
-        '_failure_share',
         '_failure_s',
+        '_failure_share',
+        '_peer_running',
+        '_peer_work',
+        '_reports',
         'cache',
         'endpoint',
-        'peers',
+        'for_long_prompts',
         'placed',
         'reported',
         'slowness',
@@ -121,8 +125,14 @@
     def __init__(self, endpoint: Endpoint, cache_keep_s: float) -> None:
         self.endpoint = endpoint
         self.cache = PromptCache(cache_keep_s)
+        # Whether long prompts are kept to this endpoint.
+        self.for_long_prompts = False
         self.placed: dict[Placed, None] = {}
-        self.peers: dict[str, PeerReport] = {}
+        self._reports: dict[str, PeerReport] = {}
+        # Sums of the reports, so that a choice costs the same with any
+        # number of routers.
+        self._peer_running = 0
+        self._peer_work = 0.0
         # Whether the last report to other routers named load here.
         self.reported = False
         # Prompt tokens of own requests that are not read yet.
@@ -134,22 +144,44 @@
         self._ejected_until_s = 0.0
         self._ejection_s = _FIRST_EJECTION_S
 
-    def running(self, now_s: float) -> int:
-        """Return the requests at the endpoint, as far as known."""
-        return len(self.placed) + sum(
-            report.running for report in self._fresh_reports(now_s)
-        )
-
-    def waiting_work(self, now_s: float) -> float:
-        """Return the prompt tokens at the endpoint that are not read."""
-        return self.work + sum(
-            report.work for report in self._fresh_reports(now_s)
-        )
-
-    def forecast_s(self, work: float, now_s: float) -> float:
+    @property
+    def running(self) -> int:
+        """Requests at the endpoint, as far as known."""
+        return len(self.placed) + self._peer_running
+
+    @property
+    def waiting_work(self) -> float:
+        """Prompt tokens at the endpoint that are not read."""
+        return self.work + self._peer_work
+
+    def take_report(self, router: str, report: PeerReport) -> None:
+        """Take the load that another router puts on the endpoint."""
+        self._drop_report(router)
+        if report.running or report.work:
+            self._reports[router] = report
+            self._peer_running += report.running
+            self._peer_work += report.work
+
+    def expire_reports(self, now_s: float) -> None:
+        """Forget old reports; called about once a second."""
+        expired = [
+            router
+            for router, report in self._reports.items()
+            if now_s - report.at_s >= _REPORT_MAX_AGE_S
+        ]
+        for router in expired:
+            self._drop_report(router)
+
+    def _drop_report(self, router: str) -> None:
+        report = self._reports.pop(router, None)
+        if report is not None:
+            self._peer_running -= report.running
+            self._peer_work -= report.work
+
+    def forecast_s(self, work: float) -> float:
         """Return the time to the first byte of another request."""
-        running = self.running(now_s)
-        wait_s = (self.waiting_work(now_s) + work) / PREFILL_TOKENS_PER_S
+        running = self.running
+        wait_s = (self.waiting_work + work) / PREFILL_TOKENS_PER_S
         wait_s += _RUNNING_S * running
         full = running - self.endpoint.slots
         if full >= 0:
@@ -178,7 +210,7 @@
 
     def place(self, work: float, now_s: float) -> Placed:
         """Count a request that is sent now."""
-        placed = Placed(work, self.forecast_s(work, now_s), now_s)
+        placed = Placed(work, self.forecast_s(work), now_s)
         self.placed[placed] = None
         self.work += work
         return placed
@@ -224,11 +256,6 @@
         self._ejection_s = min(_MAX_EJECTION_S, 2 * ejection_s)
         return ejection_s
 
-    def _fresh_reports(self, now_s: float) -> Iterable[PeerReport]:
-        for report in self.peers.values():
-            if now_s - report.at_s < _REPORT_MAX_AGE_S:
-                yield report
-
 
 @dataclasses.dataclass(slots=True)
 class Choice:
@@ -251,6 +278,34 @@
     candidates: int
 
 
+def sample_loads(
+    loads: list[EndpointLoad],
+    runs: list[tuple[int, int]],
+    rng: random.Random,
+) -> list[EndpointLoad]:
+    """Return the endpoints that are compared for a request.
+
+    Answers the load pattern of many routers with the same, late reports: if
+    all compared all endpoints, they would choose the same few. A sample also
+    bounds the cost of a choice.
+
+    Parameters
+    ----------
+    loads : list of EndpointLoad
+    runs : list of (int, int)
+        From `prefix_runs`; endpoints that keep the longest shared run are
+        always compared.
+    rng : random.Random
+    """
+    if len(loads) <= _MAX_COMPARED:
+        return loads
+    sample = rng.sample(loads, _MAX_COMPARED)
+    if len(runs) > 1:
+        key = runs[-2][0]
+        sample += [load for load in loads if load.cache.has(key)]
+    return list(dict.fromkeys(sample))
+
+
 def choose_endpoint(
     loads: Iterable[EndpointLoad],
     *,
@@ -279,10 +334,6 @@
     best_cost_s = 0.0
     best_ejected = True
     candidates = 0
-    loads = list(loads)
-    reserved = long_prompt_endpoints(
-        load.endpoint.id for load in loads if prompt_tokens
-    )
     is_long = prompt_tokens >= LONG_PROMPT_TOKENS
     # The last part belongs to the request itself.
     shared_tokens = runs[-2][1] if len(runs) > 1 else 0
@@ -290,11 +341,11 @@
         candidates += 1
         cached = load.cache.cached_tokens(runs[:-1], now_s)
         work = prefill_work(prompt_tokens, cached) if prompt_tokens else 0.0
-        forecast_s = load.forecast_s(work, now_s)
+        forecast_s = load.forecast_s(work)
         if is_long:
-            beside_s = _PAUSED_STREAM_S * load.running(now_s)
+            beside_s = _PAUSED_STREAM_S * load.running
         else:
-            beside_s = _BESIDE_LONG_S * (load.endpoint.id in reserved)
+            beside_s = _BESIDE_LONG_S * load.for_long_prompts
         cost_s = (
             forecast_s
             + _REREAD_WEIGHT * (shared_tokens - cached) / PREFILL_TOKENS_PER_S
--- a/src/basilpond/routing/_prompt_cache.py
+++ b/src/basilpond/routing/_prompt_cache.py
@@ -53,6 +53,10 @@
         if len(self._runs) > _MAX_RUNS:
             self._runs.popitem(last=False)
 
+    def has(self, key: int) -> bool:
+        """Whether a run was read, however long ago."""
+        return key in self._runs
+
     def cached_tokens(
         self, runs: Iterable[tuple[int, int]], now_s: float
     ) -> int:
