Read again at once when the store is back

Cause: after an outage requests were refused for up to 2 s more: a read sent before it hung, and a new ceiling waited for the fold of the last row (test_requests_are_served_while_the_log_is_away: 503 0.8 s after the return). Change: an append that is answered late restarts the readers; only raises of what is owned wait for the fold.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -89,6 +89,7 @@
             lambda name, tokens, share: None
         )
         self.hurry_reader: Callable[[], None] = lambda: None
+        self.restart_reader: Callable[[], None] = lambda: None
         self._consistent_from: int | None = None
         self._synced = asyncio.Event()
         self._changed = asyncio.Event()
@@ -318,7 +319,12 @@
             ]
             return [*records, alive_record(self._holder, now)]
 
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         appended = await self._writer.append(collect)
+        if appended and loop.time() - started_s > _DOUBT_S:
+            # The store is back; a read that was sent before may hang.
+            self.restart_reader()
         if appended and rows:
             self.allotments.note_written(rows)
             self.hurry_reader()
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -66,8 +66,14 @@
         self._hurry = asyncio.Event()
         self._offset: int | None = None
         self._reachable: bool | None = None
+        self._reading: asyncio.Task[None] | None = None
         self.synced = asyncio.Event()
 
+    def restart(self) -> None:
+        """Give up a read that was sent while the store was away."""
+        if self._reading is not None and not self._reading.done():
+            self._reading.cancel()
+
     def hurry(self) -> None:
         """Read again at once."""
         self._hurry.set()
@@ -75,9 +81,18 @@
     async def run(self) -> None:
         """Read until cancelled."""
         backoff_s = _FIRST_BACKOFF_S
+        this_task = asyncio.current_task()
+        assert this_task is not None
         while True:
+            self._reading = asyncio.create_task(self._step())
             try:
-                await self._step()
+                await self._reading
+            except asyncio.CancelledError:
+                self._reading.cancel()
+                if this_task.cancelling():
+                    raise
+                backoff_s = _FIRST_BACKOFF_S
+                continue
             except LogUnavailableError as error:
                 self._note_contact(False, str(error))
                 await asyncio.sleep(backoff_s)
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -112,6 +112,7 @@
             _FLEET_GAP_S,
         )
         self.budgets.hurry_reader = fleet.hurry
+        self.budgets.restart_reader = self._restart_readers
         self._followers = (
             TopicFollower(
                 log,
@@ -278,6 +279,10 @@
         ):
             self._metrics.set_gauge(name, value)
 
+    def _restart_readers(self) -> None:
+        for follower in self._followers:
+            follower.restart()
+
     def _configuration_version(self) -> int:
         catalogue = self.configuration.catalogue
         return -1 if catalogue is None else catalogue.version
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -432,12 +432,14 @@
         return account.limit - self._rows.total(organisation) + excess
 
     def _next_row(self, organisation: str, account: _Account) -> Row:
-        folded, _ = self._rows.row(organisation, self._holder)
-        if account.raising or folded != account.written:
-            # A raise must not be decided by an older record, so the last
-            # change is folded before the next one.
+        if account.raising:
             return account.written
         owned = self._next_owned(organisation, account)
+        folded, _ = self._rows.row(organisation, self._holder)
+        if folded != account.written:
+            # A raise must not be decided by an older record, so the last
+            # change is folded before it.
+            owned = min(owned, account.granted)
         ceiling = self._next_ceiling(account, owned)
         account.wanted = 0
         return Row(owned, ceiling)
