Explain a request from printed logs; log what a denial was decided from

Cause: on-call engineers have logs only, and a refusal named its reason without the tokens, rows and ages behind it. Ruled out: the operator port, which the platform does not serve. Change: basilpond-fleet explain reads files or standard input; refusals carry their inputs.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -236,6 +236,21 @@
         """Whether the store has not answered for a while."""
         return not self._reachable or self._writer.waiting_s > _DOUBT_S
 
+    def explain(self, organisation: str, tokens: int) -> dict[str, object]:
+        """Return what a denial was decided from, for the log."""
+        owned, used, budget = self.allotments.balances()[organisation]
+        return {
+            'organisation': organisation,
+            'tokens': tokens,
+            'owned': owned,
+            'used': used,
+            'budget': budget,
+            'owned_by_all': self._rows.total(organisation),
+            'store_age_s': round(self.outage_s, 2),
+            'store_doubtful': self.is_doubtful(),
+            'live_routers': self.allotments.routers,
+        }
+
     def settle(self, hold: Hold, spent_tokens: int) -> None:
         """Replace a hold by what the request consumed."""
         self.allotments.settle(hold, spent_tokens)
--- a/src/basilpond/node/_call.py
+++ b/src/basilpond/node/_call.py
@@ -22,12 +22,19 @@
     status : int
     reason : str
     retry_after_s : float or None
+    **inputs
+        What the decision was made from, for the log.
     """
 
     def __init__(
-        self, status: int, reason: str, retry_after_s: float | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+        **inputs: object,
     ) -> None:
         super().__init__(reason)
+        self.inputs = inputs
         self.status = status
         self.reason = reason
         self.retry_after_s = retry_after_s
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -201,15 +201,23 @@
             return
         loop = asyncio.get_running_loop()
         left_s = call.deadline_s - loop.time()
-        hold = await self._budgets.hold(call.organisation.name, tokens, left_s)
+        name = call.organisation.name
+        hold = await self._budgets.hold(name, tokens, left_s)
         if isinstance(hold, Denial):
             self._metrics.count_grant(hold.name.lower())
         if hold is Denial.EXHAUSTED:
-            raise RefusedError(402, hold.value)
+            raise RefusedError(
+                402, hold.value, **self._budgets.explain(name, tokens)
+            )
         if isinstance(hold, Denial):
             outage_s = self._budgets.outage_s
             retry_s = min(_MAX_RETRY_S, max(_GRANT_RETRY_S, outage_s))
-            raise RefusedError(503, hold.value, retry_s)
+            raise RefusedError(
+                503,
+                hold.value,
+                retry_s,
+                **self._budgets.explain(name, tokens),
+            )
         self._metrics.count_grant('held')
         call.hold = hold
 
@@ -246,7 +254,13 @@
         if choice is None:
             if call.runs:
                 raise RefusedError(502, 'no endpoint is left')
-            raise RefusedError(503, 'no endpoint', _NO_ENDPOINT_RETRY_S)
+            raise RefusedError(
+                503,
+                'no endpoint',
+                _NO_ENDPOINT_RETRY_S,
+                service=call.service,
+                store_age_s=round(self._budgets.outage_s, 2),
+            )
         entry = self._directory.find(choice.load.endpoint.id)
         assert entry is not None
         self._decisions.event(
@@ -356,6 +370,7 @@
             status=refusal.status,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
+            **refusal.inputs,
         )
         self._metrics.count_refusal(refusal.status, refusal.label)
         if responder.started:
--- /dev/null
+++ b/src/basilpond/programs/_log_story.py
@@ -0,0 +1,103 @@
+"""Story of one request from the lines that routers wrote."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+import datetime
+from pathlib import Path
+import sys
+from typing import Any
+
+import msgspec
+
+# Changes of belief this long before and after the request belong to it.
+BEFORE_S = 3.0
+AFTER_S = 0.5
+# Fields that name the line itself.
+_HEAD = frozenset(('t', 'node', 'event', 'request'))
+
+Line = dict[str, Any]
+
+
+def read_lines(sources: Iterable[str]) -> Iterator[Line]:
+    """Yield the log lines of files; `-` is standard input.
+
+    Anything before the first brace of a line, such as a time and a name that
+    a log collector added, is skipped. Lines that are no log lines, too.
+    """
+    for source in sources:
+        if source == '-':
+            yield from _parse(sys.stdin)
+            continue
+        with Path(source).open(errors='replace') as file:
+            yield from _parse(file)
+
+
+def _parse(lines: Iterable[str]) -> Iterator[Line]:
+    for text in lines:
+        start = text.find('{')
+        if start < 0:
+            continue
+        with contextlib.suppress(msgspec.DecodeError):
+            line = msgspec.json.decode(text[start:])
+            if isinstance(line, dict) and 'event' in line and 't' in line:
+                yield line
+
+
+def tell_story(lines: Iterable[Line], request_id: str) -> list[Line]:
+    """Return a request's lines and what changed around them, by time.
+
+    Parameters
+    ----------
+    lines : iterable of dict
+    request_id : str
+
+    Returns
+    -------
+    list of dict
+        Empty if no line names the request.
+    """
+    lines = list(lines)
+    own = [line for line in lines if line.get('request') == request_id]
+    if not own:
+        return []
+    first_s = min(line['t'] for line in own) - BEFORE_S
+    last_s = max(line['t'] for line in own) + AFTER_S
+    nodes = {line.get('node') for line in own}
+    endpoints = {line['endpoint'] for line in own if 'endpoint' in line}
+    organisations = {
+        line['organisation'] for line in own if 'organisation' in line
+    }
+    around = [
+        line
+        for line in lines
+        if 'request' not in line
+        and line.get('node') in nodes
+        and first_s <= line['t'] <= last_s
+        and _concerns(line, endpoints, organisations)
+    ]
+    return sorted(own + around, key=lambda line: line['t'])
+
+
+def _concerns(
+    line: Line, endpoints: set[str], organisations: set[str]
+) -> bool:
+    if 'endpoint' in line:
+        return line['endpoint'] in endpoints
+    if 'organisation' in line:
+        return line['organisation'] in organisations
+    # Lines on the store, the configuration, other routers and the process.
+    return line['event'] != 'allotments'
+
+
+def format_line(line: Line) -> str:
+    """Return a line for people."""
+    time = datetime.datetime.fromtimestamp(line['t'], datetime.UTC)
+    fields = ' '.join(
+        f'{name}={value}' for name, value in line.items() if name not in _HEAD
+    )
+    mark = '*' if 'request' in line else ' '
+    clock = time.strftime('%H:%M:%S.') + f'{time.microsecond // 1000:03d}'
+    return f'{clock} {mark} {line.get("node")} {line["event"]} {fields}'
--- a/src/basilpond/programs/fleet.py
+++ b/src/basilpond/programs/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 import sys
 import time
 from typing import Any
@@ -20,6 +21,9 @@
 from ..core import encode
 from ..tasks import LogClient
 from ..tasks import read_ledger
+from ._log_story import format_line
+from ._log_story import read_lines
+from ._log_story import tell_story
 from ._operator_client import OperatorClient
 from ._operator_client import RouterReply
 from ._operator_client import operator_key
@@ -64,16 +68,28 @@
     run_command(_budget(log_url, json))
 
 
-def explain(request_id: str, *routers: str) -> None:
+def explain(request_id: str, *sources: str) -> None:
     """Print each decision on a request, with its time.
 
     Parameters
     ----------
     request_id : str
-    routers : str
-        Operator addresses, ip:port.
+    sources : str
+        Operator addresses, ip:port, or files with the lines that routers
+        wrote; `-` is standard input.
     """
-    run_command(_explain(request_id, routers))
+    logs = [s for s in sources if s == '-' or Path(s).is_file()]
+    if logs:
+        run_command(_explain_logs(request_id, logs))
+        return
+    run_command(_explain(request_id, sources))
+
+
+async def _explain_logs(request_id: str, logs: list[str]) -> int:
+    story = tell_story(read_lines(logs), request_id)
+    for line in story:
+        write_line(format_line(line))
+    return EXIT_OK if story else EXIT_REJECTED
 
 
 def drain(endpoint: str, *routers: str) -> None:
--- /dev/null
+++ b/src/basilpond/programs/tests/test_log_story.py
@@ -0,0 +1,44 @@
+import io
+
+from basilpond.programs._log_story import format_line
+from basilpond.programs._log_story import read_lines
+from basilpond.programs._log_story import tell_story
+
+LOG = """\
+   1.0 front-1 {"t":10.0,"node":"a","event":"store_lost","topic":"f"}
+{"t":10.4,"node":"b","event":"store_lost","topic":"f"}
+{"t":10.5,"node":"a","event":"sent","request":"r1","endpoint":"e1"}
+{"t":10.6,"node":"a","event":"endpoint_ejected","endpoint":"e2"}
+{"t":10.7,"node":"a","event":"endpoint_ejected","endpoint":"e1"}
+{"t":10.8,"node":"a","event":"refused","request":"r2","status":402}
+{"t":10.9,"node":"a","event":"refused","request":"r1","organisation":"o"}
+{"t":10.2,"node":"a","event":"allotment_denied","organisation":"o"}
+{"t":10.2,"node":"a","event":"allotment_denied","organisation":"x"}
+no log line {
+"""
+
+
+def test_story_holds_the_request_and_what_changed_around_it(tmp_path):
+    """Guards against an answer without the cause that stands beside it."""
+    path = tmp_path / 'log'
+    path.write_text(LOG)
+    story = tell_story(read_lines([str(path)]), 'r1')
+    assert [(line['t'], line['event']) for line in story] == [
+        (10.0, 'store_lost'),
+        (10.2, 'allotment_denied'),
+        (10.5, 'sent'),
+        (10.7, 'endpoint_ejected'),
+        (10.9, 'refused'),
+    ]
+
+
+def test_unknown_request_has_no_story(monkeypatch):
+    """Guards against lines of other requests."""
+    monkeypatch.setattr('sys.stdin', io.StringIO(LOG))
+    assert tell_story(read_lines(['-']), 'r3') == []
+
+
+def test_line_for_people_marks_the_request():
+    """Guards against lines that cannot be told apart."""
+    line = {'t': 0.25, 'node': 'a', 'event': 'sent', 'request': 'r', 'x': 1}
+    assert format_line(line) == '00:00:00.250 * a sent x=1'
