Keep a part of each allotment under the ceiling

No prompt had come before, so rate and ceiling were zero, and the store was slow. Ruled out: the transfer from other routers, which owned no more under theirs. Change: 0.15 of a free allotment is under the ceiling whatever the rate.

--- a/src/basilpond/programs/_log_story.py
+++ b/src/basilpond/programs/_log_story.py
@@ -16,6 +16,8 @@
 BEFORE_S = 3.0
 AFTER_S = 0.5
 # Fields that name the line itself.
+# Written all the time, whatever becomes of a request.
+_ROUTINE_EVENTS = frozenset(('allotments', 'appended'))
 _HEAD = frozenset(('t', 'node', 'event', 'request'))
 
 Line = dict[str, Any]
@@ -89,7 +91,7 @@
     if 'organisation' in line:
         return line['organisation'] in organisations
     # Lines on the store, the configuration, other routers and the process.
-    return line['event'] != 'allotments'
+    return line['event'] not in _ROUTINE_EVENTS
 
 
 def format_line(line: Line) -> str:
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -42,6 +42,9 @@
 # A ceiling is this far ahead of the use at the present rate, so that most
 # requests do not wait for it.
 _CEILING_S = 2.2
+# Part of a free allotment that is under the ceiling whatever the rate, for
+# the first request of an organisation at a router whose log is slow.
+_CEILING_SHARE = 0.15
 # Both are refilled below this share of their targets.
 _REFILL_BELOW = 0.6
 # Allotments are given back above this multiple of the target.
@@ -473,7 +476,12 @@
         return max(1 / max(1, self.routers), min(1.0, used))
 
     def _next_ceiling(self, account: _Account, owned: int) -> int:
-        ahead = int(_CEILING_S * account.rate_per_s)
+        ahead = int(
+            max(
+                _CEILING_S * account.rate_per_s,
+                _CEILING_SHARE * max(0, owned - account.own_use),
+            )
+        )
         least = account.own_use + account.wanted
         ceiling = min(account.written.ceiling, owned)
         if ceiling < min(owned, least + _REFILL_BELOW * ahead):
--- a/src/basilpond/routing/tests/test_prepaid.py
+++ b/src/basilpond/routing/tests/test_prepaid.py
@@ -84,6 +84,18 @@
     assert allotments.hold(ORG, owned, late_ms) is not None
 
 
+def test_first_request_of_an_organisation_is_under_the_ceiling():
+    """Replays a store that is slow when an organisation's callers arrive.
+
+    Without a least part the first prompt at a router that owned 70,000
+    tokens was refused, as its rate and so its ceiling were zero.
+    """
+    allotments, rows = granted(limit=800_000, routers=8)
+    write(allotments, rows, 'a', 0)
+    owned, _, _ = allotments.balances()[ORG]
+    assert allotments.hold(ORG, owned // 8, 0) is not None
+
+
 def test_received_tokens_go_back_to_the_log():
     """Guards against tokens that die with the router that received them."""
     allotments, rows = granted(limit=1000)
