--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -45,6 +45,8 @@
         self._decisions = decisions
         self._on_change = on_change
         self.catalogue: Catalogue | None = None
+        # The version in force, as the operators wrote it.
+        self.data: bytes | None = None
 
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
@@ -75,6 +77,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self.catalogue = Catalogue(configuration)
+        self.data = data
         self._decisions.event(
             'configuration_applied',
             version=configuration.version,
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -22,6 +22,7 @@
 from ..routing import choose_endpoint
 from ..routing import choose_service
 from ..routing import may_send_again
+from ..routing import promises_not_run
 from ..routing import sample_loads
 from ._budgets import BudgetTask
 from ._budgets import Denial
@@ -324,7 +325,9 @@
     def _conclude(self, call: Call, outcome: SendOutcome) -> None:
         if call.responder.started:
             call.responder.abort()
-        elif outcome.head is not None:
+        elif outcome.head is not None and not promises_not_run(
+            outcome.head.status
+        ):
             call.responder.respond(
                 outcome.head.status,
                 self._wire.answer_fields(outcome.head),
--- a/src/basilpond/node/_ready.py
+++ b/src/basilpond/node/_internal_server.py
@@ -1,4 +1,4 @@
-"""Listener that tells the load balancer whether a router takes callers."""
+"""Listeners for the load balancer and for operators' tools."""
 
 from __future__ import annotations
 
@@ -7,21 +7,23 @@
 from ..http1 import CallerRequest
 from ..http1 import CallerServer
 from ..http1 import ConnectionLimits
+from ..http1 import Header
 from ..http1 import Responder
 
+Answer = tuple[int, list[Header], bytes]
 
-class ReadyServer:
-    """Answers 200 while the router is ready, else 503.
+
+class InternalServer:
+    """Answers each request with what a function returns.
 
     Parameters
     ----------
-    path : bytes
-    is_ready : callable
+    answer : callable
+        Called with the path; returns status, header fields and body.
     """
 
-    def __init__(self, path: bytes, is_ready: Callable[[], bool]) -> None:
-        self._path = path
-        self._is_ready = is_ready
+    def __init__(self, answer: Callable[[bytes], Answer]) -> None:
+        self._answer = answer
         self._server = CallerServer(
             self._handle, ConnectionLimits(), lambda status, reason: None
         )
@@ -37,7 +39,5 @@
     async def _handle(
         self, request: CallerRequest, responder: Responder
     ) -> None:
-        if request.target.partition(b'?')[0] != self._path:
-            responder.respond(404)
-        else:
-            responder.respond(200 if self._is_ready() else 503)
+        path = request.target.partition(b'?')[0]
+        responder.respond(*self._answer(path))
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -2,15 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import prometheus_client
 
-from ..http1 import CallerRequest
-from ..http1 import CallerServer
-from ..http1 import ConnectionLimits
-from ..http1 import Responder
-
+CONTENT_TYPE = b'text/plain; version=0.0.4; charset=utf-8'
 # Seconds around the objectives of the sites: 0.125 to 0.8 for a first byte,
 # 0.3 for a pause.
 _LATENCY_BUCKETS_S = (
@@ -137,38 +131,3 @@
             registry=self._registry,
             buckets=_LATENCY_BUCKETS_S,
         )
-
-
-class MetricsServer:
-    """Serves the metrics at any path.
-
-    Parameters
-    ----------
-    metrics : NodeMetrics
-    update : callable
-        Sets the gauges before they are read.
-    """
-
-    def __init__(
-        self, metrics: NodeMetrics, update: Callable[[], None]
-    ) -> None:
-        self._metrics = metrics
-        self._update = update
-        self._server = CallerServer(
-            self._handle, ConnectionLimits(), lambda status, reason: None
-        )
-
-    async def listen(self, host: str, port: int) -> None:
-        """Accept connections."""
-        await self._server.listen(host, port)
-
-    def close(self) -> None:
-        """Close the listener and all connections."""
-        self._server.close()
-
-    async def _handle(
-        self, request: CallerRequest, responder: Responder
-    ) -> None:
-        self._update()
-        kind = (b'content-type', b'text/plain; version=0.0.4; charset=utf-8')
-        responder.respond(200, [kind], self._metrics.render())
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -14,6 +14,7 @@
 from ..routing import Catalogue
 from ..routing import CrashCounter
 from ._budgets import BudgetTask
+from ._configuration_spread import ConfigurationSpread
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
@@ -26,11 +27,12 @@
 from ._interfaces import Log
 from ._interfaces import NodeSettings
 from ._interfaces import Wire
+from ._internal_server import Answer
+from ._internal_server import InternalServer
 from ._log_writer import LogWriter
-from ._metrics import MetricsServer
+from ._metrics import CONTENT_TYPE
 from ._metrics import NodeMetrics
 from ._peers import PeerTask
-from ._ready import ReadyServer
 from ._settings_watch import SettingsWatch
 
 # Pause between two reads of the configuration and of the endpoints. Endpoints
@@ -113,6 +115,9 @@
         )
         self.budgets.hurry_reader = fleet.hurry
         self.budgets.restart_reader = self._restart_readers
+        self._spread = ConfigurationSpread(
+            self.configuration, self.peers, decisions
+        )
         self._followers = (
             TopicFollower(
                 log,
@@ -133,10 +138,9 @@
         self._callers = CallerServer(
             self.dispatcher.handle, ConnectionLimits(), self._note_reject
         )
-        self._ready = ReadyServer(wire.ready_path, self.is_ready)
-        self._metrics_server = MetricsServer(
-            self._metrics, self._update_gauges
-        )
+        self._ready_path = wire.ready_path
+        self._ready = InternalServer(self._answer_ready)
+        self._metrics_server = InternalServer(self._answer_metrics)
         self._tasks: list[asyncio.Task[None]] = []
         self._announcement: asyncio.Task[None] | None = None
 
@@ -155,12 +159,16 @@
         )
         await self._ready.listen(*self._settings.ready_address)
         await self.peers.listen(self._settings.host, self._settings.peer_port)
+        await self._spread.listen(
+            self._settings.host, self._settings.peer_port
+        )
         await self._callers.listen(*self._settings.caller_address)
         jobs = [follower.run() for follower in self._followers]
         jobs += [
             self.budgets.run(),
             self.budgets.observe(),
             self.peers.run(),
+            self._spread.run(),
             self._flush_log(),
         ]
         self._tasks = [asyncio.create_task(job) for job in jobs]
@@ -182,7 +190,12 @@
         for task in (*self._tasks, self._announcement):
             if task is not None:
                 task.cancel()
-        for server in (self._callers, self._ready, self._metrics_server):
+        for server in (
+            self._callers,
+            self._ready,
+            self._metrics_server,
+            self._spread,
+        ):
             server.close()
         self.peers.close()
         self._decisions.close()
@@ -268,6 +281,15 @@
         )
         self.dispatcher.apply_settings(self._settings)
 
+    def _answer_ready(self, path: bytes) -> Answer:
+        if path != self._ready_path:
+            return 404, [], b''
+        return (200 if self.is_ready() else 503), [], b''
+
+    def _answer_metrics(self, path: bytes) -> Answer:
+        self._update_gauges()
+        return 200, [(b'content-type', CONTENT_TYPE)], self._metrics.render()
+
     def _update_gauges(self) -> None:
         for name, value in (
             ('active_requests', self._callers.active),
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -138,6 +138,14 @@
             own_ms=0, known=len(self._peers), now_s=now_s
         )
 
+    def newest_configuration(self) -> tuple[int, tuple[str, int]] | None:
+        """Return the newest version at a live router, and its address."""
+        peers = self._live()
+        if not peers:
+            return None
+        newest = max(peers, key=lambda peer: peer.configuration_version)
+        return newest.configuration_version, newest.address
+
     def live_routers(self) -> int:
         """Return the number of live routers, this one included."""
         return 1 + sum(1 for _ in self._live())
--- a/src/basilpond/node/tests/test_node.py
+++ b/src/basilpond/node/tests/test_node.py
@@ -62,7 +62,7 @@
         assert system.runs('app') == 0
 
 
-@pytest.mark.parametrize('mode', ['break', 'fail', 'unsigned'])
+@pytest.mark.parametrize('mode', ['break', 'fail', 'busy', 'unsigned'])
 async def test_unsafe_request_runs_once(mode):
     """Guards against a doubled booking after a lost answer."""
     async with world() as system:
@@ -284,6 +284,20 @@
         assert (await system.call('/look/1')).status == 404
 
 
+async def test_router_without_the_store_learns_from_others():
+    """Replays a store that turns one router away while keys are revoked."""
+    async with world(nodes=2) as system:
+        system.nodes[0].configuration.apply = lambda records, end: None
+        tenant = {'name': 'org', 'api_keys': ['new'], 'prepaid': 100_000}
+        system.log.put(
+            'keyed.op', 'config', configuration(2, tenants=[tenant])
+        )
+        configured = system.nodes[0].configuration
+        await system.until(lambda: configured.catalogue.version == 2)
+        assert (await system.call('/look/1', key='key')).status == 401
+        assert (await system.call('/look/1', key='new')).status == 200
+
+
 async def test_trimmed_history_is_read_from_the_newest():
     """Replays a log that forgets its history while a router follows it."""
     async with world() as system:
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -25,6 +25,7 @@
 from ._retry_policy import first_byte_patience_s
 from ._retry_policy import may_send_again
 from ._retry_policy import pause_patience_s
+from ._retry_policy import promises_not_run
 from ._retry_share import RetryShare
 from ._types import CallerLimits
 from ._types import CallFacts
@@ -69,5 +70,6 @@
     'pause_patience_s',
     'prefill_work',
     'prefix_runs',
+    'promises_not_run',
     'sample_loads',
 ]
--- a/src/basilpond/routing/_retry_policy.py
+++ b/src/basilpond/routing/_retry_policy.py
@@ -25,6 +25,15 @@
 _MIN_PAUSE_PATIENCE_S = 1.0
 
 
+# Callers take these as a promise that a request has not run and never will.
+_PROMISES = frozenset((408, 421, 429, 503))
+
+
+def promises_not_run(status: int) -> bool:
+    """Whether callers take a status as proof that nothing was run."""
+    return status in _PROMISES
+
+
 class SendResult(enum.Enum):
     """What is known of a request after one send."""
 
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -199,8 +199,9 @@
     """A model or application server.
 
     `mode` is `ok`, `break` (resets after `break_after` events, or at once),
-    `hang`, `fail` (500), `shed` (refuses unread), `moved` (421), `unsigned`
-    or `twice` (sends its answer again).
+    `hang`, `fail` (500), `busy` (503 that does not say whether it was run),
+    `shed` (refuses unread), `moved` (421), `unsigned` or `twice` (sends its
+    answer again).
     """
 
     def __init__(self, server_id: str, service: str, *, events: int = 6):
@@ -253,8 +254,9 @@
             fields.append((b'x-response-stamp', b'stamp-%s' % request_id))
         if self.mode == 'hang':
             await asyncio.sleep(3600)
-        if self.mode == 'fail':
-            responder.respond(500, fields, b'failed')
+        if self.mode in ('fail', 'busy'):
+            status = 500 if self.mode == 'fail' else 503
+            responder.respond(status, fields, b'failed')
             return
         if find(request.headers, b'x-token-count') is None:
             if self.mode == 'break':
