--- a/src/basilpond/node/tests/test_node.py
+++ b/src/basilpond/node/tests/test_node.py
@@ -6,7 +6,7 @@
 from basilpond.node.tests.platform_world import PROMPT
 from basilpond.node.tests.platform_world import configuration
 from basilpond.node.tests.platform_world import world
-from basilpond.routing._prepaid import OUTAGE_S
+from basilpond.routing._allotment_rows import OUTAGE_S
 
 
 def header(request, name):
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -1,5 +1,8 @@
 """Decisions on requests of known cost, without I/O or clocks."""
 
+from ._allotment_rows import AllotmentRows
+from ._allotment_rows import Row
+from ._allotment_rows import Stamp
 from ._catalogue import Catalogue
 from ._catalogue import choose_service
 from ._crash_counter import CrashCounter
@@ -13,11 +16,8 @@
 from ._placement import choose_endpoint
 from ._placement import prefill_work
 from ._placement import sample_loads
-from ._prepaid import AllotmentRows
 from ._prepaid import Allotments
 from ._prepaid import Hold
-from ._prepaid import Row
-from ._prepaid import Stamp
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prefix_runs
 from ._retry_policy import MAX_CONNECTS
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -24,13 +24,12 @@
 
 import dataclasses
 
-# Time from the last stamp after which a router may exceed its ceiling, by a
-# clock that counts suspended time. Processes stamp every 0.3 s and are back
-# 0.8 s after they were killed, or 1.7 s after their machines lost power.
-OUTAGE_S = 2.6
-# Clocks of the fleet prove less than the machine's own by this much, as they
-# agree to 0.2 s only.
-_FLEET_MARGIN_S = 0.3
+from ._allotment_rows import NO_ROW
+from ._allotment_rows import OUTAGE_S
+from ._allotment_rows import AllotmentRows
+from ._allotment_rows import Row
+from ._allotment_rows import Stamp
+
 # An allotment lasts this long at the present rate where the budget is ample:
 # outages of the platform's store take 4 to 9 s.
 ALLOTMENT_S = 15.0
@@ -53,110 +52,6 @@
 _RATE_WEIGHT = 0.2
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Row:
-    """Row of a holder.
-
-    Parameters
-    ----------
-    owned : int
-        Tokens that the holder may consume, ever.
-    ceiling : int
-        Tokens that it consumes at most while the log answers.
-    """
-
-    owned: int
-    ceiling: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Stamp:
-    """Time of a holder's record.
-
-    Parameters
-    ----------
-    boot_ms : int
-        Clock of the machine that counts suspended time.
-    wall_ms : int
-        Time of day of the machine.
-    fleet_ms : int or None
-        Time of day by which a majority of routers agrees.
-    """
-
-    boot_ms: int
-    wall_ms: int
-    fleet_ms: int | None = None
-
-    def proves_ceiling(self, successor: Stamp) -> bool:
-        """Whether the holder ended before it could exceed its ceiling.
-
-        Parameters
-        ----------
-        successor : Stamp
-            Taken when the next process on the same machine started.
-        """
-        limit_ms = OUTAGE_S * 1000
-        # Both clocks of the machine have to agree, as the first one begins
-        # anew when the machine does.
-        if (
-            0 <= successor.boot_ms - self.boot_ms < limit_ms
-            and 0 <= successor.wall_ms - self.wall_ms < limit_ms
-        ):
-            return True
-        if self.fleet_ms is None or successor.fleet_ms is None:
-            return False
-        age_ms = successor.fleet_ms - self.fleet_ms
-        return 0 <= age_ms < limit_ms - _FLEET_MARGIN_S * 1000
-
-
-_NO_ROW = Row(0, 0)
-
-
-class AllotmentRows:
-    """Rows of all holders, folded from the log."""
-
-    __slots__ = ('_ceilings', '_rows', '_totals')
-
-    def __init__(self) -> None:
-        self._rows: dict[str, dict[str, tuple[Row, int]]] = {}
-        self._totals: dict[str, int] = {}
-        self._ceilings: dict[str, int] = {}
-
-    def apply(
-        self, organisation: str, holder: str, row: Row, offset: int
-    ) -> None:
-        """Take a row; an older one than the known is ignored."""
-        rows = self._rows.setdefault(organisation, {})
-        known, known_offset = rows.get(holder, (_NO_ROW, -1))
-        if offset <= known_offset:
-            return
-        total = self._totals.get(organisation, 0)
-        self._totals[organisation] = total + row.owned - known.owned
-        ceiling = self._ceilings.get(organisation, 0)
-        self._ceilings[organisation] = ceiling + row.ceiling - known.ceiling
-        rows[holder] = row, offset
-
-    def total(self, organisation: str) -> int:
-        """Return what the holders of an organisation's tokens own."""
-        return self._totals.get(organisation, 0)
-
-    def total_ceiling(self, organisation: str) -> int:
-        """Return the sum of the ceilings of an organisation's rows."""
-        return self._ceilings.get(organisation, 0)
-
-    def row(self, organisation: str, holder: str) -> tuple[Row, int]:
-        """Return a row and its offset; offset -1 if there is none."""
-        return self._rows.get(organisation, {}).get(holder, (_NO_ROW, -1))
-
-    def of_holder(self, holder: str) -> dict[str, Row]:
-        """Return the rows of a holder by organisation."""
-        return {
-            organisation: rows[holder][0]
-            for organisation, rows in self._rows.items()
-            if holder in rows
-        }
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Hold:
     """Tokens set aside for one request, at its most."""
@@ -177,7 +72,7 @@
     # Spent, held for requests in progress, or given to other routers.
     used: int = 0
     # Newest row that was appended or is being appended.
-    written: Row = _NO_ROW
+    written: Row = NO_ROW
     # Whether the newest row raises what is owned and is not decided yet.
     raising: bool = False
     # Sum of the bounds of the requests that wait.
--- a/src/basilpond/routing/tests/test_fleet_clock.py
+++ b/src/basilpond/routing/tests/test_fleet_clock.py
@@ -2,7 +2,7 @@
 
 from basilpond.routing import FleetClock
 from basilpond.routing import Stamp
-from basilpond.routing._prepaid import OUTAGE_S
+from basilpond.routing._allotment_rows import OUTAGE_S
 
 
 def make_clock(*offsets_ms, now_s=0.0):
--- a/src/basilpond/routing/tests/test_prepaid.py
+++ b/src/basilpond/routing/tests/test_prepaid.py
@@ -7,7 +7,7 @@
 from basilpond.routing import Allotments
 from basilpond.routing import Row
 from basilpond.routing import Stamp
-from basilpond.routing._prepaid import OUTAGE_S
+from basilpond.routing._allotment_rows import OUTAGE_S
 
 ORG = 'org'
 STAMP = Stamp(0, 0)
