Split tasks/ into packages by subject; end its import circle

Cause: 45 modules lay side by side in `tasks/`, and `_router`, `_router_state` and `_metrics_task` imported each other under TYPE_CHECKING. Ruled out: packages of callers and endpoints alone, as the attempts need the request's state and the callers need the attempts. A package `requests` below both holds that state. Change: packages requests, callers, endpoints, budgets, configuration, membership and shared_log, each with a public interface; tests beside the code. The state page and the gauges meet the router through the Protocol `RouterView`. Imports only moved.

--- a/src/basilpond/tasks/__init__.py
+++ b/src/basilpond/tasks/__init__.py
@@ -1,15 +1,15 @@
 """Asyncio tasks; each owns its sockets and its state."""
 
-from ._gossip_task import GossipTask
-from ._ledger_report import read_entries
-from ._ledger_report import read_ledger
-from ._log_client import LogClient
-from ._manifest_publisher import ManifestInForce
-from ._manifest_publisher import ManifestPublisher
-from ._peer_client import PeerClient
-from ._peer_client import PeerUnavailableError
-from ._peer_server import PeerServer
 from ._router import Router
+from .budgets import read_entries
+from .budgets import read_ledger
+from .configuration import ManifestInForce
+from .configuration import ManifestPublisher
+from .membership import GossipTask
+from .membership import PeerClient
+from .membership import PeerServer
+from .membership import PeerUnavailableError
+from .shared_log import LogClient
 
 __all__ = [
     'GossipTask',
--- a/src/basilpond/tasks/_metrics_task.py
+++ b/src/basilpond/tasks/_metrics_task.py
@@ -4,14 +4,11 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from ..core import Member
 from ..core import MemberState
 from ..telemetry import Metrics
-
-if TYPE_CHECKING:
-    from ._router import Router
+from ._router_view import RouterView
 
 INTERVAL_S = 5.0
 
@@ -21,14 +18,14 @@
 
     Parameters
     ----------
-    router : Router
+    router : RouterView
     metrics : Metrics
     interval_s : float
     """
 
     def __init__(
         self,
-        router: Router,
+        router: RouterView,
         metrics: Metrics,
         interval_s: float = INTERVAL_S,
     ) -> None:
--- a/src/basilpond/tasks/_operator_api.py
+++ b/src/basilpond/tasks/_operator_api.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from ..core import ResultCode
-from ._http_server import HTTP_SERVER_ERROR
-from ._http_server import HttpServer
+from .callers import HTTP_SERVER_ERROR
+from .callers import HttpServer
 
 # Keys of the state with a table on the status page, and its title.
 _TABLES = (
--- a/src/basilpond/tasks/_peer_requests.py
+++ b/src/basilpond/tasks/_peer_requests.py
@@ -7,10 +7,10 @@
 from .. import protocol
 from ..core import BasilpondError
 from ..core import ResultCode
-from ._answers import BufferedAnswer
-from ._budget_task import BudgetTask
-from ._config_task import ConfigTask
-from ._keyed_calls import KeyedCalls
+from .budgets import BudgetTask
+from .configuration import ConfigTask
+from .requests import BufferedAnswer
+from .requests import KeyedCalls
 
 # A stored answer beyond this size is not sent to a peer; frames are bounded.
 MAX_ANSWER_BYTES = 900_000
--- a/src/basilpond/tasks/_router_state.py
+++ b/src/basilpond/tasks/_router_state.py
@@ -4,13 +4,10 @@
 
 import asyncio
 import dataclasses
-from typing import TYPE_CHECKING
 from typing import Any
 
 from ..core import Decision
-
-if TYPE_CHECKING:
-    from ._router import Router
+from ._router_view import RouterView
 
 PAGE_BYTES = 4096
 
@@ -26,10 +23,10 @@
 
     Parameters
     ----------
-    router : Router
+    router : RouterView
     """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: RouterView) -> None:
         self.router = router
 
     def ready(self) -> bool:
--- a/src/basilpond/tasks/_allotment_exchange.py
+++ b/src/basilpond/tasks/budgets/_allotment_exchange.py
@@ -11,10 +11,10 @@
 from absl import logging
 import msgspec
 
-from .. import protocol
-from ..core import Accounts
-from ..core import BasilpondError
-from ..core import Transfer
+from ... import protocol
+from ...core import Accounts
+from ...core import BasilpondError
+from ...core import Transfer
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
 from ._budget_interfaces import Members
--- a/src/basilpond/tasks/_budget_copies.py
+++ b/src/basilpond/tasks/budgets/_budget_copies.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from ..core import BudgetSet
-from ..core import Manifest
+from ...core import BudgetSet
+from ...core import Manifest
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerView
 from ._budget_interfaces import LedgerWriter
--- a/src/basilpond/tasks/_budget_interfaces.py
+++ b/src/basilpond/tasks/budgets/_budget_interfaces.py
@@ -9,10 +9,10 @@
 from typing import Any
 from typing import Protocol
 
-from ..core import Bill
-from ..core import BillDraft
-from ..core import Hold
-from ..core import LedgerRecord
+from ...core import Bill
+from ...core import BillDraft
+from ...core import Hold
+from ...core import LedgerRecord
 
 BillDraft = BillDraft
 Hold = Hold
--- a/src/basilpond/tasks/_budget_task.py
+++ b/src/basilpond/tasks/budgets/_budget_task.py
@@ -14,21 +14,21 @@
 
 from absl import logging
 
-from .. import protocol
-from ..core import Accounts
-from ..core import AllotmentClosed
-from ..core import BasilpondError
-from ..core import Bill
-from ..core import BillDraft
-from ..core import EntryApplied
-from ..core import Grant
-from ..core import Hold
-from ..core import Journal
-from ..core import JournalFullError
-from ..core import JournalMessageError
-from ..core import Manifest
-from ..core import RefusalError
-from ..core import ResultCode
+from ... import protocol
+from ...core import Accounts
+from ...core import AllotmentClosed
+from ...core import BasilpondError
+from ...core import Bill
+from ...core import BillDraft
+from ...core import EntryApplied
+from ...core import Grant
+from ...core import Hold
+from ...core import Journal
+from ...core import JournalFullError
+from ...core import JournalMessageError
+from ...core import Manifest
+from ...core import RefusalError
+from ...core import ResultCode
 from ._budget_copies import BudgetCopies
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import ClaimVerdict
--- a/src/basilpond/tasks/_claims.py
+++ b/src/basilpond/tasks/budgets/_claims.py
@@ -5,11 +5,11 @@
 import asyncio
 from typing import Any
 
-from ..core import Claim
-from ..core import ClaimAbandon
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
+from ...core import Claim
+from ...core import ClaimAbandon
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
 from ._budget_interfaces import ClaimState
 from ._budget_interfaces import ClaimVerdict
 from ._budget_interfaces import LedgerWriter
--- a/src/basilpond/tasks/_commit.py
+++ b/src/basilpond/tasks/budgets/_commit.py
@@ -14,15 +14,15 @@
 
 from absl import logging
 
-from .. import protocol
-from ..core import Accounts
-from ..core import Allotment
-from ..core import AllotmentEntry
-from ..core import BasilpondError
-from ..core import Grant
-from ..core import Return
-from ..core import Transfer
-from ..core import encode
+from ... import protocol
+from ...core import Accounts
+from ...core import Allotment
+from ...core import AllotmentEntry
+from ...core import BasilpondError
+from ...core import Grant
+from ...core import Return
+from ...core import Transfer
+from ...core import encode
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
 from ._budget_interfaces import Members
--- a/src/basilpond/tasks/_ledger_report.py
+++ b/src/basilpond/tasks/budgets/_ledger_report.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from ..core import Ledger
-from ..core import LedgerSnapshot
-from ..core import Log
-from ..core import LogEntry
-from ..core import decode_batch
+from ...core import Ledger
+from ...core import LedgerSnapshot
+from ...core import Log
+from ...core import LogEntry
+from ...core import decode_batch
 
 STREAM = 'ledger'
 READ_LIMIT = 512
--- a/src/basilpond/tasks/_ledger_task.py
+++ b/src/basilpond/tasks/budgets/_ledger_task.py
@@ -12,29 +12,29 @@
 import msgspec
 from reactivex.subject import Subject
 
-from ..core import HOUR_MS
-from ..core import Ledger
-from ..core import LedgerRecord
-from ..core import LedgerSnapshot
-from ..core import Log
-from ..core import LogEntry
-from ..core import LogPage
-from ..core import LogRateLimitedError
-from ..core import LogUnavailableError
-from ..core import Result
-from ..core import decode_batch
-from ..core import encode
-from ._backoff import Backoff
+from ...core import HOUR_MS
+from ...core import Ledger
+from ...core import LedgerRecord
+from ...core import LedgerSnapshot
+from ...core import Log
+from ...core import LogEntry
+from ...core import LogPage
+from ...core import LogRateLimitedError
+from ...core import LogUnavailableError
+from ...core import Result
+from ...core import decode_batch
+from ...core import encode
+from ..shared_log import Backoff
+from ..shared_log import SnapshotParts
+from ..shared_log import SnapshotSchedule
+from ..shared_log import StreamReader
+from ..shared_log import is_last_part
+from ..shared_log import pack_snapshot
+from ..shared_log import read_backwards
+from ..shared_log import split_snapshot
+from ..shared_log import unpack_snapshot
 from ._ledger_waiters import Waiter
 from ._ledger_waiters import Waiters
-from ._snapshot_parts import SnapshotParts
-from ._snapshot_parts import is_last_part
-from ._snapshot_parts import pack_snapshot
-from ._snapshot_parts import split_snapshot
-from ._snapshot_parts import unpack_snapshot
-from ._snapshot_schedule import SnapshotSchedule
-from ._stream_reader import StreamReader
-from ._stream_reader import read_backwards
 
 STREAM = 'ledger'
 MAX_BATCH_RECORDS = 512
--- a/src/basilpond/tasks/_ledger_waiters.py
+++ b/src/basilpond/tasks/budgets/_ledger_waiters.py
@@ -7,21 +7,21 @@
 from collections.abc import Hashable
 import dataclasses
 
-from ..core import AllotmentClosed
-from ..core import BudgetApplied
-from ..core import BudgetSet
-from ..core import Claim
-from ..core import ClaimAbandon
-from ..core import ClaimAbandoned
-from ..core import ClaimDecided
-from ..core import Close
-from ..core import CloseRejected
-from ..core import EntryApplied
-from ..core import Grant
-from ..core import GrantDecided
-from ..core import Ledger
-from ..core import LedgerRecord
-from ..core import Result
+from ...core import AllotmentClosed
+from ...core import BudgetApplied
+from ...core import BudgetSet
+from ...core import Claim
+from ...core import ClaimAbandon
+from ...core import ClaimAbandoned
+from ...core import ClaimDecided
+from ...core import Close
+from ...core import CloseRejected
+from ...core import EntryApplied
+from ...core import Grant
+from ...core import GrantDecided
+from ...core import Ledger
+from ...core import LedgerRecord
+from ...core import Result
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/basilpond/tasks/_recovery.py
+++ b/src/basilpond/tasks/budgets/_recovery.py
@@ -6,8 +6,8 @@
 
 from absl import logging
 
-from ..core import Close
-from ..core import Journal
+from ...core import Close
+from ...core import Journal
 from ._budget_interfaces import AllotmentView
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
--- a/src/basilpond/tasks/_refill.py
+++ b/src/basilpond/tasks/budgets/_refill.py
@@ -14,14 +14,14 @@
 
 from absl import logging
 
-from .. import protocol
-from ..core import Accounts
-from ..core import Demand
-from ..core import Grant
-from ..core import Hold
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
+from ... import protocol
+from ...core import Accounts
+from ...core import Demand
+from ...core import Grant
+from ...core import Hold
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
 from ._allotment_exchange import AllotmentExchange
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
--- a/src/basilpond/tasks/tests/budget_world.py
+++ b/src/basilpond/tasks/budgets/tests/budget_world.py
@@ -8,9 +8,9 @@
 from basilpond import protocol
 from basilpond.core import _ledger
 from basilpond.core import _records
-from basilpond.tasks import _budget_interfaces
-from basilpond.tasks import _budget_task
-from basilpond.tasks import _ledger_task
+from basilpond.tasks.budgets import _budget_interfaces
+from basilpond.tasks.budgets import _budget_task
+from basilpond.tasks.budgets import _ledger_task
 from basilpond_testkit import fake_log
 from basilpond_testkit import fake_peers
 
--- a/src/basilpond/tasks/tests/test_budget_task.py
+++ b/src/basilpond/tasks/budgets/tests/test_budget_task.py
@@ -5,7 +5,7 @@
 from basilpond.core import _codes
 from basilpond.core import _manifest
 from basilpond.core import _records
-from basilpond.tasks import _budget_interfaces
+from basilpond.tasks.budgets import _budget_interfaces
 from basilpond_testkit.paused_clock import on_paused_clock
 from basilpond_testkit.paused_clock import wait_until
 
--- a/src/basilpond/tasks/tests/test_ledger_task.py
+++ b/src/basilpond/tasks/budgets/tests/test_ledger_task.py
@@ -14,9 +14,9 @@
 from basilpond.core._records import LedgerSnapshot
 from basilpond.core._records import Return
 from basilpond.core._records import decode_batch
-from basilpond.tasks import _ledger_task
-from basilpond.tasks import _snapshot_parts
-from basilpond.tasks._ledger_task import LedgerTask
+from basilpond.tasks.budgets import _ledger_task
+from basilpond.tasks.budgets._ledger_task import LedgerTask
+from basilpond.tasks.shared_log import _snapshot_parts
 from basilpond_testkit.fake_log import FakeLog
 from basilpond_testkit.paused_clock import on_paused_clock
 from basilpond_testkit.paused_clock import wait_until
--- a/src/basilpond/tasks/_chat_service.py
+++ b/src/basilpond/tasks/callers/_chat_service.py
@@ -4,22 +4,22 @@
 
 from aiohttp import web
 
-from ..core import ChatBound
-from ..core import ChatRequest
-from ..core import Model
-from ..core import ResultCode
-from ..core import chat_bound
-from ..core import parse_chat_request
-from ..core import prompt_bound_tokens
-from ..settings import LimitsSection
-from ._answers import AnswerSink
-from ._answers import DirectAnswer
-from ._caller_request import CallerRequest
+from ...core import ChatBound
+from ...core import ChatRequest
+from ...core import Model
+from ...core import ResultCode
+from ...core import chat_bound
+from ...core import parse_chat_request
+from ...core import prompt_bound_tokens
+from ...settings import LimitsSection
+from ..requests import AnswerSink
+from ..requests import CallerRequest
+from ..requests import DirectAnswer
+from ..requests import KeyedCalls
+from ..requests import RecordedAnswers
+from ..requests import not_run
 from ._chat_run import ChatRun
 from ._chat_run import ChatRunner
-from ._keyed_calls import KeyedCalls
-from ._recorded_answers import RecordedAnswers
-from ._refusals import not_run
 
 
 class ChatService:
--- a/src/basilpond/tasks/_gateway.py
+++ b/src/basilpond/tasks/callers/_gateway.py
@@ -12,25 +12,25 @@
 import aiohttp
 from aiohttp import web
 
-from ..core import ManifestIndex
-from ..core import Organisation
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
-from ..core import key_sha256
-from ..settings import LimitsSection
-from ..telemetry import extract_context
-from ..telemetry import hop_span
-from ._caller_request import IDEMPOTENCY_HEADER
-from ._caller_request import CallerRequest
-from ._caller_request import states_first_attempt
+from ...core import ManifestIndex
+from ...core import Organisation
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
+from ...core import key_sha256
+from ...settings import LimitsSection
+from ...telemetry import extract_context
+from ...telemetry import hop_span
+from ..requests import IDEMPOTENCY_HEADER
+from ..requests import REQUEST_ID_HEADER
+from ..requests import CallerRequest
+from ..requests import RequestEnd
+from ..requests import RequestLog
+from ..requests import not_run
+from ..requests import refusal_response
+from ..requests import states_first_attempt
 from ._http_server import HTTP_SERVER_ERROR
 from ._http_server import HttpServer
-from ._refusals import REQUEST_ID_HEADER
-from ._refusals import not_run
-from ._refusals import refusal_response
-from ._request_log import RequestEnd
-from ._request_log import RequestLog
 
 BEARER_SCHEME = 'bearer'
 SERVICES_PREFIX = '/v1/services/'
--- a/src/basilpond/tasks/_peer_answers.py
+++ b/src/basilpond/tasks/callers/_peer_answers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from .. import protocol
-from ..core import BasilpondError
-from ..core import Bill
-from ._budget_interfaces import Members
-from ._budget_interfaces import Peers
-from ._budget_task import BudgetTask
-from ._recorded_answers import PeerAnswer
+from ... import protocol
+from ...core import BasilpondError
+from ...core import Bill
+from ..budgets import BudgetTask
+from ..budgets import Members
+from ..budgets import Peers
+from ..requests import PeerAnswer
 
 FETCH_TIMEOUT_S = 2.0
 
--- a/src/basilpond/tasks/tests/test_chat_run.py
+++ b/src/basilpond/tasks/callers/tests/test_chat_run.py
@@ -6,7 +6,7 @@
 from basilpond.core import Attempt
 from basilpond.core import AttemptKind
 from basilpond.settings import LimitsSection
-from basilpond.tasks import _chat_run
+from basilpond.tasks.callers import _chat_run
 
 
 class Budget:
--- a/src/basilpond/tasks/_config_task.py
+++ b/src/basilpond/tasks/configuration/_config_task.py
@@ -11,23 +11,23 @@
 from reactivex.subject import BehaviorSubject
 from reactivex.subject import Subject
 
-from ..core import HOUR_MS
-from ..core import BasilpondError
-from ..core import ConfigFold
-from ..core import Log
-from ..core import LogEntry
-from ..core import LogPage
-from ..core import LogRateLimitedError
-from ..core import LogUnavailableError
-from ..core import Manifest
-from ..core import ManifestSnapshot
-from ..core import PublishDecided
-from ..core import decode_config
-from ..core import decode_manifest
-from ..core import encode
-from ._snapshot_schedule import SnapshotSchedule
-from ._stream_reader import StreamReader
-from ._stream_reader import read_backwards
+from ...core import HOUR_MS
+from ...core import BasilpondError
+from ...core import ConfigFold
+from ...core import Log
+from ...core import LogEntry
+from ...core import LogPage
+from ...core import LogRateLimitedError
+from ...core import LogUnavailableError
+from ...core import Manifest
+from ...core import ManifestSnapshot
+from ...core import PublishDecided
+from ...core import decode_config
+from ...core import decode_manifest
+from ...core import encode
+from ..shared_log import SnapshotSchedule
+from ..shared_log import StreamReader
+from ..shared_log import read_backwards
 
 STREAM = 'config'
 
--- a/src/basilpond/tasks/_manifest_publisher.py
+++ b/src/basilpond/tasks/configuration/_manifest_publisher.py
@@ -8,16 +8,16 @@
 
 import msgspec
 
-from ..core import BasilpondError
-from ..core import ConfigFold
-from ..core import Log
-from ..core import LogRateLimitedError
-from ..core import LogUnavailableError
-from ..core import ManifestPublish
-from ..core import PublishDecided
-from ..core import ResultCode
-from ..core import decode_manifest
-from ..core import encode
+from ...core import BasilpondError
+from ...core import ConfigFold
+from ...core import Log
+from ...core import LogRateLimitedError
+from ...core import LogUnavailableError
+from ...core import ManifestPublish
+from ...core import PublishDecided
+from ...core import ResultCode
+from ...core import decode_manifest
+from ...core import encode
 
 STREAM = 'config'
 READ_LIMIT = 64
--- a/src/basilpond/tasks/_manifest_spread.py
+++ b/src/basilpond/tasks/configuration/_manifest_spread.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from absl import logging
 
-from .. import protocol
-from ..core import BasilpondError
-from ._budget_interfaces import Peers
+from ... import protocol
+from ...core import BasilpondError
+from ..budgets import Peers
+from ..membership import GossipTask
 from ._config_task import ConfigTask
 
-if TYPE_CHECKING:
-    from ._gossip_task import GossipTask
-
 CHECK_INTERVAL_S = 0.5
 FETCH_TIMEOUT_S = 2.0
 
--- a/src/basilpond/tasks/tests/test_config_task.py
+++ b/src/basilpond/tasks/configuration/tests/test_config_task.py
@@ -8,7 +8,7 @@
 from basilpond.core._records import ManifestSnapshot
 from basilpond.core._records import decode_config
 from basilpond.core._records import encode
-from basilpond.tasks._config_task import ConfigTask
+from basilpond.tasks.configuration._config_task import ConfigTask
 from basilpond_testkit.fake_log import FakeLog
 from basilpond_testkit.paused_clock import on_paused_clock
 from basilpond_testkit.paused_clock import wait_until
--- a/src/basilpond/tasks/_attempts.py
+++ b/src/basilpond/tasks/endpoints/_attempts.py
@@ -5,19 +5,19 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-from ..core import Attempt
-from ..core import AttemptKind
-from ..core import Endpoint
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
-from ..core import RouteQuery
-from ..telemetry import hop_span
-from ._caller_request import CallerRequest
+from ...core import Attempt
+from ...core import AttemptKind
+from ...core import Endpoint
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
+from ...core import RouteQuery
+from ...telemetry import hop_span
+from ..requests import CallerRequest
+from ..requests import RequestLog
+from ..requests import not_run
 from ._dispatcher import Dispatcher
 from ._dispatcher import exclude
-from ._refusals import not_run
-from ._request_log import RequestLog
 
 HTTP_SERVER_ERROR = 500
 
--- a/src/basilpond/tasks/_dispatcher.py
+++ b/src/basilpond/tasks/endpoints/_dispatcher.py
@@ -10,21 +10,21 @@
 
 from reactivex.subject import Subject
 
-from ..core import Attempt
-from ..core import AttemptKind
-from ..core import AttemptVerdict
-from ..core import CrashCounter
-from ..core import EndpointTable
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import RequestQueue
-from ..core import ResultCode
-from ..core import RetryBudget
-from ..core import RouteQuery
-from ..core import Waiting
-from ..settings import LimitsSection
-from ._caller_request import CallerRequest
-from ._refusals import not_run
+from ...core import Attempt
+from ...core import AttemptKind
+from ...core import AttemptVerdict
+from ...core import CrashCounter
+from ...core import EndpointTable
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import RequestQueue
+from ...core import ResultCode
+from ...core import RetryBudget
+from ...core import RouteQuery
+from ...core import Waiting
+from ...settings import LimitsSection
+from ..requests import CallerRequest
+from ..requests import not_run
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/basilpond/tasks/_endpoint_task.py
+++ b/src/basilpond/tasks/endpoints/_endpoint_task.py
@@ -18,12 +18,12 @@
 import reactivex
 from reactivex import subject
 
-from ..core import Endpoint
-from ..core import EndpointTable
-from ..core import LeavingSource
-from ..core import Load
-from ..core import Manifest
-from ..core import StreamCheck
+from ...core import Endpoint
+from ...core import EndpointTable
+from ...core import LeavingSource
+from ...core import Load
+from ...core import Manifest
+from ...core import StreamCheck
 
 T = TypeVar('T')
 
--- a/src/basilpond/tasks/_relay.py
+++ b/src/basilpond/tasks/endpoints/_relay.py
@@ -9,15 +9,15 @@
 
 import aiohttp
 
-from ..core import Attempt
-from ..core import AttemptKind
-from ..core import ResultCode
-from ..core import StreamCheck
-from ..core import StreamSummary
-from ..core import WholeCheck
-from ..core import length_terminal
-from ..settings import LimitsSection
-from ._answers import AnswerSink
+from ...core import Attempt
+from ...core import AttemptKind
+from ...core import ResultCode
+from ...core import StreamCheck
+from ...core import StreamSummary
+from ...core import WholeCheck
+from ...core import length_terminal
+from ...settings import LimitsSection
+from ..requests import AnswerSink
 from ._body_reader import BodyReader
 from ._body_reader import TakeData
 
--- a/src/basilpond/tasks/tests/test_dispatcher.py
+++ b/src/basilpond/tasks/endpoints/tests/test_dispatcher.py
@@ -6,7 +6,7 @@
 from basilpond.core import ResultCode
 from basilpond.core import RouteQuery
 from basilpond.settings import LimitsSection
-from basilpond.tasks import _dispatcher
+from basilpond.tasks.endpoints import _dispatcher
 from basilpond_testkit.paused_clock import on_paused_clock
 
 
--- a/src/basilpond/tasks/tests/test_endpoint_task.py
+++ b/src/basilpond/tasks/endpoints/tests/test_endpoint_task.py
@@ -9,7 +9,7 @@
 
 from basilpond.core import _manifest
 from basilpond.core import _routing
-from basilpond.tasks import _endpoint_task
+from basilpond.tasks.endpoints import _endpoint_task
 
 FAST = _endpoint_task.PollParameters(
     load_s=0.02,
--- a/src/basilpond/tasks/tests/test_relay.py
+++ b/src/basilpond/tasks/endpoints/tests/test_relay.py
@@ -11,8 +11,8 @@
 from basilpond.core import StreamCheck
 from basilpond.core import WholeCheck
 from basilpond.settings import LimitsSection
-from basilpond.tasks import _answers
-from basilpond.tasks import _relay
+from basilpond.tasks.endpoints import _relay
+from basilpond.tasks.requests import _answers
 from basilpond_testkit import _program
 from basilpond_testkit import engine
 
--- a/src/basilpond/tasks/tests/test_relay_flow.py
+++ b/src/basilpond/tasks/endpoints/tests/test_relay_flow.py
@@ -14,8 +14,8 @@
 from basilpond.core import ResultCode
 from basilpond.core import StreamCheck
 from basilpond.settings import LimitsSection
-from basilpond.tasks import _answers
-from basilpond.tasks import _relay
+from basilpond.tasks.endpoints import _relay
+from basilpond.tasks.requests import _answers
 
 HEAD = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
--- a/src/basilpond/tasks/_gossip_task.py
+++ b/src/basilpond/tasks/membership/_gossip_task.py
@@ -10,15 +10,15 @@
 from reactivex.subject import BehaviorSubject
 from reactivex.subject import Subject
 
-from ..core import Member
-from ..core import Membership
-from ..core import MembershipSettings
-from ..core import MemberState
-from ..core import Outgoing
-from ..protocol import MemberUpdate
-from ..protocol import ProtocolError
-from ..protocol import decode_gossip
-from ..protocol import encode_gossip
+from ...core import Member
+from ...core import Membership
+from ...core import MembershipSettings
+from ...core import MemberState
+from ...core import Outgoing
+from ...protocol import MemberUpdate
+from ...protocol import ProtocolError
+from ...protocol import decode_gossip
+from ...protocol import encode_gossip
 
 # Leaving is told more than once, because datagrams can be lost.
 _LEAVE_ROUNDS = 3
--- a/src/basilpond/tasks/_peer_client.py
+++ b/src/basilpond/tasks/membership/_peer_client.py
@@ -6,18 +6,18 @@
 import itertools
 import random
 
-from ..core import BasilpondError
-from ..core import Member
-from ..core import ResultCode
-from ..protocol import LENGTH_BYTES
-from ..protocol import Frame
-from ..protocol import Heartbeat
-from ..protocol import ProtocolError
-from ..protocol import decode_frame
-from ..protocol import encode_frame
-from ..protocol import frame_size
-from ..telemetry import Metrics
-from ..telemetry import NullMetrics
+from ...core import BasilpondError
+from ...core import Member
+from ...core import ResultCode
+from ...protocol import LENGTH_BYTES
+from ...protocol import Frame
+from ...protocol import Heartbeat
+from ...protocol import ProtocolError
+from ...protocol import decode_frame
+from ...protocol import encode_frame
+from ...protocol import frame_size
+from ...telemetry import Metrics
+from ...telemetry import NullMetrics
 
 _BACKOFF_MIN_S = 0.1
 _BACKOFF_MAX_S = 5.0
--- a/src/basilpond/tasks/_peer_server.py
+++ b/src/basilpond/tasks/membership/_peer_server.py
@@ -8,12 +8,12 @@
 
 from absl import logging
 
-from ..protocol import LENGTH_BYTES
-from ..protocol import Frame
-from ..protocol import ProtocolError
-from ..protocol import decode_frame
-from ..protocol import encode_frame
-from ..protocol import frame_size
+from ...protocol import LENGTH_BYTES
+from ...protocol import Frame
+from ...protocol import ProtocolError
+from ...protocol import decode_frame
+from ...protocol import encode_frame
+from ...protocol import frame_size
 
 Handler = Callable[[Frame], Awaitable[Frame]]
 
--- a/src/basilpond/tasks/tests/test_peers.py
+++ b/src/basilpond/tasks/membership/tests/test_peers.py
@@ -9,9 +9,9 @@
 from basilpond import protocol
 from basilpond.core import Member
 from basilpond.core import MemberState
-from basilpond.tasks import _gossip_task
-from basilpond.tasks import _peer_client
-from basilpond.tasks import _peer_server
+from basilpond.tasks.membership import _gossip_task
+from basilpond.tasks.membership import _peer_client
+from basilpond.tasks.membership import _peer_server
 
 
 def member(port):
--- a/src/basilpond/tasks/_caller_request.py
+++ b/src/basilpond/tasks/requests/_caller_request.py
@@ -8,11 +8,11 @@
 
 from aiohttp import web
 
-from ..core import ManifestIndex
-from ..core import Organisation
-from ..core import ResultCode
-from ..core import body_digest
-from ..core import parse_key
+from ...core import ManifestIndex
+from ...core import Organisation
+from ...core import ResultCode
+from ...core import body_digest
+from ...core import parse_key
 from ._refusals import not_run
 from ._request_log import RequestEnd
 
--- a/src/basilpond/tasks/_keyed_calls.py
+++ b/src/basilpond/tasks/requests/_keyed_calls.py
@@ -13,9 +13,9 @@
 from absl import logging
 from aiohttp import web
 
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
 from ._answers import AnswerHead
 from ._answers import AnswerSink
 from ._answers import AnswerStore
--- a/src/basilpond/tasks/_recorded_answers.py
+++ b/src/basilpond/tasks/requests/_recorded_answers.py
@@ -6,10 +6,10 @@
 import dataclasses
 from typing import Protocol
 
-from ..core import Bill
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
+from ...core import Bill
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
 from ._answers import AnswerHead
 from ._answers import AnswerSink
 from ._caller_request import CallerRequest
--- a/src/basilpond/tasks/_refusals.py
+++ b/src/basilpond/tasks/requests/_refusals.py
@@ -5,9 +5,9 @@
 from aiohttp import web
 import msgspec
 
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 OUTCOME_HEADER = 'Basilpond-Outcome'
--- a/src/basilpond/tasks/_request_log.py
+++ b/src/basilpond/tasks/requests/_request_log.py
@@ -8,13 +8,13 @@
 
 from absl import logging
 
-from ..core import DecisionTrail
-from ..core import Outcome
-from ..core import RefusalError
-from ..core import ResultCode
-from ..telemetry import Metrics
-from ..telemetry import NullMetrics
-from ..telemetry import log_event
+from ...core import DecisionTrail
+from ...core import Outcome
+from ...core import RefusalError
+from ...core import ResultCode
+from ...telemetry import Metrics
+from ...telemetry import NullMetrics
+from ...telemetry import log_event
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/basilpond/tasks/_log_client.py
+++ b/src/basilpond/tasks/shared_log/_log_client.py
@@ -7,13 +7,13 @@
 import aiohttp
 import msgspec
 
-from ..core import BasilpondError
-from ..core import LogEntry
-from ..core import LogPage
-from ..core import LogRateLimitedError
-from ..core import LogUnavailableError
-from ..telemetry import Metrics
-from ..telemetry import NullMetrics
+from ...core import BasilpondError
+from ...core import LogEntry
+from ...core import LogPage
+from ...core import LogRateLimitedError
+from ...core import LogUnavailableError
+from ...telemetry import Metrics
+from ...telemetry import NullMetrics
 
 
 class _Appended(msgspec.Struct):
--- a/src/basilpond/tasks/_snapshot_parts.py
+++ b/src/basilpond/tasks/shared_log/_snapshot_parts.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..core import LedgerSnapshot
+from ...core import LedgerSnapshot
 
 # Base64 in JSON makes this a third larger, which stays below the 256 KiB of a
 # batch.
--- a/src/basilpond/tasks/_stream_reader.py
+++ b/src/basilpond/tasks/shared_log/_stream_reader.py
@@ -8,10 +8,10 @@
 
 from absl import logging
 
-from ..core import Log
-from ..core import LogEntry
-from ..core import LogPage
-from ..core import LogUnavailableError
+from ...core import Log
+from ...core import LogEntry
+from ...core import LogPage
+from ...core import LogUnavailableError
 from ._backoff import Backoff
 
 READ_WAIT_MS = 1000
--- a/src/basilpond/tasks/tests/test_log_client.py
+++ b/src/basilpond/tasks/shared_log/tests/test_log_client.py
@@ -7,7 +7,7 @@
 from basilpond.core._codes import LogRateLimitedError
 from basilpond.core._codes import LogUnavailableError
 from basilpond.core._interfaces import LogEntry
-from basilpond.tasks._log_client import LogClient
+from basilpond.tasks.shared_log._log_client import LogClient
 
 
 @contextlib.asynccontextmanager
--- a/src/basilpond/tasks/tests/test_closed_interfaces.py
+++ b/src/basilpond/tasks/tests/test_closed_interfaces.py
@@ -10,7 +10,7 @@
 import pytest
 
 from basilpond import protocol
-from basilpond.tasks._refill import LAST_ROUND_S
+from basilpond.tasks.budgets._refill import LAST_ROUND_S
 from basilpond.tasks.tests.small_system import HOST
 from basilpond.tasks.tests.small_system import KEYS
 from basilpond.tasks.tests.small_system import OPERATOR_KEY
--- a/src/basilpond_testkit/_capacity_tasks.py
+++ b/src/basilpond_testkit/_capacity_tasks.py
@@ -9,8 +9,8 @@
 from basilpond.core import MemberState
 from basilpond.core import _accounts
 from basilpond.tasks import GossipTask
-from basilpond.tasks._budget_interfaces import BudgetSettings
-from basilpond.tasks._refill import Refill
+from basilpond.tasks.budgets._budget_interfaces import BudgetSettings
+from basilpond.tasks.budgets._refill import Refill
 
 from . import _capacity_core
 from ._capacity_slopes import Cost
--- a/src/basilpond_testkit/bench_budget.py
+++ b/src/basilpond_testkit/bench_budget.py
@@ -20,7 +20,7 @@
 
 from basilpond.core import _codes
 from basilpond.core import _manifest
-from basilpond.tasks.tests import budget_world
+from basilpond.tasks.budgets.tests import budget_world
 
 from . import paused_clock
 
--- a/src/basilpond_testkit/matrix/_world.py
+++ b/src/basilpond_testkit/matrix/_world.py
@@ -13,7 +13,7 @@
 from basilpond.core import LogUnavailableError
 from basilpond.core import ManifestPublish
 from basilpond.core import encode
-from basilpond.tasks import _manifest_publisher
+from basilpond.tasks.configuration import _manifest_publisher
 
 from .. import audit
 from .. import fake_log
