--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -90,8 +90,8 @@
         self._rows = AllotmentRows()
         self._stamps: dict[str, Stamp] = {}
         self.allotments = Allotments(holder, self._rows)
-        self.ask_peers: Callable[[str, int, float], None] = (
-            lambda name, tokens, share: None
+        self.ask_peers: Callable[[str, int, float, int], None] = (
+            lambda name, tokens, share, number: None
         )
         # Returns the holders of the other live routers.
         self.live_holders: Callable[[], Iterable[str]] = lambda: ()
@@ -227,7 +227,8 @@
                         organisation, tokens, timeout_s
                     )
                 wanted = self.allotments.shortage(organisation, tokens)
-                self.ask_peers(organisation, wanted, rounds.pop(0))
+                number = len(_PEER_ROUNDS) - len(rounds)
+                self.ask_peers(organisation, wanted, rounds.pop(0), number)
                 until_s = loop.time() + _PEER_TIMEOUT_S
             hold = await self._wait_hold(
                 organisation, tokens, min(until_s, last_s)
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -300,8 +300,20 @@
 
     # Allotments.
 
-    def ask_tokens(self, organisation: str, tokens: int, share: float) -> None:
-        """Ask live routers for a share of their free tokens."""
+    def ask_tokens(
+        self, organisation: str, tokens: int, share: float, number: int
+    ) -> None:
+        """Ask live routers for a share of their free tokens.
+
+        Parameters
+        ----------
+        organisation : str
+        tokens : int
+        share : float
+        number : int
+            Of the round, from 0; each asks other routers where there are
+            enough, as rows may show tokens that were not granted.
+        """
         peers = self._live()
         if not peers:
             return
@@ -322,7 +334,8 @@
             key=lambda peer: idle_of(organisation, peer.holder),
             reverse=True,
         )
-        for peer in donors[:_MAX_DONORS]:
+        first = number * _MAX_DONORS % len(donors)
+        for peer in (donors[first:] + donors[:first])[:_MAX_DONORS]:
             self._send(data, peer)
 
     def give_away(self) -> None:
--- a/src/basilpond/node/tests/test_fleet_topic.py
+++ b/src/basilpond/node/tests/test_fleet_topic.py
@@ -1,6 +1,10 @@
+import asyncio
+
 from basilpond.node import Record
 from basilpond.node._budgets import BudgetTask
 from basilpond.node._fleet_topic import FleetTopic
+from basilpond.node._peers import PeerTask
+from basilpond.routing import CrashCounter
 from basilpond.routing import Stamp
 
 
@@ -92,3 +96,40 @@
     record = Record(0, 'budget/org/n~1', b'%d %d' % (row.owned, row.ceiling))
     topic.apply([record], 1)
     assert budgets.give('org', 4_000, 1.0) == 4_000
+
+
+class Sent:
+    """Datagram socket that remembers where datagrams went."""
+
+    def __init__(self):
+        self.addresses = []
+
+    def sendto(self, data, address):
+        self.addresses.append(address)
+
+
+async def test_each_round_asks_other_routers():
+    """Guards against rounds that all ask routers that own nothing.
+
+    Rows of raises that were denied looked like the most idle tokens.
+    """
+    topic, budgets = make_topic()
+    topic.apply_newest([], 0, snapshot=True)
+    peers = PeerTask(
+        'n', 'n~1', [], budgets, CrashCounter(), Nothing(), lambda: 0
+    )
+    peers._transport = Sent()
+    for i in range(20):
+        peers.note_address(f'm{i:02}', b'127.0.0.1:%d' % (1000 + i))
+        peer = peers._peers[f'm{i:02}']
+        peer.holder = f'm{i:02}~1'
+        peer.heard_s = asyncio.get_running_loop().time()
+        record = Record(i, f'budget/org/{peer.holder}', b'%d 0' % i)
+        topic.apply([record], i + 1)
+    asked = []
+    for number in range(3):
+        peers.ask_tokens('org', 50, 1.0, number)
+        asked.append([port for _, port in peers._transport.addresses])
+        peers._transport.addresses = []
+    assert asked[0] == list(range(1019, 1011, -1))
+    assert len({*asked[0], *asked[1], *asked[2]}) == 20
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -484,11 +484,11 @@
         least = self._least(organisation, pool)
         target = int(max(min(ALLOTMENT_S * account.rate_per_s, most), least))
         missing = max(0, account.wanted - free)
-        if missing:
-            return account.granted + min(unowned, max(missing, target))
-        if account.owned_free < _REFILL_BELOW * target:
-            raise_by = target - account.owned_free
-            return account.granted + min(unowned, raise_by)
+        if missing or account.owned_free < _REFILL_BELOW * target:
+            # Several routers may raise at once, and all but the first that ask
+            # for more than there is are denied.
+            ahead = min(target - account.owned_free, unowned // 2)
+            return account.granted + min(unowned, max(missing, ahead))
         if free > _RETURN_ABOVE * max(target, 1) and free > most:
             return account.granted - (free - target)
         return account.granted
--- a/src/basilpond/routing/tests/test_prepaid.py
+++ b/src/basilpond/routing/tests/test_prepaid.py
@@ -240,6 +240,40 @@
     assert 0 < ahead <= 0.031 * limit
 
 
+def test_rows_that_ask_for_too_much_are_no_use():
+    """Guards against a 402 while most of a budget is not spent.
+
+    Replays routers that ask for the rest of a budget at one moment: their
+    rows add up to more than the budget until those denied correct theirs.
+    """
+    allotments, rows = granted(limit=1000, routers=3)
+    rows.apply(ORG, 'b', Row(900, 100), 0)
+    rows.apply(ORG, 'c', Row(600, 50), 1)
+    assert allotments.needs_others(ORG, 300)
+    assert not allotments.is_exhausted(ORG, 300, ['b', 'c'])
+    # What a router that is gone owned cannot be had.
+    assert allotments.is_exhausted(ORG, 300, [])
+
+
+def test_large_fleets_keep_useful_parts():
+    """Replays the first prompts of an organisation at one of 85 routers.
+
+    Each router kept the same part of the budget, too small for any prompt.
+    """
+    rows = AllotmentRows()
+    owned = []
+    for i in range(85):
+        name = f'r{i}'
+        allotments = Allotments(name, rows)
+        allotments.routers = 85
+        allotments.set_limit(ORG, 500_000)
+        write(allotments, rows, name, i)
+        owned.append(allotments.balances()[ORG][0])
+    kept = [tokens for tokens in owned if tokens]
+    assert min(kept) >= 12_000
+    assert 5 <= len(kept) <= 25
+
+
 class _Router:
     """A router process with its connection to the log."""
 
