Let the log's writer take all waiting lines at once

Cause: each line that is not routine was a batch of its own and 64 batches could wait, so a burst of 65 refusals in one turn of the loop lost lines though standard output was read, and `close` lost the last ones. Ruled out: a slow reader; the new tests fail with a pipe that has room. Change: one list of at most five seconds of lines, which the writing thread takes whole. Tests for failures before successes, the count of what is left out, a slow and a closed reader; two of the four failed before.

--- a/src/basilpond/node/_decision_log.py
+++ b/src/basilpond/node/_decision_log.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import queue
 import threading
 import time
 from typing import Any
@@ -14,17 +13,19 @@
 # successes cannot use up.
 LINES_PER_S = 400
 _ROUTINE_LINES_PER_S = 150
-# Batches that wait for a slow reader of standard output.
-_MAX_BATCHES = 64
+# Lines that wait for a slow reader of standard output: five full seconds.
+_MAX_WAITING_LINES = 5 * LINES_PER_S
+# Routine lines wait until there are this many, to spare wake-ups.
 _FLUSH_LINES = 32
 
 
 class DecisionLog:
     """Writer of one JSON object a decision.
 
-    Lines are gathered by the caller's thread and written by another one. A
-    second's lines beyond the bound, and batches that standard output does
-    not take, are dropped and counted in the next line written.
+    Lines are gathered by the caller's thread and written by another one, all
+    that wait at once. A second's lines beyond the bound, and those that
+    standard output does not take, are dropped and counted in the next line
+    written.
 
     Parameters
     ----------
@@ -38,14 +39,16 @@
         self._fd = fd
         self._encoder = msgspec.json.Encoder(enc_hook=str)
         self._lines: list[bytes] = []
-        self._queue: queue.Queue[bytes | None] = queue.Queue(_MAX_BATCHES)
+        self._ready = threading.Condition()
+        self._due = False
+        self._closing = False
         self._second = 0
         self._written = 0
         self._routine = 0
         self._dropped = 0
         self.dropped_total = 0
         self._thread = threading.Thread(
-            target=self._write_batches, name='decision-log', daemon=True
+            target=self._write_lines, name='decision-log', daemon=True
         )
         self._thread.start()
 
@@ -79,31 +82,32 @@
                 line[field] = value.decode('latin-1')
             elif value is not None:
                 line[field] = value
-        self._lines.append(self._encoder.encode(line))
-        if len(self._lines) >= _FLUSH_LINES or not routine:
-            self.flush()
+        data = self._encoder.encode(line)
+        with self._ready:
+            if len(self._lines) >= _MAX_WAITING_LINES:
+                self._dropped += 1
+                self.dropped_total += 1
+                return
+            self._lines.append(data)
+            if len(self._lines) >= _FLUSH_LINES or not routine:
+                self._wake()
 
     def flush(self) -> None:
-        """Hand the gathered lines to the writing thread."""
-        if not self._lines:
-            return
-        batch = b'\n'.join(self._lines) + b'\n'
-        try:
-            self._queue.put_nowait(batch)
-        except queue.Full:
-            self._dropped += len(self._lines)
-            self.dropped_total += len(self._lines)
-        self._lines.clear()
+        """Let the writing thread take the lines that wait."""
+        with self._ready:
+            self._wake()
 
     def close(self, timeout_s: float = 0.5) -> None:
         """Write what is left."""
-        self.flush()
-        try:
-            self._queue.put_nowait(None)
-        except queue.Full:
-            return
+        with self._ready:
+            self._closing = True
+            self._wake()
         self._thread.join(timeout_s)
 
+    def _wake(self) -> None:
+        self._due = True
+        self._ready.notify()
+
     def _start_second(self, second: int) -> None:
         self._second = second
         self._written = 0
@@ -112,11 +116,22 @@
             dropped, self._dropped = self._dropped, 0
             self.event('log_lines_dropped', lines=dropped)
 
-    def _write_batches(self) -> None:
-        while (batch := self._queue.get()) is not None:
-            try:
-                while batch:
-                    batch = batch[os.write(self._fd, batch) :]
-            except OSError:
-                # Nobody reads; the router goes on without its log.
-                continue
+    def _write_lines(self) -> None:
+        while True:
+            with self._ready:
+                self._ready.wait_for(lambda: self._due or self._closing)
+                self._due = False
+                lines, self._lines = self._lines, []
+                closing = self._closing
+            if lines:
+                self._write(b'\n'.join(lines) + b'\n')
+            elif closing:
+                return
+
+    def _write(self, data: bytes) -> None:
+        try:
+            while data:
+                data = data[os.write(self._fd, data) :]
+        except OSError:
+            # Nobody reads; the router goes on without its log.
+            return
