--- /dev/null
+++ b/src/basilpond/routing/_allotment_sizes.py
@@ -0,0 +1,158 @@
+"""How much of a prepaid budget one router owns, and up to which ceiling."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import xxhash
+
+# An allotment lasts this long at the present rate where the budget is ample:
+# outages of the platform's store take 4 to 9 s.
+ALLOTMENT_S = 15.0
+# Part of what is not spent that routers may own without using it.
+IDLE_SHARE = 0.8
+# Part that routers own together whatever they use, so that an outage right
+# after a start, or of callers that move, finds tokens.
+_LEAST_SHARE = 0.3
+# Smallest allotment that is kept without use; a mean long prompt takes 12,000
+# tokens.
+_LEAST_ALLOTMENT_TOKENS = 12_000
+# A ceiling is this far ahead of the use at the present rate, so that most
+# requests do not wait for it.
+_CEILING_S = 5.0
+# Part of a free allotment that is under the ceiling whatever the rate, for
+# the first request of an organisation at a router whose log is slow.
+_CEILING_SHARE = 0.4
+# Ceilings of all routers together are ahead of the use by at most the larger
+# of two parts of the budget, as a killed router's start cannot free them. The
+# first is not owed: credit is for 0.97 of a budget. The second is this times
+# the square of the part that no use covers: while most of it is left, nobody
+# is refused for tokens that a kill keeps.
+_CEILING_LIMIT_SHARE = 0.01
+_CEILING_POOL = 0.4
+# Allotments and ceilings are refilled below this share of their targets.
+_REFILL_BELOW = 0.6
+# Ceilings are lowered above this multiple of the target.
+_LOWER_ABOVE = 1.5
+# Allotments are given back above this multiple of the target.
+_RETURN_ABOVE = 1.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BudgetState:
+    """What a router knows of a budget when it sizes its allotment.
+
+    Parameters
+    ----------
+    limit : int
+        The budget.
+    unowned : int
+        Tokens that no row owns.
+    idle_elsewhere : int
+        Tokens that other routers own beyond their ceilings.
+    free : int
+        Tokens that this router owns and has not used.
+    wanted : int
+        Sum of the bounds of the requests that wait here.
+    rate_per_s : float
+        Tokens that requests here took.
+    used_share : float
+        This router's part of all ceilings.
+    routers : int
+        Live routers, this one included.
+    """
+
+    limit: int
+    unowned: int
+    idle_elsewhere: int
+    free: int
+    wanted: int
+    rate_per_s: float
+    used_share: float
+    routers: int
+
+    @property
+    def pool(self) -> int:
+        """Tokens that no use covers, whoever owns them.
+
+        By its share of what the others left over, a router that comes late
+        would get too little.
+        """
+        return self.unowned + max(0, self.free) + self.idle_elsewhere
+
+    @property
+    def part(self) -> float:
+        """Part of the pool for this router; all parts add up to 1.
+
+        Callers of an organisation may all be at one router. Ceilings follow
+        the use, so they tell whose callers are where.
+        """
+        return (1 / max(1, self.routers) + self.used_share) / 2
+
+
+def owned_change(state: BudgetState, key: str) -> int:
+    """Return how many tokens to own more, or less.
+
+    Parameters
+    ----------
+    state : BudgetState
+    key : str
+        Of the organisation and the holder; spreads the least allotments.
+    """
+    free = max(0, state.free)
+    most = state.pool * IDLE_SHARE * state.part
+    least = _least(state, key)
+    target = int(max(min(ALLOTMENT_S * state.rate_per_s, most), least))
+    missing = max(0, state.wanted - free)
+    if missing or state.free < _REFILL_BELOW * target:
+        # Several routers may raise at once, and all but the first that ask
+        # for more than there is are denied.
+        ahead = min(target - state.free, state.unowned // 2)
+        return min(state.unowned, max(missing, ahead))
+    if free > _RETURN_ABOVE * max(target, 1) and free > most:
+        return target - free
+    return 0
+
+
+def _least(state: BudgetState, key: str) -> float:
+    kept = state.pool * _LEAST_SHARE
+    least = kept / max(1, state.routers)
+    if not least < _LEAST_ALLOTMENT_TOKENS <= kept:
+        return least
+    # Parts that are smaller than a prompt serve nobody: some routers own a
+    # useful part instead, and others ask them.
+    digest = xxhash.xxh3_64_intdigest(key.encode())
+    if digest / 2**64 < least / _LEAST_ALLOTMENT_TOKENS:
+        return _LEAST_ALLOTMENT_TOKENS
+    return 0.0
+
+
+def next_ceiling(
+    state: BudgetState, *, owned: int, own_use: int, ceiling: int
+) -> int:
+    """Return the ceiling of the next row.
+
+    Parameters
+    ----------
+    state : BudgetState
+    owned : int
+        Of the next row.
+    own_use : int
+        Use that the row has to cover.
+    ceiling : int
+        Of the present row.
+    """
+    left = state.pool / max(1, state.limit)
+    most = state.limit * max(_CEILING_LIMIT_SHARE, _CEILING_POOL * left**2)
+    ahead = max(
+        _CEILING_S * state.rate_per_s,
+        _CEILING_SHARE * max(0, owned - own_use),
+    )
+    ahead = int(min(ahead, most * state.part))
+    least = own_use + state.wanted
+    ceiling = min(ceiling, owned)
+    if ceiling < min(owned, least + _REFILL_BELOW * ahead):
+        return min(owned, least + ahead)
+    if ceiling > least + _LOWER_ABOVE * ahead:
+        return min(owned, least + ahead)
+    return ceiling
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -25,38 +25,15 @@
 from collections.abc import Iterable
 import dataclasses
 
-import xxhash
-
 from ._allotment_rows import NO_ROW
 from ._allotment_rows import OUTAGE_S
 from ._allotment_rows import AllotmentRows
 from ._allotment_rows import Row
 from ._allotment_rows import Stamp
+from ._allotment_sizes import BudgetState
+from ._allotment_sizes import next_ceiling
+from ._allotment_sizes import owned_change
 
-# An allotment lasts this long at the present rate where the budget is ample:
-# outages of the platform's store take 4 to 9 s.
-ALLOTMENT_S = 15.0
-# Part of what is not spent that routers may own without using it.
-IDLE_SHARE = 0.8
-# Part that routers own together whatever they use, so that an outage right
-# after a start, or of callers that move, finds tokens.
-_LEAST_SHARE = 0.3
-# Smallest allotment that is kept without use; a mean long prompt takes 12,000
-# tokens.
-_LEAST_ALLOTMENT_TOKENS = 12_000
-# A ceiling is this far ahead of the use at the present rate, so that most
-# requests do not wait for it.
-_CEILING_S = 5.0
-# Part of a free allotment that is under the ceiling whatever the rate, for
-# the first request of an organisation at a router whose log is slow.
-_CEILING_SHARE = 0.4
-# Ceilings of all routers together are ahead of the use by at most the larger
-# of two parts of the budget, as a killed router's start cannot free them. The
-# first is not owed: credit is for 0.97 of a budget. The second is this times
-# the square of the part that no use covers: while most of it is left, nobody
-# is refused for tokens that a kill keeps.
-_CEILING_LIMIT_SHARE = 0.01
-_CEILING_POOL = 0.4
 # Requests that waited for the same ceiling go on this much apart, as prompts
 # that reach the endpoints at once delay all others there.
 _PROMISE_GAP_S = 0.25
@@ -69,13 +46,6 @@
 # Smaller gifts serve no request: the smallest prompts of the sites take 200
 # tokens, and several routers give at once.
 _LEAST_GIFT_TOKENS = 32
-# Both are refilled below this share of their targets.
-_REFILL_BELOW = 0.6
-# Ceilings are lowered above this multiple of the target; a killed router's
-# start cannot free what is below them.
-_LOWER_ABOVE = 1.5
-# Allotments are given back above this multiple of the target.
-_RETURN_ABOVE = 1.5
 # Weight of the newest interval in the rate of consumption.
 _RATE_WEIGHT = 0.2
 
@@ -452,85 +422,38 @@
     def _next_row(self, organisation: str, account: _Account) -> Row:
         if account.raising:
             return account.written
-        pool = self._pool(organisation, account)
-        owned = self._next_owned(organisation, account, pool)
+        state = self._state(organisation, account)
+        owned = account.granted
+        # A raise that was denied is corrected before another.
+        if account.written.owned <= owned:
+            owned += owned_change(state, f'{organisation}/{self._holder}')
         folded, _ = self._rows.row(organisation, self._holder)
         if folded != account.written:
             # A raise must not be decided by an older record, so the last
             # change is folded before it.
             owned = min(owned, account.granted)
-        ceiling = self._next_ceiling(organisation, account, owned, pool)
+        ceiling = next_ceiling(
+            state,
+            owned=owned,
+            own_use=account.own_use,
+            ceiling=account.written.ceiling,
+        )
         account.wanted = 0
         return Row(owned, ceiling)
 
-    def _pool(self, organisation: str, account: _Account) -> int:
-        # Tokens that no use covers, whoever owns them. By its share of what
-        # the others left over, a router that comes late would get too little.
+    def _state(self, organisation: str, account: _Account) -> BudgetState:
+        assert account.limit is not None
         row, _ = self._rows.row(organisation, self._holder)
         owned = self._rows.total(organisation) - row.owned
-        covered = self._rows.total_ceiling(organisation) - row.ceiling
-        unowned = max(0, self._unowned(organisation, account))
-        return unowned + max(0, account.owned_free) + max(0, owned - covered)
-
-    def _next_owned(
-        self, organisation: str, account: _Account, pool: int
-    ) -> int:
-        if account.written.owned > account.granted:
-            # The last raise was denied: correct the row before another.
-            return account.granted
-        unowned = max(0, self._unowned(organisation, account))
-        free = max(0, account.owned_free)
-        most = pool * IDLE_SHARE * self._part(organisation, account)
-        least = self._least(organisation, pool)
-        target = int(max(min(ALLOTMENT_S * account.rate_per_s, most), least))
-        missing = max(0, account.wanted - free)
-        if missing or account.owned_free < _REFILL_BELOW * target:
-            # Several routers may raise at once, and all but the first that ask
-            # for more than there is are denied.
-            ahead = min(target - account.owned_free, unowned // 2)
-            return account.granted + min(unowned, max(missing, ahead))
-        if free > _RETURN_ABOVE * max(target, 1) and free > most:
-            return account.granted - (free - target)
-        return account.granted
-
-    def _least(self, organisation: str, pool: int) -> float:
-        kept = pool * _LEAST_SHARE
-        least = kept / max(1, self.routers)
-        if not least < _LEAST_ALLOTMENT_TOKENS <= kept:
-            return least
-        # Parts that are smaller than a prompt serve nobody: some routers own
-        # a useful part instead, and others ask them.
-        digest = xxhash.xxh3_64_intdigest(
-            f'{organisation}/{self._holder}'.encode()
-        )
-        if digest / 2**64 < least / _LEAST_ALLOTMENT_TOKENS:
-            return _LEAST_ALLOTMENT_TOKENS
-        return 0.0
-
-    def _part(self, organisation: str, account: _Account) -> float:
-        # Callers of an organisation may all be at one router. Ceilings follow
-        # the use, so they tell whose callers are where.
-        total = self._rows.total_ceiling(organisation)
-        used = account.written.ceiling / total if total > 0 else 0.0
-        return (1 / max(1, self.routers) + min(1.0, max(0.0, used))) / 2
-
-    def _next_ceiling(
-        self, organisation: str, account: _Account, owned: int, pool: int
-    ) -> int:
-        assert account.limit is not None
-        left = pool / max(1, account.limit)
-        most = account.limit * max(
-            _CEILING_LIMIT_SHARE, _CEILING_POOL * left**2
-        )
-        ahead = max(
-            _CEILING_S * account.rate_per_s,
-            _CEILING_SHARE * max(0, owned - account.own_use),
+        ceilings = self._rows.total_ceiling(organisation)
+        used = account.written.ceiling / ceilings if ceilings > 0 else 0.0
+        return BudgetState(
+            limit=account.limit,
+            unowned=max(0, self._unowned(organisation, account)),
+            idle_elsewhere=max(0, owned - (ceilings - row.ceiling)),
+            free=account.owned_free,
+            wanted=account.wanted,
+            rate_per_s=account.rate_per_s,
+            used_share=min(1.0, max(0.0, used)),
+            routers=self.routers,
         )
-        ahead = int(min(ahead, most * self._part(organisation, account)))
-        least = account.own_use + account.wanted
-        ceiling = min(account.written.ceiling, owned)
-        if ceiling < min(owned, least + _REFILL_BELOW * ahead):
-            return min(owned, least + ahead)
-        if ceiling > least + _LOWER_ABOVE * ahead:
-            return min(owned, least + ahead)
-        return ceiling
