Judge a bill by its own request's count; keep one copy of the refusal

Cause: the matrix accepted a bill that differed from price and usage if it equalled the router's own count of any request of the run. `_refill` had a copy of `requests.not_run`. Ruled out: a narrower match of the text; the audit knows the request. Change: `audit.wrong_amounts` takes the own count as a function of the request; a planted bill with another request's count is found. The copy is gone.

--- a/src/basilpond/tasks/budgets/_refill.py
+++ b/src/basilpond/tasks/budgets/_refill.py
@@ -19,9 +19,9 @@
 from ...core import Demand
 from ...core import Grant
 from ...core import Hold
-from ...core import Outcome
 from ...core import RefusalError
 from ...core import ResultCode
+from ..requests import not_run
 from ._allotment_exchange import AllotmentExchange
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
@@ -114,7 +114,7 @@
             with outcome `NOT_RUN`.
         """
         if self.draining:
-            raise _refusal(ResultCode.DRAINING, 'router is stopping', 503)
+            raise not_run(ResultCode.DRAINING, 'router is stopping', 503)
         loop = asyncio.get_running_loop()
         state = self._state(organisation)
         state.demand.note_hold(tokens, loop.time())
@@ -167,9 +167,7 @@
             for waiter in state.waiters:
                 if not waiter.future.done():
                     waiter.future.set_exception(
-                        _refusal(
-                            ResultCode.DRAINING, 'router is stopping', 503
-                        )
+                        not_run(ResultCode.DRAINING, 'router is stopping', 503)
                     )
 
     def stop(self) -> None:
@@ -511,7 +509,7 @@
 
     @staticmethod
     def _exhausted(organisation: str) -> RefusalError:
-        return _refusal(
+        return not_run(
             ResultCode.BUDGET_EXHAUSTED,
             f'budget of {organisation} is exhausted',
             402,
@@ -524,14 +522,14 @@
             and ledger_task.ledger.budget(organisation) is not None
             and self._grantable_tokens(organisation) < tokens
         ):
-            return _refusal(
+            return not_run(
                 ResultCode.BUDGET_EXHAUSTED,
                 f'rest of the budget of {organisation} is held by requests '
                 'that still run',
                 402,
                 retry_after_s=1,
             )
-        return _refusal(
+        return not_run(
             ResultCode.ALLOTMENT_UNAVAILABLE,
             f'no allotment for {organisation} in time',
             503,
@@ -541,18 +539,3 @@
 
 def _has_hold(future: asyncio.Future[Hold]) -> bool:
     return future.done() and not future.cancelled() and not future.exception()
-
-
-def _refusal(
-    code: ResultCode,
-    message: str,
-    http_status: int,
-    retry_after_s: int | None = None,
-) -> RefusalError:
-    return RefusalError(
-        code,
-        message,
-        outcome=Outcome.NOT_RUN,
-        http_status=http_status,
-        retry_after_s=retry_after_s,
-    )
--- a/src/basilpond_testkit/audit.py
+++ b/src/basilpond_testkit/audit.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
@@ -166,14 +167,26 @@
     return found
 
 
-def wrong_amounts(evidence: Evidence) -> list[str]:
-    """Find bills of complete answers that differ from price and usage."""
+def wrong_amounts(
+    evidence: Evidence,
+    own_cost: Callable[[workload.Request], int] | None = None,
+) -> list[str]:
+    """Find bills of complete answers that differ from price and usage.
+
+    Parameters
+    ----------
+    evidence : Evidence
+    own_cost : callable, optional
+        Cost of a chat by the router's own count, where that is right, too.
+    """
     bills = _bills_of(evidence)
     costs = collections.defaultdict(set)
     for group in _same_requests(evidence.observations):
         # A key that is used with two bodies may be billed for either.
         for identity in _request_ids(group) & bills.keys():
             costs[identity].add(_cost(evidence, group[0].request))
+            if own_cost is not None and group[0].request.is_chat:
+                costs[identity].add(own_cost(group[0].request))
     return [
         f'{identity}: billed {bills[identity].bill.tokens} tokens instead of '
         f'{sorted(expected)}'
--- a/src/basilpond_testkit/matrix/_checks.py
+++ b/src/basilpond_testkit/matrix/_checks.py
@@ -70,20 +70,9 @@
     Where an endpoint's usage was patched, the router's own count is right
     too.
     """
-    evidence = world.evidence()
-    found = audit.wrong_amounts(evidence)
-    if not world.usage_patched:
-        return found
-    own_costs = {
-        _own_count(observation.request)
-        for observation in evidence.observations
-        if observation.request.is_chat
-    }
-    return [
-        line
-        for line in found
-        if not any(f'billed {cost} tokens' in line for cost in own_costs)
-    ]
+    return audit.wrong_amounts(
+        world.evidence(), _own_count if world.usage_patched else None
+    )
 
 
 def _own_count(request: workload.Request) -> int:
--- a/src/basilpond_testkit/matrix/tests/test_checks.py
+++ b/src/basilpond_testkit/matrix/tests/test_checks.py
@@ -230,3 +230,37 @@
 
     strict, excused, complete = paused_clock.run(scenario())
     assert strict and not excused and complete
+
+
+def test_count_of_another_request_excuses_no_bill(monkeypatch):
+    """Guards against a wrong bill that equals any other request's count."""
+
+    async def scenario():
+        world = await run_world()
+        world.usage_patched = True
+        chats = [
+            caller.observation.request
+            for caller in world.callers
+            if caller.observation.request.is_chat
+        ]
+        counts = {id(request): 1000 + i for i, request in enumerate(chats)}
+        monkeypatch.setattr(
+            _checks, '_own_count', lambda request: counts[id(request)]
+        )
+        history = world.log.history['ledger']
+        for index, entry in enumerate(history):
+            batch = _records.decode_batch(entry.payload)
+            records = [
+                msgspec.structs.replace(record, tokens=1000)
+                if isinstance(record, _records.Bill)
+                else record
+                for record in batch.records
+            ]
+            batch = msgspec.structs.replace(batch, records=records)
+            payload = _records.encode(batch).decode()
+            history[index] = type(entry)(entry.offset, entry.time_ms, payload)
+        return _checks.wrong_amounts(world)
+
+    found = paused_clock.run(scenario())
+    assert any('[' in line and '1001' in line for line in found), found
+    assert not any('1000]' in line for line in found), found
