--- a/src/basilpond_testkit/_capacity_core.py
+++ b/src/basilpond_testkit/_capacity_core.py
@@ -2,28 +2,26 @@
 
 from __future__ import annotations
 
-import collections
 import itertools
 import random
-import time
 import uuid
 
-import msgspec
-
 from basilpond.core import Ledger
-from basilpond.core import ManifestIndex
 from basilpond.core import _accounts
 from basilpond.core import _frames
 from basilpond.core import _journal
 from basilpond.core import _manifest
-from basilpond.core import _membership as _swim
 from basilpond.core import _records
 from basilpond.core import _routing
-from basilpond.protocol import Gossip
-from basilpond.protocol import MemberUpdate
-from basilpond.protocol import decode_gossip
-from basilpond.protocol import encode_gossip
 
+from ._capacity_manifests import manifest_document
+from ._capacity_manifests import manifest_endpoints
+from ._capacity_manifests import manifest_organisations
+from ._capacity_manifests import manifest_reach
+from ._capacity_manifests import organisation_name
+from ._capacity_membership import busy_membership
+from ._capacity_membership import joint_start
+from ._capacity_membership import quiet_membership
 from ._capacity_slopes import Cost
 from ._capacity_slopes import Experiment
 from ._capacity_slopes import Slope
@@ -33,10 +31,6 @@
 _DIGEST = 'd' * 64
 _PLENTY_TOKENS = 10**12
 _RECORDS_PER_BATCH = 100
-# Endpoints that each organisation reaches in the manifest measurements.
-REACHABLE = 50
-_UDP_HEADER_BYTES = 28
-_JOIN_TIMEOUT_S = 120
 
 
 def _id(number: int) -> str:
@@ -44,10 +38,6 @@
     return str(uuid.UUID(int=number, version=4))
 
 
-def _organisation(number: int) -> str:
-    return f'organisation-{number:05d}'
-
-
 def make_bill(
     number: int, allotment: str, seq: int, *, keyed: bool = False
 ) -> _records.Bill:
@@ -55,7 +45,7 @@
     return _records.Bill(
         allotment=allotment,
         seq=seq,
-        organisation=_organisation(0),
+        organisation=organisation_name(0),
         request_id=_id(number),
         tokens=500,
         outcome='complete',
@@ -66,14 +56,14 @@
 
 
 def _claim(number: int) -> _records.Claim:
-    return _records.Claim(_organisation(0), _id(number), _DIGEST, _HOLDER)
+    return _records.Claim(organisation_name(0), _id(number), _DIGEST, _HOLDER)
 
 
 def make_grant(number: int, organisation: int = 0) -> _records.Grant:
     """Return the grant of an allotment of the own router."""
     return _records.Grant(
         f'{_HOLDER}/{number}',
-        _organisation(organisation),
+        organisation_name(organisation),
         10_000,
         1,
         _HOLDER,
@@ -82,11 +72,11 @@
 
 
 def _close(number: int) -> _records.Close:
-    return _records.Close(f'{_HOLDER}/{number}', _organisation(0), _PEER)
+    return _records.Close(f'{_HOLDER}/{number}', organisation_name(0), _PEER)
 
 
 def _budget(number: int) -> _records.BudgetSet:
-    return _records.BudgetSet(_organisation(number), _PLENTY_TOKENS, 1)
+    return _records.BudgetSet(organisation_name(number), _PLENTY_TOKENS, 1)
 
 
 def _payloads(records: list, first_seq: int) -> list[bytes]:
@@ -118,7 +108,7 @@
 def _ledger_with_account() -> Ledger:
     ledger = Ledger()
     wide = _records.Grant(
-        f'{_HOLDER}/wide', _organisation(0), 10**9, 1, _HOLDER, _PEER
+        f'{_HOLDER}/wide', organisation_name(0), 10**9, 1, _HOLDER, _PEER
     )
     _fold(ledger, _payloads([_budget(0), wide], 1))
     return ledger
@@ -133,7 +123,7 @@
     del bills
     with Cost() as cost:
         _fold(ledger, payloads)
-    assert ledger.budget(_organisation(0)).spent_tokens == 500 * size
+    assert ledger.budget(organisation_name(0)).spent_tokens == 500 * size
     return {'fold_bill': cost.ms, 'bill_bytes': total_bytes / 1000}
 
 
@@ -143,7 +133,7 @@
     pairs = [
         (
             make_grant(n),
-            _records.Close(f'{_HOLDER}/{n}', _organisation(0), _PEER),
+            _records.Close(f'{_HOLDER}/{n}', organisation_name(0), _PEER),
         )
         for n in range(size)
     ]
@@ -239,7 +229,7 @@
         held.add(grant.allotment, 10**9, grant)
     with Cost() as cost:
         for number in range(size):
-            hold = held.hold(_organisation(number % 100), 1000)
+            hold = held.hold(organisation_name(number % 100), 1000)
             draft = _accounts.BillDraft(
                 request_id='r',
                 tokens=500,
@@ -280,224 +270,13 @@
     }
 
 
-class _Network:
-    """Members in one process, with a message delay and encoded datagrams."""
-
-    def __init__(self, size: int) -> None:
-        self.now_s = 0.0
-        self.sent_bytes = 0
-        self.sent = 0
-        self.spent_ns = 0
-        self.members = {}
-        self.due: collections.deque = collections.deque()
-        seeds = [(self._host(0), 1), (self._host(1), 1)]
-        for number in range(size):
-            myself = MemberUpdate(
-                incarnation_id=f'sicilia-{number % 17:02d}-r{number:03d}'
-                '~1764800000000',
-                data_centre=f'sicilia-{number % 17:02d}',
-                host=self._host(number),
-                port=1,
-                version=0,
-                state=0,
-                manifest_version=1,
-                ready=True,
-                operator_port=2,
-            )
-            self.members[self._host(number)] = _swim.Membership(
-                myself, seeds, random.Random(number), 0.0
-            )
-
-    @staticmethod
-    def _host(number: int) -> str:
-        return f'10.0.{number // 200}.{number % 200 + 1}'
-
-    def introduce(self) -> None:
-        """Tell each member of all others, as a finished join would."""
-        entries = [member.myself for member in self.members.values()]
-        hosts = list(self.members)
-        for number, (host, member) in enumerate(self.members.items()):
-            other = (number + 1) % len(entries)
-            gossip = Gossip(
-                kind=int(_swim.GossipKind.ACK),
-                nonce=0,
-                sender=entries[other],
-                updates=[entry for entry in entries if entry.host != host],
-                endpoints=[],
-                crashes=[],
-            )
-            member.handle(gossip, hosts[other], 1, 0.0)
-
-    def run(self, seconds: float) -> None:
-        """Advance in steps of 10 ms, which is also the network delay."""
-        for _ in range(int(seconds * 100)):
-            self.now_s += 0.01
-            start_ns = time.process_time_ns()
-            for _ in range(len(self.due)):
-                source, target, data = self.due.popleft()
-                gossip = decode_gossip(data)
-                replies = self.members[target].handle(
-                    gossip, source, 1, self.now_s
-                )
-                self._send(target, replies)
-            self.spent_ns += time.process_time_ns() - start_ns
-            due = [
-                (host, member)
-                for host, member in self.members.items()
-                if member.next_due_s() <= self.now_s
-            ]
-            start_ns = time.process_time_ns()
-            for host, member in due:
-                self._send(host, member.tick(self.now_s))
-            self.spent_ns += time.process_time_ns() - start_ns
-
-    def is_joined(self) -> bool:
-        """Return whether all members know each other."""
-        others = len(self.members) - 1
-        return all(
-            len(member.members()) == others for member in self.members.values()
-        )
-
-    def _send(self, source: str, messages) -> None:
-        for message in messages:
-            data = encode_gossip(message.gossip)
-            self.sent += 1
-            self.sent_bytes += len(data) + _UDP_HEADER_BYTES
-            self.due.append((source, message.host, data))
-
-
-def _membership(size: int, *, quiet: bool) -> dict[str, float]:
-    """Count the cost of members that know each other."""
-    with Cost() as memory:
-        network = _Network(size)
-        network.introduce()
-    if quiet:
-        for member in network.members.values():
-            # Waiting until each update was sent often enough takes minutes.
-            member._table.queue.clear()
-    network.run(0.5)
-    network.sent = network.sent_bytes = network.spent_ns = 0
-    seconds = 1
-    network.run(seconds)
-    share = size * seconds
-    return {
-        # Sent and received, which are the same in sum.
-        'bytes': 2 * network.sent_bytes / share,
-        'messages': 2 * network.sent / share,
-        'time': network.spent_ns / 1e6 / share,
-        'memory': memory.kb / size,
-    }
-
-
-def busy_membership(size: int) -> dict[str, float]:
-    """Count members that have an update of each other to send."""
-    values = _membership(size, quiet=False)
-    return {f'member_busy_{name}': value for name, value in values.items()}
-
-
-def quiet_membership(size: int) -> dict[str, float]:
-    """Count members without news."""
-    values = _membership(size, quiet=True)
-    return {f'member_quiet_{name}': value for name, value in values.items()}
-
-
-def joint_start(size: int) -> dict[str, float]:
-    """Start all members at once, two of them seeds."""
-    network = _Network(size)
-    while not network.is_joined() and network.now_s < _JOIN_TIMEOUT_S:
-        network.run(0.5)
-    return {'member_join': network.now_s}
-
-
-def endpoint_url(number: int) -> str:
-    """Return an address of its own."""
-    return (
-        f'http://10.{1 + number // 62500}.{number // 250 % 250}'
-        f'.{number % 250 + 1}:9000'
-    )
-
-
-def manifest_document(
-    organisations: int,
-    endpoints: int,
-    reachable: int = REACHABLE,
-    *,
-    url: str | None = None,
-) -> bytes:
-    """Return a manifest whose organisations reach different endpoints."""
-    # Encoded item by item: memory that was freed before would hide growth.
-    names = [f'sicilia-{n % 17:02d}-engine-{n:04d}' for n in range(endpoints)]
-    items = [
-        msgspec.json.encode(
-            {
-                'id': _organisation(n),
-                'key_sha256': [f'{n:064x}'],
-                'top_ups': [{'id': 'payment-1', 'tokens': 10**9}],
-                'endpoints': [
-                    names[(n + step) % endpoints]
-                    for step in range(min(reachable, endpoints))
-                ],
-            }
-        )
-        for n in range(organisations)
-    ]
-    servers = [
-        msgspec.json.encode(
-            {
-                'id': name,
-                'data_centre': name[:10],
-                'url': url or endpoint_url(n),
-                'models': [f'model-{n % 10}'],
-            }
-        )
-        for n, name in enumerate(names)
-    ]
-    models = [{'id': f'model-{n}'} for n in range(10)]
-    return b'{"organisations":[%b],"models":%b,"endpoints":[%b]}' % (
-        b','.join(items),
-        msgspec.json.encode(models),
-        b','.join(servers),
-    )
-
-
-def _manifest_values(prefix: str, document: bytes) -> dict[str, float]:
-    table = _routing.EndpointTable('sicilia-00', random.Random(1))
-    with Cost() as decode:
-        decoded = _manifest.decode_manifest(document)
-    with Cost() as take:
-        index = ManifestIndex(decoded, 1)
-        table.set_manifest(decoded)
-    assert index.manifest is decoded
-    return {
-        f'{prefix}_decode': decode.ms + take.ms,
-        f'{prefix}_memory': decode.kb + take.kb,
-        f'{prefix}_document': len(document) / 1000,
-    }
-
-
-def manifest_organisations(size: int) -> dict[str, float]:
-    """Decode and index a manifest with 350 endpoints."""
-    return _manifest_values('organisation', manifest_document(size, 350))
-
-
-def manifest_endpoints(size: int) -> dict[str, float]:
-    """Decode and index a manifest with one organisation."""
-    return _manifest_values('endpoint', manifest_document(1, size))
-
-
-def manifest_reach(size: int) -> dict[str, float]:
-    """Decode a manifest whose 100 organisations reach `size` endpoints."""
-    document = manifest_document(100, size, size)
-    return _manifest_values('reach', document)
-
-
 def choose(size: int) -> dict[str, float]:
     """Choose among endpoints of one model, a tenth of them local."""
     document = manifest_document(1, size * 10, size * 10)
     table = _routing.EndpointTable('sicilia-00', random.Random(1))
     table.set_manifest(_manifest.decode_manifest(document))
     query = _routing.RouteQuery(
-        _organisation(0), model='model-0', prefix_digests=tuple(range(40))
+        organisation_name(0), model='model-0', prefix_digests=tuple(range(40))
     )
     table.choose(query, 0.0)
     rounds = 500
--- a/src/basilpond_testkit/_capacity_page.py
+++ b/src/basilpond_testkit/_capacity_page.py
@@ -7,6 +7,7 @@
 import os
 from pathlib import Path
 
+from . import _capacity_limits as limits
 from . import _capacity_roles as roles
 from ._capacity_slopes import Experiment
 from ._capacity_slopes import Line
@@ -78,7 +79,7 @@
     slopes = [
         slope.name for experiment in experiments for slope in experiment.slopes
     ]
-    tables = (roles.LIMITS, roles.ROLES, roles.CHANGES)
+    tables = (limits.LIMITS, roles.ROLES, limits.CHANGES)
     return slopes + [row.name for table in tables for row in table]
 
 
@@ -91,9 +92,9 @@
         'shared with other work; three repetitions.\n'
     ]
     for title, head, table in (
-        ('Limits', roles.LIMIT_HEAD, roles.LIMITS),
+        ('Limits', limits.LIMIT_HEAD, limits.LIMITS),
         ('Roles, for each node', roles.ROLE_HEAD, roles.ROLES),
-        ('What would reach the limits', roles.CHANGE_HEAD, roles.CHANGES),
+        ('What would reach the limits', limits.CHANGE_HEAD, limits.CHANGES),
     ):
         rows = ((row.name, *row.cells(lines)) for row in table)
         parts.append(f'## {title}\n\n{_table(head, rows)}')
--- a/src/basilpond_testkit/_capacity_router.py
+++ b/src/basilpond_testkit/_capacity_router.py
@@ -19,6 +19,7 @@
 from basilpond.core import _records
 
 from . import _capacity_core
+from . import _capacity_manifests
 from . import _fleet
 from ._capacity_slopes import Experiment
 from ._capacity_slopes import Slope
@@ -86,7 +87,7 @@
         )
         self.children.append(stand_ins)
         port = int(stand_ins.stdout.readline())
-        document = _capacity_core.manifest_document(
+        document = _capacity_manifests.manifest_document(
             self.organisations,
             self.endpoints,
             1,
