Draw the ports of a node in the tests at once

The test world drew its four ports one by one, each free again before the next: 4 of 20,000 nodes had one port twice in a loop of it. Ruled out: outgoing connections that take a port first, 0 of 12,000 in a loop. Change: `_fleet.free_ports` holds all ports while it draws; `small_system` uses it, too, instead of a copy.

--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import os
-import socket
 
 from basilpond.node import DecisionLog
 from basilpond.node import Node
 from basilpond.node import NodeSettings
 from basilpond.platform import PlatformLog
 from basilpond.platform import PlatformWire
+from basilpond_testkit._fleet import free_ports
 from basilpond_testkit.platform_stand_in import HOST
 from basilpond_testkit.platform_stand_in import LogStandIn
 from basilpond_testkit.platform_stand_in import ServerStandIn
@@ -21,12 +21,6 @@
 )
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def route(name, kind, service, **changes):
     return {
         'name': name,
@@ -99,15 +93,17 @@
         await self.until(lambda: all(node.is_ready() for node in self.nodes))
 
     async def add_node(self, name):
+        # Drawn one by one, one port may come twice.
+        callers, ready, peer, metrics = free_ports(4)
         settings = NodeSettings(
             node_id=name,
             host=HOST,
             data_centre='dc',
-            caller_address=(HOST, free_port()),
-            ready_address=(HOST, free_port()),
+            caller_address=(HOST, callers),
+            ready_address=(HOST, ready),
             store_address=(HOST, self.log.port),
-            peer_port=free_port(),
-            metrics_port=free_port(),
+            peer_port=peer,
+            metrics_port=metrics,
             store_writes_per_s=800,
             store_reads_per_s=2000,
             stop_grace_s=8.0,
--- a/src/basilpond/tasks/tests/small_system.py
+++ b/src/basilpond/tasks/tests/small_system.py
@@ -4,7 +4,6 @@
 import contextlib
 import hashlib
 import json
-import socket
 import uuid
 
 import aiohttp
@@ -19,6 +18,7 @@
 from basilpond_testkit import engine
 from basilpond_testkit import log
 from basilpond_testkit import service
+from basilpond_testkit._fleet import free_ports
 
 HOST = '127.0.0.1'
 OPERATOR_KEY = 'operator-planted-key'
@@ -31,14 +31,6 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind((HOST, 0))
-        return [item.getsockname()[1] for item in sockets]
-
-
 def uuid7(time_ms):
     random_bits = uuid.uuid4().int & ((1 << 62) - 1)
     return str(
