Log reads of the log that end without a whole answer

The lines of the incident could not tell a read that is cut off from one that the store does not answer: only a topic's first failure had a line, and no line said how many bytes had come. read_failed has the bytes received, the time taken and the number of failures, at most one line a second and topic; two counters have reads and bytes by topic and result.

No decision is changed.

--- a/src/basilpond/node/__init__.py
+++ b/src/basilpond/node/__init__.py
@@ -9,6 +9,7 @@
 from ._interfaces import LogUnavailableError
 from ._interfaces import NewestPage
 from ._interfaces import NodeSettings
+from ._interfaces import ReadProgress
 from ._interfaces import Record
 from ._interfaces import Verdict
 from ._interfaces import Wire
@@ -25,6 +26,7 @@
     'NewestPage',
     'Node',
     'NodeSettings',
+    'ReadProgress',
     'Record',
     'Verdict',
     'Wire',
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -9,13 +9,18 @@
 from ._interfaces import Log
 from ._interfaces import LogTrimmedError
 from ._interfaces import LogUnavailableError
+from ._interfaces import ReadProgress
 from ._interfaces import Record
+from ._metrics import NodeMetrics
 
 # Longest wait of one read. A connection that has gone silent is noticed when
 # the wait is over, so it stays below the time to apply a configuration.
 WAIT_S = 1.0
 _FIRST_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.25
+# Shortest time between two lines on reads that did not end, so that an outage
+# does not fill the log.
+_FAILURE_LINE_INTERVAL_S = 1.0
 
 
 class TopicState(Protocol):
@@ -48,6 +53,7 @@
     decisions : DecisionLog
     gap_s : float
         Pause between two reads, in which records gather.
+    metrics : NodeMetrics
     """
 
     def __init__(
@@ -57,16 +63,23 @@
         state: TopicState,
         decisions: DecisionLog,
         gap_s: float,
+        metrics: NodeMetrics,
     ) -> None:
         self._log = log
         self._topic = topic
         self._state = state
         self._decisions = decisions
         self._gap_s = gap_s
+        self._metrics = metrics
         self._hurry = asyncio.Event()
         self._offset: int | None = None
         self._reachable: bool | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._progress = ReadProgress()
+        self._started_s = 0.0
+        # Reads without a whole answer since the last line on them.
+        self._failures = 0
+        self._failure_line_s = float('-inf')
         self.synced = asyncio.Event()
 
     def restart(self) -> None:
@@ -83,7 +96,10 @@
         backoff_s = _FIRST_BACKOFF_S
         this_task = asyncio.current_task()
         assert this_task is not None
+        loop = asyncio.get_running_loop()
         while True:
+            self._progress = ReadProgress()
+            self._started_s = loop.time()
             self._reading = asyncio.create_task(self._step())
             try:
                 await self._reading
@@ -91,10 +107,12 @@
                 self._reading.cancel()
                 if this_task.cancelling():
                     raise
+                self._note_failure('restarted')
                 backoff_s = _FIRST_BACKOFF_S
                 continue
             except LogUnavailableError as error:
                 self._note_contact(False, str(error))
+                self._note_failure(str(error))
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
                 continue
@@ -105,6 +123,9 @@
                 self._offset = None
                 continue
             self._note_contact(True, '')
+            self._metrics.count_read(
+                self._topic, 'ok', self._progress.received_bytes
+            )
             backoff_s = _FIRST_BACKOFF_S
             await self._pause()
 
@@ -112,7 +133,9 @@
         if self._offset is None:
             await self._read_newest()
             return
-        page = await self._log.read(self._topic, self._offset, WAIT_S)
+        page = await self._log.read(
+            self._topic, self._offset, WAIT_S, self._progress
+        )
         if page.records:
             self._offset = page.records[-1].offset + 1
             self._state.apply(page.records, self._offset)
@@ -122,7 +145,9 @@
         after: str | None = None
         first_end: int | None = None
         while True:
-            page = await self._log.read_newest(self._topic, after)
+            page = await self._log.read_newest(
+                self._topic, after, self._progress
+            )
             if first_end is None:
                 first_end = page.end
             records.extend(page.records)
@@ -135,6 +160,25 @@
         self._offset = first_end
         self.synced.set()
 
+    def _note_failure(self, reason: str) -> None:
+        received_bytes = self._progress.received_bytes
+        self._metrics.count_read(self._topic, 'failed', received_bytes)
+        self._failures += 1
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._failure_line_s < _FAILURE_LINE_INTERVAL_S:
+            return
+        self._decisions.event(
+            'read_failed',
+            topic=self._topic,
+            offset=self._offset,
+            reason=reason,
+            received_bytes=received_bytes,
+            took_s=round(now_s - self._started_s, 3),
+            failures=self._failures,
+        )
+        self._failures = 0
+        self._failure_line_s = now_s
+
     def _note_contact(self, reachable: bool, reason: str) -> None:
         self._state.note_contact(reachable=reachable)
         if reachable == self._reachable:
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -101,6 +101,15 @@
     has_more: bool
 
 
+class ReadProgress:
+    """How far the answer of one read has come."""
+
+    __slots__ = ('received_bytes',)
+
+    def __init__(self) -> None:
+        self.received_bytes = 0
+
+
 class Log(Protocol):
     """The platform's log."""
 
@@ -114,10 +123,14 @@
     ) -> int:
         """Append records, all or none, and return the first offset."""
 
-    async def read(self, topic: str, offset: int, wait_s: float) -> LogPage:
+    async def read(
+        self, topic: str, offset: int, wait_s: float, progress: ReadProgress
+    ) -> LogPage:
         """Read from an offset, waiting for the first record."""
 
-    async def read_newest(self, topic: str, after: str | None) -> NewestPage:
+    async def read_newest(
+        self, topic: str, after: str | None, progress: ReadProgress
+    ) -> NewestPage:
         """Read the newest record of each key, in pages."""
 
 
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -52,6 +52,18 @@
         self._denied = self._counter(
             'basilpond_grants', 'Requests for tokens by result', 'result'
         )
+        self._reads = self._counter(
+            'basilpond_log_reads',
+            'Reads of the log by topic and result',
+            'topic',
+            'result',
+        )
+        self._read_bytes = self._counter(
+            'basilpond_log_read_bytes',
+            'Bytes of answers to reads of the log by topic and result',
+            'topic',
+            'result',
+        )
         self._first_byte = self._histogram(
             'basilpond_first_byte_seconds', 'Time to the first byte', 'route'
         )
@@ -106,6 +118,11 @@
         """Count a request for tokens."""
         self._denied.labels(result).inc()
 
+    def count_read(self, topic: str, result: str, size_bytes: int) -> None:
+        """Count a read of the log, whole or not."""
+        self._reads.labels(topic, result).inc()
+        self._read_bytes.labels(topic, result).inc(size_bytes)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set one of the gauges."""
         self._gauges[name].set(value)
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -115,6 +115,7 @@
             FleetTopic(self.budgets, self.peers),
             decisions,
             _FLEET_GAP_S,
+            self._metrics,
         )
         self.budgets.hurry_reader = fleet.hurry
         self.budgets.restart_reader = self._restart_readers
@@ -128,6 +129,7 @@
                 self.configuration,
                 decisions,
                 _CONFIGURATION_GAP_S,
+                self._metrics,
             ),
             TopicFollower(
                 log,
@@ -135,6 +137,7 @@
                 self.directory,
                 decisions,
                 _ENDPOINTS_GAP_S,
+                self._metrics,
             ),
             fleet,
         )
--- a/src/basilpond/platform/_store.py
+++ b/src/basilpond/platform/_store.py
@@ -18,6 +18,7 @@
 from ..node import LogTrimmedError
 from ..node import LogUnavailableError
 from ..node import NewestPage
+from ..node import ReadProgress
 from ..node import Record
 
 # The store answers in 4 ms. A slow one takes 50 to 60 times as long.
@@ -131,7 +132,9 @@
             raise LogUnavailableError(f'append: status {head.status}')
         return msgspec.json.decode(data, type=_Appended).offset
 
-    async def read(self, topic: str, offset: int, wait_s: float) -> LogPage:
+    async def read(
+        self, topic: str, offset: int, wait_s: float, progress: ReadProgress
+    ) -> LogPage:
         """Read from an offset, waiting for the first record.
 
         Raises
@@ -147,7 +150,7 @@
             'wait_ms': int(wait_s * 1000),
         }
         head, data = await self._call(
-            'GET', 'log-read', query, b'', extra_s=wait_s
+            'GET', 'log-read', query, b'', extra_s=wait_s, progress=progress
         )
         if head.status == 410:
             raise LogTrimmedError(f'{topic}: {offset} is trimmed')
@@ -156,7 +159,9 @@
         end, _ = struct.unpack_from('>QQ', data)
         return LogPage(_decode_records(data[16:], offset), end)
 
-    async def read_newest(self, topic: str, after: str | None) -> NewestPage:
+    async def read_newest(
+        self, topic: str, after: str | None, progress: ReadProgress
+    ) -> NewestPage:
         """Read the newest record of each key, in pages.
 
         Raises
@@ -166,7 +171,9 @@
         query = {'topic': topic, 'part': 0}
         if after is not None:
             query['after'] = after
-        head, data = await self._call('GET', 'log-newest', query, b'')
+        head, data = await self._call(
+            'GET', 'log-newest', query, b'', progress=progress
+        )
         if head.status != 200:
             raise LogUnavailableError(f'newest: status {head.status}')
         page = msgspec.json.decode(data, type=_Newest)
@@ -184,6 +191,7 @@
         body: bytes,
         *,
         extra_s: float = 0.0,
+        progress: ReadProgress | None = None,
     ) -> tuple[AnswerHead, bytes]:
         self.calls += 1
         target = f'/basilpond/{name}?{urlencode(query, quote_via=quote)}'
@@ -191,6 +199,7 @@
             f'{method} {target} HTTP/1.1\r\nHost: {self._host}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode() + body
+        progress = progress or ReadProgress()
         connection = self._pool.take_idle()
         try:
             if connection is None:
@@ -198,7 +207,10 @@
             connection.begin(message)
             async with asyncio.timeout(_CALL_TIMEOUT_S + extra_s):
                 head = await connection.read_head()
-                data = await connection.read_body()
+                parts = []
+                while part := await connection.read_part():
+                    parts.append(part)
+                    progress.received_bytes += len(part)
         except TimeoutError:
             raise LogUnavailableError(f'{name}: timed out') from None
         except ExchangeError as error:
@@ -206,4 +218,4 @@
         finally:
             if connection is not None:
                 self._pool.release(connection)
-        return head, data
+        return head, b''.join(parts)
