--- a/src/basilpond_testkit/matrix/tests/test_matrix.py
+++ b/src/basilpond_testkit/matrix/tests/test_matrix.py
@@ -29,8 +29,6 @@
 
 @pytest.mark.parametrize('name', NAMES)
 def test_cell_holds_its_guarantees(name):
-    if name in program.known_red():
-        pytest.xfail('listed in KNOWN-RED.txt')
     assert _cells.run_cell(cell_named(name), 1) == []
 
 
--- a/src/basilpond_testkit/matrix/tests/test_scenario.py
+++ b/src/basilpond_testkit/matrix/tests/test_scenario.py
@@ -13,8 +13,6 @@
 
 @pytest.mark.parametrize('name', SCENARIOS)
 def test_scenario_holds(name):
-    if f'scenario.{name}' in program.known_red():
-        pytest.xfail('listed in KNOWN-RED.txt')
     assert _scenario.run_scenario(SCENARIOS[name], 1) == []
 
 
