Let reads of the log go on beside slow appends

Cause: an append that took over 0.1 s made the router restart all reads of the log, as a read that was sent into an outage hangs. The large read itself made appends slow, so it was cut off at 65 to 330 KB, again and again, and its repeats filled the link of the VM for all else. Change: reads are restarted only after an append whose earlier tries got no answer, which proves an outage and not a slow link, and never once their answer has begun.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -401,11 +401,10 @@
             ]
             return [*records, alive_record(self._holder, now)]
 
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
         appended = await self._writer.append(collect)
-        if appended and loop.time() - started_s > _DOUBT_S:
-            # The store is back; a read that was sent before may hang.
+        if appended and self._writer.failed_tries:
+            # The log is back; a read that was sent before may hang. An append
+            # that is answered late proves a slow link or log only.
             self.restart_reader()
         if appended and rows:
             self.allotments.note_written(rows)
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -83,8 +83,14 @@
         self.synced = asyncio.Event()
 
     def restart(self) -> None:
-        """Give up a read that was sent while the store was away."""
-        if self._reading is not None and not self._reading.done():
+        """Give up a read that was sent while the log was away.
+
+        A read whose answer has begun goes on: to send it again would move the
+        same bytes once more, over a link that they may fill.
+        """
+        if self._reading is None or self._reading.done():
+            return
+        if not self._progress.received_bytes:
             self._reading.cancel()
 
     def hurry(self) -> None:
--- a/src/basilpond/node/_log_writer.py
+++ b/src/basilpond/node/_log_writer.py
@@ -38,6 +38,8 @@
         self._sequence = 0
         self._lock = asyncio.Lock()
         self._since_s: float | None = None
+        # Tries of the last append that got no answer.
+        self.failed_tries = 0
 
     @property
     def waiting_s(self) -> float:
@@ -62,7 +64,9 @@
                 return False
             self._since_s = asyncio.get_running_loop().time()
             backoff_s = _FIRST_BACKOFF_S
+            self.failed_tries = 0
             while not await self._try(records):
+                self.failed_tries += 1
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
             self._since_s = None
