Note that the log is back before its records are applied

Callers would see 503 for want of endpoints that live. Change: the contact is noted when the answer is whole, before its records are handed out.

--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -48,7 +48,7 @@
         """Take records in order; `end` is the offset after them."""
 
     def note_contact(self, *, reachable: bool) -> None:
-        """Take whether the last call was answered."""
+        """Take whether the last call was answered, before its records."""
 
 
 class TopicFollower:
@@ -139,7 +139,6 @@
                 )
                 self._offset = None
                 continue
-            self._note_contact(True, '')
             self._metrics.count_read(
                 self._topic, 'ok', self._progress.received_bytes
             )
@@ -153,6 +152,7 @@
         page = await self._log.read(
             self._topic, self._offset, WAIT_S, self._progress
         )
+        self._note_contact(True, '')
         if page.records:
             self._offset = page.records[-1].offset + 1
             self._state.apply(page.records, self._offset)
@@ -173,6 +173,7 @@
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
+        self._note_contact(True, '')
         self._state.apply_newest(
             records, page.end, snapshot=page.end == first_end
         )
