Limit the pauses of the log's answers, not their whole time

A read of the log failed after 2 s even if its answer was still coming, and was sent again from the same offset; over a link on which the answer takes longer it never ended. The second cause behind DENIED on slow links, shown by tests only: three of the four in test_store failed before. An answer without end filled the memory of the router. Change: an answer has to begin in time and must not pause for longer than a second; beyond 4 MB it is given up.

--- a/src/basilpond/platform/_store.py
+++ b/src/basilpond/platform/_store.py
@@ -21,8 +21,13 @@
 from ..node import ReadProgress
 from ..node import Record
 
-# The store answers in 4 ms. A slow one takes 50 to 60 times as long.
+# Time until an answer begins, and the longest pause in it. The store answers
+# in 4 ms; a slow one takes 50 to 60 times as long. A large answer over a slow
+# link takes longer than either, so no limit holds for the whole of it.
 _CALL_TIMEOUT_S = 1.0
+# Longer answers are no answers: a read returns 1 MB at most, and a page of
+# newest records the same in base64.
+_MAX_ANSWER_BYTES = 4 << 20
 _CONNECT_TIMEOUT_S = 0.25
 _MAX_KEY_BYTES = 255
 
@@ -200,19 +205,30 @@
             f'Content-Length: {len(body)}\r\n\r\n'
         ).encode() + body
         progress = progress or ReadProgress()
+        # Pages of one read add up.
+        most_bytes = progress.received_bytes + _MAX_ANSWER_BYTES
         connection = self._pool.take_idle()
         try:
             if connection is None:
                 connection = await self._pool.connect()
             connection.begin(message)
-            async with asyncio.timeout(_CALL_TIMEOUT_S + extra_s):
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(_CALL_TIMEOUT_S + extra_s) as limit:
                 head = await connection.read_head()
                 parts = []
-                while part := await connection.read_part():
+                while True:
+                    limit.reschedule(loop.time() + _CALL_TIMEOUT_S)
+                    part = await connection.read_part()
+                    if not part:
+                        break
                     parts.append(part)
                     progress.received_bytes += len(part)
+                    if progress.received_bytes > most_bytes:
+                        raise LogUnavailableError(f'{name}: answer too long')
         except TimeoutError:
-            raise LogUnavailableError(f'{name}: timed out') from None
+            raise LogUnavailableError(
+                f'{name}: timed out after {progress.received_bytes} bytes'
+            ) from None
         except ExchangeError as error:
             raise LogUnavailableError(f'{name}: {error}') from error
         finally:
--- /dev/null
+++ b/src/basilpond/platform/tests/test_store.py
@@ -0,0 +1,98 @@
+import asyncio
+import json
+import struct
+
+import pytest
+
+from basilpond.http1 import AnswerHead
+from basilpond.node import LogUnavailableError
+from basilpond.node import ReadProgress
+from basilpond.platform import PlatformLog
+from basilpond.platform import encode_keyed
+from basilpond_testkit.paused_clock import on_paused_clock
+
+PART_BYTES = 16 * 1024
+
+
+class Connection:
+    """One exchange whose answer comes in parts, with a pause before each."""
+
+    def __init__(self, body, pause_s):
+        self.body = body
+        self.pause_s = pause_s
+
+    def begin(self, message):
+        pass
+
+    async def read_head(self):
+        await asyncio.sleep(0.004)
+        return AnswerHead(200, [])
+
+    async def read_part(self):
+        await asyncio.sleep(self.pause_s)
+        part, self.body = self.body[:PART_BYTES], self.body[PART_BYTES:]
+        return part
+
+
+class Pool:
+    def __init__(self, connection):
+        self.connection = connection
+
+    def take_idle(self):
+        return self.connection
+
+    def release(self, connection):
+        pass
+
+
+def make_log(body, pause_s):
+    log = PlatformLog(('store', 1))
+    log._pool = Pool(Connection(body, pause_s))
+    return log
+
+
+def read_answer(value):
+    return struct.pack('>QQ', 1, 0) + encode_keyed('config', value)
+
+
+@on_paused_clock
+async def test_large_answer_may_take_longer_than_a_call():
+    """Guards against a limit on the whole of a transfer.
+
+    A megabyte takes 6.4 s on a link of 5 Mbit/s that is shared by four.
+    """
+    log = make_log(read_answer(bytes(1_000_000)), 0.1)
+    progress = ReadProgress()
+    page = await log.read('configuration', 0, 1.0, progress)
+    assert len(page.records[0].value) == 1_000_000
+    assert progress.received_bytes > 1_000_000
+
+
+@on_paused_clock
+async def test_large_page_of_newest_records_may_take_longer_than_a_call():
+    """Guards against the same limit where a router starts."""
+    item = {'key': 'config', 'offset': 0, 'value': 'A' * 1_000_000}
+    body = json.dumps({'items': [item], 'end': 1}).encode()
+    log = make_log(body, 0.1)
+    page = await log.read_newest('configuration', None, ReadProgress())
+    assert page.end == 1
+
+
+@on_paused_clock
+async def test_answer_that_stalls_is_given_up():
+    """Guards against a read that hangs in the middle of its answer."""
+    log = make_log(read_answer(bytes(100_000)), 1.5)
+    started_s = asyncio.get_running_loop().time()
+    with pytest.raises(LogUnavailableError, match='timed out'):
+        await log.read('configuration', 0, 1.0, ReadProgress())
+    assert asyncio.get_running_loop().time() - started_s < 2.5
+
+
+@on_paused_clock
+async def test_answer_without_end_is_given_up():
+    """Guards against bytes without end that fill the memory of a VM."""
+    log = make_log(bytes(64 << 20), 0.001)
+    progress = ReadProgress()
+    with pytest.raises(LogUnavailableError, match='too long'):
+        await log.read('configuration', 0, 1.0, progress)
+    assert progress.received_bytes < 8 << 20
