End streams whose event has no end

What callers saw: nothing at first. Cause: the splitter of events kept what it had of an event whatever its size, also for other streams, which are passed on as they come. It searched all of it again with each part. Change: an event of over MAX_EVENT_BYTES ends the exchange and the stream goes on at another endpoint. Of an event that is passed on as it comes, only what shows its end is kept. The search starts behind what was searched.

--- a/src/basilpond/http1/_events.py
+++ b/src/basilpond/http1/_events.py
@@ -36,9 +36,11 @@
             The events completed by `data`, possibly empty.
         """
         buffer = self.partial + data
+        # An end may have begun in the last bytes of the part before.
+        start = max(0, len(self.partial) - 3)
         end = max(
-            (i + 2 if (i := buffer.rfind(b'\n\n')) >= 0 else 0),
-            (i + 4 if (i := buffer.rfind(b'\r\n\r\n')) >= 0 else 0),
+            (i + 2 if (i := buffer.rfind(b'\n\n', start)) >= 0 else 0),
+            (i + 4 if (i := buffer.rfind(b'\r\n\r\n', start)) >= 0 else 0),
         )
         whole, self.partial = buffer[:end], buffer[end:]
         if whole:
@@ -49,6 +51,13 @@
         """Forget an event that its sender broke off."""
         self.partial = b''
 
+    def shorten_partial(self) -> None:
+        """Keep of a started event only what shows its end.
+
+        The event is counted, its identifier is forgotten.
+        """
+        self.partial = b':' + self.partial[-3:]
+
     def _note(self, whole: bytes) -> None:
         for event in whole.replace(b'\r\n', b'\n').split(b'\n\n'):
             if not event.strip():
--- a/src/basilpond/http1/tests/test_events.py
+++ b/src/basilpond/http1/tests/test_events.py
@@ -29,3 +29,15 @@
     splitter.drop_partial()
     assert splitter.feed(b'id: 2\ndata: b\n\n') == b'id: 2\ndata: b\n\n'
     assert splitter.last_id == b'2'
+
+
+@hypothesis.given(st.integers(1, 40), st.sampled_from([b'\n', b'\r\n']))
+def test_shortened_event_is_counted_once(size, end):
+    """Guards against an event without a count after its start is forgotten."""
+    splitter = EventSplitter()
+    event = b'data: ' + b'a' * 40 + end + end
+    assert not splitter.feed(event[:size])
+    splitter.shorten_partial()
+    assert len(splitter.partial) <= 4
+    assert splitter.feed(event[size:])
+    assert (splitter.count, splitter.partial) == (1, b'')
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -27,6 +27,10 @@
 
 # Largest answer that is held whole before it is passed on.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Largest event of a stream. An event holds some tokens, a few hundred bytes; a
+# faulty endpoint may send one without end, and a resumable stream is passed
+# on in whole events.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -287,6 +291,8 @@
             whole = call.events.feed(part)
             if not call.route.resumable:
                 whole = part
+            if len(call.events.partial) > MAX_EVENT_BYTES:
+                self._limit_event(call)
             if not whole:
                 continue
             if not responder.started:
@@ -302,6 +308,17 @@
         call.whole = True
         return SendOutcome(None)
 
+    def _limit_event(self, call: Call) -> None:
+        if not call.route.resumable:
+            # Passed on as it comes, so only its end matters.
+            call.events.shorten_partial()
+            return
+        call.events.drop_partial()
+        raise ExchangeError(
+            ExchangeFailure.MALFORMED,
+            f'event of over {MAX_EVENT_BYTES} bytes',
+        )
+
     def _classify(self, error: ExchangeError) -> SendOutcome:
         if error.failure is ExchangeFailure.CONNECT:
             return SendOutcome(SendResult.NOT_SENT, str(error))
--- a/src/basilpond/node/tests/test_endless_answers.py
+++ b/src/basilpond/node/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from basilpond.node import _sending
+from basilpond.node.tests.platform_world import PROMPT
 from basilpond.node.tests.platform_world import world
 from basilpond_testkit.platform_stand_in import HOST
 
@@ -72,7 +73,7 @@
                 for line in head.split(b'\r\n')[1:-2]
             )
             await reader.readexactly(int(fields.get(b'content-length', 0)))
-            first = self.first.replace(b'%s', fields[b'x-request-id'])
+            first = self.first.replace(b'%s', fields.get(b'x-request-id', b''))
             writer.write(first)
             block = self.again * (16_384 // len(self.again) or 1)
             for _ in range(SENT_BYTES // len(block)):
@@ -202,3 +203,30 @@
         statuses = [reply.status for reply in await many]
         assert set(statuses) <= {502, 503}
         assert statuses.count(502) == server.requests
+
+
+@pytest.mark.parametrize('head', [CHUNKED, HEAD + b'\r\n'])
+@pytest.mark.parametrize('first', [b'', b'id: 1\ndata: a\n\n'])
+async def test_stream_goes_on_elsewhere_after_an_endless_event(first, head):
+    """Guards against an event that is held without a limit."""
+    line = b'data: ' + b'a' * 4090
+    if head is CHUNKED:
+        line = b'1000\r\n%s\r\n' % line
+        first = first and b'%x\r\n%s\r\n' % (len(first), first)
+    stream = head + first, line
+    async with endless_world('llm', stream, alone=False) as (system, server):
+        with peak_growth():
+            # Distinct prompts at once use both endpoints.
+            replies = await asyncio.gather(
+                *(
+                    system.prompt(
+                        headers=(*PROMPT[:2], ('X-Prompt-Prefix', f'{i}:300'))
+                    )
+                    for i in range(1, 9)
+                )
+            )
+        assert server.requests
+        for reply in replies:
+            assert reply.complete and reply.body.count(b'id: ') == 6
+            assert b'aaa' not in reply.body
+        await system.until(lambda: server.closed == server.requests, 1.0)
