Let endpoints wait for slow callers

What callers saw: a stream whose caller read steadily, but more slowly than the endpoint sent, was cut when 4 MiB were unread. A whole answer of over 4 MiB was cut as soon as it was sent, unless the system took nearly all of it at once. Cause: answers were passed on without backpressure, and the limit on unread bytes was checked behind each write, also that of a whole answer. Bytes that an endpoint sent before its reader came were kept without a limit. Change: the sender waits for a congested caller, and a connection reads no more while MAX_WAITING_BYTES wait for the sender. A caller that is waited for does not count as a pause of the endpoint, so the stream is not repeated elsewhere. The limit on unread bytes is checked before a write; only what is sent without waiting reaches it. Tests: test_large_answer_is_not_cut, test_sender_waits_for_a_slow_caller, test_body_that_is_not_read_makes_its_sender_wait, test_endless_event_that_is_passed_on_is_not_kept and test_slow_caller_is_no_slow_endpoint failed before and pass now; the last one also fails if the sender does not stop the patience while it waits. test_large_answer_is_passed_whole passed before, as loopback sockets take 7 MiB.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -31,6 +31,9 @@
 # Bytes read in one turn of the loop. The system's 256 KiB of small header
 # fields or chunks delay all other requests by over 0.1 s.
 READ_BYTES = 65_536
+# Received bytes of a body that wait for the reader, after which no more are
+# read; the peer then waits, too.
+MAX_WAITING_BYTES = 262_144
 # The overhead is checked after this many bytes.
 _FEED_BYTES = 16_384
 # Unacknowledged bytes after which the system reports the peer as lost.
@@ -108,6 +111,7 @@
         self._headers: list[_fields.Header] = []
         self._head: AnswerHead | None = None
         self._parts: deque[bytes] = deque()
+        self._waiting_bytes = 0
         self._complete = False
         self._error: ExchangeError | None = None
         self._closed = False
@@ -236,6 +240,9 @@
                 )
             return
         self._parts.append(data)
+        self._waiting_bytes += len(data)
+        if self._waiting_bytes > MAX_WAITING_BYTES and self._transport:
+            self._transport.pause_reading()
         self._wake()
 
     def on_message_complete(self) -> None:
@@ -266,7 +273,6 @@
         self._skipping = False
         self._echo = echo
         self._head = None
-        self._parts.clear()
         self._error = None
         self._foreign = 0
         self._foreign_bytes = 0
@@ -303,10 +309,8 @@
             if self._error is not None:
                 raise self._error
             await self._wait()
-        if len(self._parts) == 1:
-            return self._parts.popleft()
         data = b''.join(self._parts)
-        self._parts.clear()
+        self._drop_parts()
         return data
 
     async def read_body(self, limit_bytes: int = MAX_BODY_BYTES) -> bytes:
@@ -343,6 +347,8 @@
             Whether the connection can carry another one.
         """
         self._active = False
+        # An idle connection must learn of its close.
+        self._drop_parts()
         self._idle_since_s = self._loop.time()
         if not self._complete or not self.is_usable():
             self.abort()
@@ -403,6 +409,12 @@
             self._error = ExchangeError(failure, detail)
         self._wake()
 
+    def _drop_parts(self) -> None:
+        self._parts.clear()
+        if self._waiting_bytes > MAX_WAITING_BYTES and self._transport:
+            self._transport.resume_reading()
+        self._waiting_bytes = 0
+
     def _ended(self) -> bool:
         return self._complete or self._error is not None
 
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -12,8 +12,9 @@
 
 from . import _fields
 
-# A caller that does not read this much of its answer is cut off; answers of
-# the sites are a few kilobytes.
+# A caller that has not read this much of its answers is cut off before the
+# next one; answers of the sites are a few kilobytes. Streams wait for their
+# callers long before.
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 # Time to let a refused caller read the refusal before the connection closes.
 LINGER_S = 0.5
@@ -99,6 +100,15 @@
         if data:
             self._connection.write(b'%x\r\n%s\r\n' % (len(data), data))
 
+    async def drain(self) -> None:
+        """Wait until the caller has read most of what was sent."""
+        await self._connection.drain()
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the caller reads more slowly than it is sent to."""
+        return self._connection.is_congested
+
     def end_stream(self) -> None:
         """Mark the stream as complete."""
         self._connection.write(b'0\r\n\r\n')
@@ -198,6 +208,9 @@
         self._lingering = False
         self._keep_alive = True
         self._rejected: tuple[int, str] | None = None
+        # Whether much waits to be written.
+        self.is_congested = False
+        self._drained: asyncio.Future[None] | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -222,9 +235,20 @@
         """Cancel the request in progress."""
         self._server.connections.discard(self)
         self._set_timer(None)
+        self.resume_writing()
         if self._task is not None:
             self._task.cancel()
 
+    def pause_writing(self) -> None:
+        """Note that the caller reads slowly."""
+        self.is_congested = True
+
+    def resume_writing(self) -> None:
+        """Note that the caller has read most of what was sent."""
+        self.is_congested = False
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
         return False
@@ -326,9 +350,16 @@
         """Write without waiting for the caller to read."""
         if self._transport is None or self._transport.is_closing():
             return
-        self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
             self._transport.abort()
+            return
+        self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until little waits to be written."""
+        if self.is_congested:
+            self._drained = self._loop.create_future()
+            await self._drained
 
     def close(self) -> None:
         """Close after what was written."""
--- a/src/basilpond/http1/tests/test_endless_answers.py
+++ b/src/basilpond/http1/tests/test_endless_answers.py
@@ -191,3 +191,28 @@
         assert not connection.finish()
 
     check()
+
+
+@pytest.mark.parametrize('finished', [False, True])
+def test_body_that_is_not_read_makes_its_sender_wait(finished):
+    """Guards against a body that piles up behind a slow reader."""
+
+    @on_paused_clock
+    async def check():
+        connection, transport = begin()
+        size_bytes = _client.MAX_WAITING_BYTES + 1
+        connection.data_received(
+            HEAD + b'Content-Length: %d\r\n\r\n' % size_bytes
+        )
+        connection.data_received(b'a' * (size_bytes - 1))
+        assert not transport.paused
+        connection.data_received(b'a')
+        assert transport.paused
+        if finished:
+            # An answer whose body nobody wants.
+            assert connection.finish()
+        else:
+            assert len(await connection.read_part()) == size_bytes
+        assert not transport.paused
+
+    check()
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -4,6 +4,7 @@
 
 from basilpond.http1 import CallerServer
 from basilpond.http1 import ConnectionLimits
+from basilpond.http1._server import MAX_UNREAD_BYTES
 from basilpond.http1._server import CallerConnection
 from basilpond.http1.tests.wires import MemoryTransport
 from basilpond_testkit.paused_clock import on_paused_clock
@@ -211,3 +212,58 @@
     sent = await caller.send(GET)
     assert b'connection: close' in sent
     assert caller.transport.closed
+
+
+@on_paused_clock
+async def test_large_answer_is_not_cut():
+    """Guards against a limit on unread bytes that cuts a whole answer.
+
+    An answer of over 4 MiB was cut as soon as it was sent, unless the system
+    took nearly all of it at once.
+    """
+    body = b'a' * (2 * MAX_UNREAD_BYTES)
+
+    async def large(request, responder):
+        responder.respond(200, [], body)
+
+    caller = Caller(large)
+    caller.transport.is_read = False
+    assert (await caller.send(GET)).endswith(body)
+    assert not caller.transport.closed
+    await caller.send(GET)
+    # The caller has read nothing and wants more.
+    assert caller.transport.aborted
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+def test_sender_waits_for_a_slow_caller(leaves):
+    """Guards against a stream that piles up in front of a slow caller."""
+    sent = []
+
+    async def stream(request, responder):
+        responder.start_stream(200, [])
+        responder.send(b'a')
+        sent.append(responder.is_congested)
+        await responder.drain()
+        caller.connection.pause_writing()
+        responder.send(b'b')
+        sent.append(responder.is_congested)
+        await responder.drain()
+        sent.append(responder.is_congested)
+        responder.end_stream()
+
+    @on_paused_clock
+    async def check():
+        nonlocal caller
+        caller = Caller(stream)
+        await caller.send(GET)
+        assert sent == [False, True]
+        if leaves:
+            caller.transport.abort()
+        else:
+            caller.connection.resume_writing()
+        await asyncio.sleep(1.0)
+        assert sent == [False, True, False][: 3 - leaves]
+
+    caller = None
+    check()
--- a/src/basilpond/http1/tests/wires.py
+++ b/src/basilpond/http1/tests/wires.py
@@ -12,6 +12,10 @@
         self.sent = b''
         self.closed = False
         self.aborted = False
+        self.paused = False
+        # Whether the other side reads.
+        self.is_read = True
+        self.unread_bytes = 0
         protocol.connection_made(self)
 
     def get_extra_info(self, name, default=None):
@@ -19,9 +23,17 @@
 
     def write(self, data):
         self.sent += data
+        if not self.is_read:
+            self.unread_bytes += len(data)
 
     def get_write_buffer_size(self):
-        return 0
+        return self.unread_bytes
+
+    def pause_reading(self):
+        self.paused = True
+
+    def resume_reading(self):
+        self.paused = False
 
     def is_closing(self):
         return self.closed
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -288,6 +288,12 @@
                     head.status, self._wire.answer_fields(head)
                 )
             responder.send(whole)
+            if responder.is_congested:
+                # The endpoint is not to blame for a slow caller.
+                patience.stop()
+                await responder.drain()
+                call.last_part_s = loop.time()
+                patience.note_part()
         if call.events.partial and call.route.resumable:
             return SendOutcome(SendResult.UNKNOWN, 'ended within an event')
         if not responder.started:
--- a/src/basilpond/node/tests/test_endless_answers.py
+++ b/src/basilpond/node/tests/test_endless_answers.py
@@ -54,12 +54,14 @@
         self.again = again
         self.requests = 0
         self.closed = 0
+        self.port = 0
         self._server = None
         self._tasks = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return self._server.sockets[0].getsockname()[1]
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
 
     def stop(self):
         self._server.close()
@@ -268,3 +270,55 @@
                 await asyncio.sleep(0.01)
     finally:
         server.stop()
+
+
+async def test_endless_event_that_is_passed_on_is_not_kept():
+    """Guards against a stream that is passed on and kept as well."""
+    stream = HEAD + b'\r\n', b'a'
+    async with endless_world('llm', stream, alone=True) as (system, server):
+        with peak_growth():
+            reader, writer = await system.open(
+                '/digest/x', method='POST', headers=PROMPT, body=b'{}'
+            )
+            for _ in range(24 * 16):
+                await asyncio.wait_for(reader.readexactly(65_536), 4.0)
+        writer.transport.abort()
+        await system.until(lambda: server.closed == 1, 1.0)
+
+
+@pytest.mark.parametrize('path', ['/look/1', '/claim/1'])
+async def test_large_answer_is_passed_whole(path):
+    """Guards against limits that cut answers of some megabytes."""
+    body = b'y' * (7 * 1024 * 1024)
+    answer = HEAD + b'Content-Length: %d\r\n\r\n' % len(body) + body, b'x'
+    async with endless_world('app', answer, alone=True) as (system, _):
+        reply = await system.call(path)
+        assert reply.status == 200
+        assert reply.body == body
+
+
+async def test_slow_caller_is_no_slow_endpoint():
+    """Guards against a stream that is repeated as its caller reads slowly."""
+    event = b'data: ' + b'a' * 4090 + b'\n\n'
+    stream = HEAD + b'\r\n', event
+    async with endless_world('llm', stream, alone=False) as (system, server):
+        # Both endpoints are the same.
+        entry = system.servers['llm-1'].entry(
+            address=f'{HOST}:{server.port}', seq=2
+        )
+        system.log.put('keyed.servers', 'llm-1', entry)
+        directory = system.nodes[0].directory
+        await system.until(
+            lambda: directory.find('llm-1').pool.port == server.port
+        )
+        with peak_growth():
+            reader, writer = await system.open(
+                '/chat/x', method='POST', headers=PROMPT, body=b'{}'
+            )
+            await system.until(lambda: server.requests)
+            await asyncio.sleep(2.0)
+            for _ in range(24 * 16):
+                await asyncio.wait_for(reader.readexactly(65_536), 4.0)
+        writer.transport.abort()
+        assert server.requests == 1
+        await system.until(lambda: server.closed == 1, 1.0)
