Take an unreadable answer of the log as no answer

Cause: an answer with status 200 that is no JSON, or holds no base64, raised an error that neither the follower nor the writer expects; the task ended, and with it the router. Change: such an answer is LogUnavailableError, and the call is made again. Two of the three cases of test_answer_that_cannot_be_read_ends_no_task failed before by their exception, the third by its base64.

--- a/src/basilpond/platform/_store.py
+++ b/src/basilpond/platform/_store.py
@@ -6,6 +6,7 @@
 import base64
 from collections.abc import Callable
 import struct
+from typing import TypeVar
 from urllib.parse import quote
 from urllib.parse import urlencode
 
@@ -34,6 +35,7 @@
 _MAX_ANSWER_BYTES = 4 << 20
 _CONNECT_TIMEOUT_S = 0.25
 _MAX_KEY_BYTES = 255
+_Answer = TypeVar('_Answer')
 # End of the partition and first record kept, before the records of a read.
 _READ_HEAD_BYTES = 16
 
@@ -82,6 +84,18 @@
     return records
 
 
+def _decode_value(text: str) -> bytes | None:
+    return base64.b64decode(text) or None
+
+
+def _decode(data: bytes, kind: type[_Answer]) -> _Answer:
+    # An answer that cannot be read must not end the task that asked.
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise LogUnavailableError(f'unreadable answer: {error}') from error
+
+
 def _decode_keyed(content: bytes, offset: int) -> Record:
     length = content[0] if content else 0
     key = content[1 : 1 + length].decode('utf-8', 'replace')
@@ -137,11 +151,10 @@
         }
         head, data = await self._call('POST', 'log-append', query, body)
         if head.status == 409:
-            refused = msgspec.json.decode(data, type=_Refused)
-            raise LogAppendError(refused.reason)
+            raise LogAppendError(_decode(data, _Refused).reason)
         if head.status != 200:
             raise LogUnavailableError(f'append: status {head.status}')
-        return msgspec.json.decode(data, type=_Appended).offset
+        return _decode(data, _Appended).offset
 
     async def read(
         self,
@@ -210,11 +223,14 @@
         )
         if head.status != 200:
             raise LogUnavailableError(f'newest: status {head.status}')
-        page = msgspec.json.decode(data, type=_Newest)
-        records = [
-            Record(item.offset, item.key, base64.b64decode(item.value) or None)
-            for item in page.items
-        ]
+        page = _decode(data, _Newest)
+        try:
+            records = [
+                Record(item.offset, item.key, _decode_value(item.value))
+                for item in page.items
+            ]
+        except ValueError as error:
+            raise LogUnavailableError(f'newest: {error}') from error
         return NewestPage(records, page.end, page.has_more)
 
     async def _call(
--- a/src/basilpond/platform/tests/test_store.py
+++ b/src/basilpond/platform/tests/test_store.py
@@ -99,6 +99,22 @@
     assert progress.received_bytes < 8 << 20
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'no answer',
+        b'{"items": [{"key": "a", "offset": 1, "value": "?"}], "end": 2}',
+    ],
+)
+@on_paused_clock
+async def test_answer_that_cannot_be_read_ends_no_task(body):
+    """Guards against an exception that ends the router's reader."""
+    log = make_log(body, 0.0)
+    with pytest.raises(LogUnavailableError):
+        await log.read_newest('configuration', None, ReadProgress())
+
+
 @on_paused_clock
 async def test_records_that_are_not_wanted_are_not_transferred():
     """Guards against old versions that are read before the newest one."""
