Bound what reports to other routers take of a slow link

The platform sends all callers of a large organisation to one router. On the large sites its link has 5 Mbit/s as all others have.

Cause: every report went to every router, with endpoint ids as text, all prompt runs twice (also the own last part, which nobody can use) and all crashes of ten minutes. What callers and endpoints are sent queues behind it. Appends through the full link take over 0.1 s, so the router also takes the store for doubtful and refuses for want of tokens while the store is up.

Ruled out: processor (0.10 of a core at most), memory (29 MB), restarts (none), fewer routers or slower VMs in the zone.

Change: loads and runs are packed (10 and 12 bytes each), a run is told once and again after 1 s of use, crashes when they change and each second, a router with nothing to tell reports every 0.4 s, sends are spread over the interval, and the interval is stretched up to 1 s where reports would take more than 0.15 of the link. Fields 1 and 2 of a report are not reused: routers of the former version see no loads of this one and the other way round while a fleet is updated.

test_routers_share_a_budget failed once in a run of the whole packages and passed in 18 runs alone.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -15,6 +15,7 @@
 from ._decision_log import DecisionLog
 from ._interfaces import Record
 from ._interfaces import Wire
+from ._peer_records import endpoint_number
 
 # A new connection takes two crossings of the network and 1 ms at the
 # endpoint; a packet that is lost is sent again after 200 ms.
@@ -98,10 +99,11 @@
 class EndpointEntry:
     """An endpoint with its load and its connections."""
 
-    __slots__ = ('endpoint', 'load', 'pool')
+    __slots__ = ('endpoint', 'load', 'number', 'pool')
 
     def __init__(self, endpoint: Endpoint, cache_keep_s: float) -> None:
         self.endpoint = endpoint
+        self.number = endpoint_number(endpoint.id)
         self.load = EndpointLoad(endpoint, cache_keep_s)
         self.pool = ConnectionPool(
             endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
@@ -129,6 +131,7 @@
         self._cache_keep_s = cache_keep_s
         self._entries: dict[str, EndpointEntry] = {}
         self._by_service: dict[str, dict[str, EndpointEntry]] = {}
+        self._by_number: dict[int, EndpointEntry] = {}
         self._reachable = False
         self._contact_s = float('-inf')
         # When the store was regained after entries may have lapsed.
@@ -145,6 +148,10 @@
         """Return an endpoint by id."""
         return self._entries.get(endpoint_id)
 
+    def find_number(self, number: int) -> EndpointEntry | None:
+        """Return an endpoint by its number in reports."""
+        return self._by_number.get(number)
+
     def candidates(self, service: str) -> list[EndpointEntry]:
         """Return the endpoints of a service that take requests."""
         return [
@@ -228,6 +235,7 @@
             self._remove(endpoint.id, 'started again')
         entry = EndpointEntry(endpoint, self._cache_keep_s)
         self._entries[endpoint.id] = entry
+        self._by_number[entry.number] = entry
         service = self._by_service.setdefault(endpoint.service, {})
         service[endpoint.id] = entry
         self._divide(endpoint.service)
@@ -253,6 +261,7 @@
         if entry is None:
             return
         self._by_service[entry.endpoint.service].pop(endpoint_id, None)
+        self._by_number.pop(entry.number, None)
         entry.pool.close()
         self._divide(entry.endpoint.service)
         self._note('endpoint_removed', entry.endpoint, reason)
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -35,6 +35,8 @@
         of its requests and the slack beyond.
     prompt_reuse_s : float
         Time for which it is worth finding a prompt part again.
+    link_bytes_per_s : float
+        Bandwidth of the VM's own link, each way.
     """
 
     node_id: str
@@ -53,6 +55,7 @@
     retry_slack: float
     retry_window_s: float
     prompt_reuse_s: float
+    link_bytes_per_s: float = float('inf')
 
 
 class LogUnavailableError(Exception):
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -86,6 +86,14 @@
                 ('endpoints', 'Endpoints that the platform lists'),
                 ('store_read_age_seconds', 'Age of the last read'),
                 ('log_lines_dropped', 'Log lines that were not written'),
+                (
+                    'peer_report_interval_seconds',
+                    'Time between two reports to other routers',
+                ),
+                (
+                    'peer_sent_bytes',
+                    'Bytes of datagrams sent to other routers',
+                ),
             )
         }
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -93,6 +93,7 @@
             crashes,
             decisions,
             self._configuration_version,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.budgets.ask_peers = self.peers.ask_tokens
         self.budgets.live_holders = self.peers.live_holders
@@ -307,6 +308,8 @@
             ('endpoints', len(self.directory)),
             ('store_read_age_seconds', self.budgets.outage_s),
             ('log_lines_dropped', self._decisions.dropped_total),
+            ('peer_report_interval_seconds', self.peers.report_interval_s),
+            ('peer_sent_bytes', self.peers.sent_bytes),
         ):
             self._metrics.set_gauge(name, value)
 
--- /dev/null
+++ b/src/basilpond/node/_peer_records.py
@@ -0,0 +1,113 @@
+"""Loads and prompt runs of a report, in few bytes.
+
+A report goes to every other router several times a second, so its size is
+multiplied by the number of routers. As lists of structures, with the ids of
+endpoints as text, the reports of a busy router among 85 filled a link of
+5 Mbit/s.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import struct
+
+import xxhash
+
+# Endpoint, requests there, prompt tokens that are not read yet.
+_LOAD = struct.Struct('<IHI')
+# Endpoint, key of a run of prompt parts.
+_RUN = struct.Struct('<IQ')
+_MAX_RUNNING = 0xFFFF
+_MAX_WORK = 0xFFFF_FFFF
+
+
+def endpoint_number(endpoint_id: str) -> int:
+    """Return the number that stands for an endpoint in reports.
+
+    Two endpoints with one number would share their reported load, which
+    only worsens a choice.
+    """
+    return xxhash.xxh32_intdigest(endpoint_id.encode())
+
+
+def encode_loads(loads: Iterable[tuple[int, int, float]]) -> bytes:
+    """Encode endpoint number, running requests and waiting work."""
+    return b''.join(
+        _LOAD.pack(
+            number,
+            min(running, _MAX_RUNNING),
+            min(max(0, int(work)), _MAX_WORK),
+        )
+        for number, running, work in loads
+    )
+
+
+def decode_loads(data: bytes) -> Iterator[tuple[int, int, int]]:
+    """Decode what `encode_loads` returned.
+
+    Raises
+    ------
+    ValueError
+    """
+    if len(data) % _LOAD.size:
+        raise ValueError(f'loads: {len(data)} bytes')
+    return _LOAD.iter_unpack(data)
+
+
+def encode_runs(runs: Iterable[tuple[int, int]]) -> bytes:
+    """Encode endpoint numbers and keys of prompt runs."""
+    return b''.join(_RUN.pack(number, key) for number, key in runs)
+
+
+def decode_runs(data: bytes) -> Iterator[tuple[int, int]]:
+    """Decode what `encode_runs` returned.
+
+    Raises
+    ------
+    ValueError
+    """
+    if len(data) % _RUN.size:
+        raise ValueError(f'runs: {len(data)} bytes')
+    return _RUN.iter_unpack(data)
+
+
+class RunsToTell:
+    """Prompt runs that other routers do not know of yet.
+
+    A run that is used all the time is told again only after a while: its
+    time at other routers may lag behind by a small part of the time for
+    which it counts as kept.
+
+    Parameters
+    ----------
+    retell_s : float
+    """
+
+    __slots__ = ('_new', '_retell_s', '_told_s')
+
+    def __init__(self, retell_s: float) -> None:
+        self._retell_s = retell_s
+        self._new: dict[tuple[int, int], None] = {}
+        self._told_s: dict[tuple[int, int], float] = {}
+
+    def add(self, number: int, keys: Iterable[int], now_s: float) -> None:
+        """Note runs that were sent to an endpoint."""
+        for key in keys:
+            run = number, key
+            told_s = self._told_s.get(run)
+            if told_s is None or now_s - told_s >= self._retell_s:
+                self._new[run] = None
+
+    def take(self, now_s: float) -> list[tuple[int, int]]:
+        """Return the runs to tell now."""
+        runs = list(self._new)
+        self._new.clear()
+        for run, told_s in list(self._told_s.items()):
+            # In order of time.
+            if now_s - told_s < self._retell_s:
+                break
+            del self._told_s[run]
+        for run in runs:
+            self._told_s[run] = now_s
+        return runs
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import itertools
 from pathlib import Path
@@ -22,6 +23,11 @@
 from ._budgets import BudgetTask
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
+from ._peer_records import RunsToTell
+from ._peer_records import decode_loads
+from ._peer_records import decode_runs
+from ._peer_records import encode_loads
+from ._peer_records import encode_runs
 
 messages = thriftpy2.load(
     str(Path(__file__).with_name('peer.thrift')), module_name='peer_thrift'
@@ -33,6 +39,23 @@
 # Datagrams that a router sends in a second at most, so that its cost does
 # not grow with the number of routers; their reports come less often instead.
 MAX_DATAGRAMS_PER_S = 160.0
+# Part of the VM's own link that reports take at most: callers' prompts and
+# answers cross it twice.
+_LINK_SHARE = 0.15
+# Longest time to which reports are stretched for the link. They count for 2 s,
+# so one may be lost.
+_MAX_INTERVAL_S = 1.0
+# Headers of UDP and IP around a datagram.
+_HEADER_BYTES = 28
+# Longest time between two reports while there is nothing to tell; a clock
+# counts for 1 s without one.
+_QUIET_INTERVAL_S = 0.4
+# Crashes are told when they change, and this often to routers that started
+# or missed a datagram.
+_CRASH_INTERVAL_S = 1.0
+# Time after which a prompt part that is in use is told again, a tenth of the
+# time for which it counts as kept.
+_RETELL_S = 1.0
 # A router not heard of for this long is not counted as live.
 LIVE_S = 5.0
 # Datagrams to routers that are not live, which may be back.
@@ -67,6 +90,8 @@
     decisions : DecisionLog
     configuration_version : callable
         Returns the version in force here.
+    link_bytes_per_s : float
+        Bandwidth of the VM's link.
     """
 
     def __init__(
@@ -78,7 +103,10 @@
         crashes: CrashCounter,
         decisions: DecisionLog,
         configuration_version: Callable[[], int],
+        *,
+        link_bytes_per_s: float = float('inf'),
     ) -> None:
+        self._report_bytes_per_s = _LINK_SHARE * link_bytes_per_s
         self._router_id = router_id
         self._holder = holder
         self._directory = directory
@@ -89,9 +117,15 @@
         self._peers: dict[str, _Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._factory = TCyBinaryProtocolFactory()
-        # Runs sent to endpoints since the last two reports.
-        self._runs: dict[str, list[int]] = {}
-        self._last_runs: dict[str, list[int]] = {}
+        self._runs = RunsToTell(_RETELL_S)
+        # Crashes, leaving endpoints and version in the last report.
+        self._told: tuple[object, ...] = ()
+        self._crashes_s = float('-inf')
+        # Of the last report, for metrics; longer than usual where the reports
+        # would take too much of the link.
+        self.report_interval_s = REPORT_INTERVAL_S
+        # Bytes of all datagrams sent.
+        self.sent_bytes = 0
         self._number = 0
         self._clock = FleetClock()
         self._transfers: dict[tuple[str, int], None] = {}
@@ -127,9 +161,18 @@
         if port.isdigit():
             self._peers[router_id] = _Peer((host, int(port)))
 
-    def note_runs(self, endpoint_id: str, keys: list[int]) -> None:
-        """Note prompt parts that were sent to an endpoint."""
-        self._runs.setdefault(endpoint_id, []).extend(keys)
+    def note_runs(self, number: int, keys: list[int]) -> None:
+        """Note prompt parts that were sent to an endpoint.
+
+        Parameters
+        ----------
+        number : int
+            Of the endpoint in reports.
+        keys : list of int
+            Of the runs that other prompts may share.
+        """
+        now_s = asyncio.get_running_loop().time()
+        self._runs.add(number, keys, now_s)
 
     def fleet_offset_ms(self) -> int | None:
         """Return the fleet's time less this machine's, if routers agree."""
@@ -163,66 +206,83 @@
         loop = asyncio.get_running_loop()
         expired_s = loop.time()
         while True:
-            peers = max(1, len(self._peers))
-            interval_s = max(REPORT_INTERVAL_S, peers / MAX_DATAGRAMS_PER_S)
-            await asyncio.sleep(interval_s)
+            data, due = self._prepare(loop.time())
+            interval_s = self._interval_s(data, len(due))
+            # Spread over the interval, as a burst to all routers holds up
+            # what callers are sent.
+            steps = max(1, round(interval_s / REPORT_INTERVAL_S))
+            for step in range(steps):
+                for peer in due[step::steps]:
+                    self._send(data, peer)
+                await asyncio.sleep(interval_s / steps)
             self._budgets.allotments.routers = self.live_routers()
-            self._send_reports(loop.time())
             if loop.time() - expired_s >= _EXPIRY_INTERVAL_S:
                 expired_s = loop.time()
                 for entry in self._directory:
                     entry.load.expire_reports(expired_s)
 
-    def _send_reports(self, now_s: float) -> None:
+    def _interval_s(self, data: bytes, count: int) -> float:
+        interval_s = max(
+            REPORT_INTERVAL_S, len(self._peers) / MAX_DATAGRAMS_PER_S
+        )
+        size = count * (len(data) + _HEADER_BYTES)
+        link_s = min(_MAX_INTERVAL_S, size / self._report_bytes_per_s)
+        self.report_interval_s = max(interval_s, link_s)
+        return self.report_interval_s
+
+    def _prepare(self, now_s: float) -> tuple[bytes, list[_Peer]]:
+        report, quiet = self._report(now_s)
+        live_interval_s = _QUIET_INTERVAL_S if quiet else 0.0
         due = [
             peer
             for peer in self._peers.values()
-            if now_s - peer.heard_s < LIVE_S
-            or now_s - peer.sent_s >= _SILENT_INTERVAL_S
+            if now_s - peer.sent_s
+            >= (
+                live_interval_s
+                if now_s - peer.heard_s < LIVE_S
+                else _SILENT_INTERVAL_S
+            )
         ]
-        if not due:
-            return
-        data = self._encode(report=self._report(now_s))
         for peer in due:
             peer.sent_s = now_s
-            self._send(data, peer)
+        return self._encode(report=report), due
 
-    def _report(self, now_s: float) -> object:
+    def _report(self, now_s: float) -> tuple[object, bool]:
+        # Returns a report and whether it tells nothing new.
         loads = [
-            messages.EndpointLoad(
-                endpoint=entry.endpoint.id,
-                running=len(entry.load.placed),
-                work=int(entry.load.work),
-            )
+            (entry.number, len(entry.load.placed), entry.load.work)
             for entry in self._directory
             if entry.load.placed or entry.load.reported
         ]
         for entry in self._directory:
             entry.load.reported = bool(entry.load.placed)
-        both = {
-            endpoint: self._last_runs.get(endpoint, [])
-            + self._runs.get(endpoint, [])
-            for endpoint in {*self._last_runs, *self._runs}
-        }
-        self._last_runs, self._runs = self._runs, {}
-        return messages.Report(
-            loads=loads,
-            cached=[
-                messages.CachedRuns(endpoint=endpoint, keys=keys)
-                for endpoint, keys in both.items()
-            ],
+        runs = self._runs.take(now_s)
+        crashes = list(
+            itertools.islice(self._crashes.own_counts(now_s), _MAX_CRASHES)
+        )
+        leaving = self._directory.leaving()
+        version = self._configuration_version()
+        told = [crash[:2] for crash in crashes], leaving, version
+        changed = told != self._told
+        self._told = told
+        if not changed and now_s - self._crashes_s < _CRASH_INTERVAL_S:
+            crashes = []
+        if crashes:
+            self._crashes_s = now_s
+        report = messages.Report(
             crashes=[
                 messages.Crash(
                     digest=digest, count=count, age_ms=int(age_s * 1000)
                 )
-                for digest, count, age_s in itertools.islice(
-                    self._crashes.own_counts(now_s), _MAX_CRASHES
-                )
+                for digest, count, age_s in crashes
             ],
-            leaving=self._directory.leaving(),
-            configuration_version=self._configuration_version(),
+            leaving=leaving,
+            configuration_version=version,
             wall_ms=int(time.time() * 1000),
+            loads=encode_loads(loads),
+            runs=encode_runs(runs),
         )
+        return report, not (loads or runs or crashes or changed)
 
     def _encode(self, **fields: object) -> bytes:
         datagram = messages.Datagram(
@@ -232,6 +292,7 @@
 
     def _send(self, data: bytes, peer: _Peer) -> None:
         if self._transport is not None and len(data) <= _MAX_DATAGRAM_BYTES:
+            self.sent_bytes += len(data) + _HEADER_BYTES
             self._transport.sendto(data, peer.address)
 
     # Receiving.
@@ -240,6 +301,9 @@
         """Take a datagram of another router."""
         try:
             datagram = deserialize(messages.Datagram(), data, self._factory)
+            report = datagram.report
+            loads = decode_loads(report and report.loads or b'')
+            runs = decode_runs(report and report.runs or b'')
         except (TException, ValueError, EOFError, TypeError) as error:
             self._decisions.event(
                 'peer_unreadable', routine=True, reason=str(error)
@@ -259,8 +323,9 @@
         peer.heard_s = now_s
         peer.address = addr
         peer.holder = datagram.holder
-        if datagram.report is not None:
+        if report is not None:
             self._take_report(datagram, peer, now_s)
+            self._take_loads(datagram.router, loads, runs, now_s)
         if datagram.request is not None:
             self._donate(datagram.request, peer)
         if datagram.transfer is not None:
@@ -288,18 +353,23 @@
             )
         for incarnation in report.leaving or ():
             self._directory.mark_leaving(incarnation, datagram.router)
-        for load in report.loads or ():
-            entry = self._directory.find(load.endpoint)
+
+    def _take_loads(
+        self,
+        router: str,
+        loads: Iterable[tuple[int, int, int]],
+        runs: Iterable[tuple[int, int]],
+        now_s: float,
+    ) -> None:
+        for number, running, work in loads:
+            entry = self._directory.find_number(number)
             if entry is not None:
-                entry.load.take_report(
-                    datagram.router,
-                    PeerReport(load.running, load.work, now_s),
-                )
-        for cached in report.cached or ():
-            entry = self._directory.find(cached.endpoint)
+                report = PeerReport(running, work, now_s)
+                entry.load.take_report(router, report)
+        for number, key in runs:
+            entry = self._directory.find_number(number)
             if entry is not None:
-                for key in cached.keys:
-                    entry.load.cache.touch(key, now_s)
+                entry.load.cache.touch(key, now_s)
 
     # Allotments.
 
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -230,7 +230,8 @@
             keys = [key for key, _ in call.prompt_runs]
             for key in keys:
                 entry.load.cache.touch(key, now_s)
-            self._peers.note_runs(entry.endpoint.id, keys)
+            # The last part belongs to the request itself.
+            self._peers.note_runs(entry.number, keys[:-1])
 
     async def _take_answer(
         self,
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -1,19 +1,5 @@
 // Datagrams between routers.
 
-// Load that the sender puts on an endpoint.
-struct EndpointLoad {
-  1: string endpoint,
-  2: i32 running,
-  // Prompt tokens that are not read yet.
-  3: i64 work
-}
-
-// Prompt parts that the sender sent to an endpoint lately.
-struct CachedRuns {
-  1: string endpoint,
-  2: list<i64> keys
-}
-
 struct Crash {
   1: string digest,
   2: i32 count,
@@ -21,13 +7,16 @@
 }
 
 struct Report {
-  1: list<EndpointLoad> loads,
-  2: list<CachedRuns> cached,
+  // 1 and 2 carried loads and runs as lists of structures.
   3: list<Crash> crashes,
   4: list<string> leaving,
   5: i64 configuration_version,
   // Time of day of the sender.
-  6: i64 wall_ms
+  6: i64 wall_ms,
+  // Load that the sender puts on endpoints; see _peer_records.py.
+  7: binary loads,
+  // Prompt parts that the sender sent to endpoints lately.
+  8: binary runs
 }
 
 // A router without the log asks another one for tokens.
--- /dev/null
+++ b/src/basilpond/node/tests/test_peer_reports.py
@@ -0,0 +1,232 @@
+import asyncio
+import itertools
+
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import serialize
+
+from basilpond.node._budgets import BudgetTask
+from basilpond.node._directory import EndpointEntry
+from basilpond.node._peers import PeerTask
+from basilpond.node._peers import messages
+from basilpond.platform._settings import load_settings
+from basilpond.routing import CrashCounter
+from basilpond.routing import Endpoint
+from basilpond.routing import Stamp
+from basilpond_testkit.paused_clock import on_paused_clock
+
+# The slowest links of the large sites: 5 Mbit/s.
+LINK_BYTES_PER_S = 625_000
+# Headers of UDP and IP.
+HEADER_BYTES = 28
+
+
+class Nothing:
+    def event(self, name, **fields):
+        pass
+
+
+class Directory(dict):
+    """Endpoints by id."""
+
+    def __iter__(self):
+        return iter(self.values())
+
+    def find(self, endpoint_id):
+        return self.get(endpoint_id)
+
+    def find_number(self, number):
+        return next((e for e in self if e.number == number), None)
+
+    def leaving(self):
+        return []
+
+
+class Socket:
+    """Datagram socket that notes time, size and address."""
+
+    def __init__(self):
+        self.sent = []
+        self.receivers = {}
+
+    def sendto(self, data, address):
+        now_s = asyncio.get_running_loop().time()
+        self.sent.append((now_s, len(data) + HEADER_BYTES, address[1]))
+        receiver = self.receivers.get(address[1])
+        if receiver is not None:
+            receiver.datagram_received(data, ('127.0.0.1', 1))
+
+    def most_bytes(self, window_s):
+        """Return the most that was sent within some time."""
+        return max(
+            sum(
+                size
+                for at_s, size, _ in self.sent
+                if start_s <= at_s < start_s + window_s
+            )
+            for start_s, _, _ in self.sent
+        )
+
+
+def make_task(name, endpoints, link_bytes_per_s=LINK_BYTES_PER_S):
+    budgets = BudgetTask(f'{name}~1', None, Nothing(), lambda: Stamp(0, 0))
+    directory = Directory()
+    for i in range(endpoints):
+        endpoint = Endpoint(
+            f'i-{i:010x}', None, 's', '10.0.0.1', 80, 'dc', 12, False, 0.0
+        )
+        directory[endpoint.id] = EndpointEntry(endpoint, 10.0)
+    task = PeerTask(
+        name,
+        f'{name}~0123456789ab',
+        directory,
+        budgets,
+        CrashCounter(),
+        Nothing(),
+        lambda: 1,
+        link_bytes_per_s=link_bytes_per_s,
+    )
+    task._transport = Socket()
+    return task, directory
+
+
+def add_peers(task, count):
+    for i in range(count):
+        task.note_address(f'm{i:02}', b'127.0.0.1:%d' % (1000 + i))
+        peer = task._peers[f'm{i:02}']
+        peer.holder = f'm{i:02}~1'
+        peer.heard_s = asyncio.get_running_loop().time() + 3600
+
+
+async def send_prompts(task, directory, per_s, for_s):
+    """Keep a stream at each endpoint and start prompts at a steady rate."""
+    entries = list(directory)
+    for entry in entries:
+        entry.load.place(0, 0.0)
+    for i in range(round(per_s * for_s)):
+        entry = entries[i % len(entries)]
+        shared = [7_000_000_000 + i % 4, 8_000_000_000 + i % 100]
+        task.note_runs(entry.number, shared)
+        await asyncio.sleep(1 / per_s)
+
+
+async def run_for(task, work):
+    running = asyncio.create_task(task.run())
+    try:
+        await work
+    finally:
+        running.cancel()
+
+
+@on_paused_clock
+async def test_reports_leave_a_slow_link_to_callers():
+    """Replays the router of a large organisation among 85 on 5 Mbit/s.
+
+    Its reports to the others were sent in one burst of 0.5 s and took more
+    than the whole link, so prompts and answers came late.
+    """
+    task, directory = make_task('n', 56)
+    add_peers(task, 84)
+    await run_for(task, send_prompts(task, directory, 40, 10.0))
+    socket = task._transport
+    assert {port for _, _, port in socket.sent} == set(range(1000, 1084))
+    assert socket.most_bytes(2.0) <= 0.2 * 2.0 * LINK_BYTES_PER_S
+    # A burst holds up an answer for less than 25 ms.
+    assert socket.most_bytes(0.01) <= 0.025 * LINK_BYTES_PER_S
+
+
+@on_paused_clock
+async def test_reports_tell_loads_and_shared_runs():
+    """Guards against endpoints that look idle to the other routers."""
+    sender, sending = make_task('n', 3)
+    receiver, receiving = make_task('m00', 3)
+    add_peers(sender, 1)
+    sender._transport.receivers[1000] = receiver
+    busy, caching = list(sending)[1:]
+    idle, seen_busy, seen_caching = receiving
+    placed = busy.load.place(9_000, 0.0)
+    sender.note_runs(caching.number, [2**63 - 1, 7])
+    await run_for(sender, asyncio.sleep(0.2))
+    assert seen_busy.load.running == 1
+    assert seen_busy.load.waiting_work == 9_000
+    assert seen_caching.load.cache.has(2**63 - 1)
+    assert seen_caching.load.cache.has(7)
+    assert idle.load.running == 0
+    busy.load.remove(placed)
+    await run_for(sender, asyncio.sleep(0.2))
+    assert seen_busy.load.running == 0
+
+
+@on_paused_clock
+async def test_run_in_use_is_told_again():
+    """Guards against a shared part that others forget while it is used."""
+    sender, sending = make_task('n', 1)
+    receiver, receiving = make_task('m00', 1)
+    add_peers(sender, 1)
+    sender._transport.receivers[1000] = receiver
+    (entry,) = sending
+    (received,) = receiving
+
+    async def use():
+        for _ in range(150):
+            sender.note_runs(entry.number, [7])
+            await asyncio.sleep(0.1)
+
+    await run_for(sender, use())
+    now_s = asyncio.get_running_loop().time()
+    assert received.load.cache.cached_tokens([(7, 500)], now_s + 8.0) == 500
+    told = [size for _, size, _ in sender._transport.sent]
+    assert told.count(max(told)) <= 16
+
+
+@on_paused_clock
+async def test_idle_router_stays_live_with_few_reports():
+    """Guards against links that reports of idle routers fill.
+
+    84 routers that had nothing to tell sent 160 datagrams a second to each.
+    """
+    task, _ = make_task('n', 56)
+    add_peers(task, 84)
+    await run_for(task, asyncio.sleep(10.0))
+    for peer in range(1000, 1084):
+        times = [t for t, _, port in task._transport.sent if port == peer]
+        assert len(times) <= 25
+        # A clock that was not heard of for 1 s does not count.
+        assert max(b - a for a, b in itertools.pairwise(times)) < 0.8
+
+
+@on_paused_clock
+async def test_crash_reaches_routers_that_missed_it():
+    """Guards against crashes that only one datagram told."""
+    sender, _ = make_task('n', 1)
+    receiver, _ = make_task('m00', 1)
+    add_peers(sender, 1)
+    sender._crashes.record('digest', 'digest', 0.0)
+    await run_for(sender, asyncio.sleep(0.5))
+    sender._transport.receivers[1000] = receiver
+    await run_for(sender, asyncio.sleep(1.5))
+    assert receiver._crashes._entries['digest'].crashes == 1
+
+
+@on_paused_clock
+async def test_report_of_an_odd_size_is_ignored():
+    """Guards against a defect of another version that ends this router."""
+    task, directory = make_task('n', 1)
+    for field in ('loads', 'runs'):
+        report = messages.Report(wall_ms=1, **{field: b'12345'})
+        datagram = messages.Datagram(holder='m~1', router='m', report=report)
+        data = serialize(datagram, TCyBinaryProtocolFactory())
+        task.datagram_received(data, ('127.0.0.1', 1))
+    (entry,) = directory
+    assert entry.load.running == 0
+
+
+def test_link_of_the_settings_bounds_reports(tmp_path):
+    """Guards against a bound that the link of the VM does not reach."""
+    path = tmp_path / 'boot.yaml'
+    path.write_text(
+        'node_name: n\nip: 10.0.0.1\nzone: z\n'
+        'listen: {front: "10.0.0.1:1", ready: "10.0.0.1:2"}\n'
+        'port_range: [3, 9]\nplatform: {address: "10.0.0.2:4"}\n'
+        'limits: {link_mbps: 5.0}\n'
+    )
+    assert load_settings(path).link_bytes_per_s == LINK_BYTES_PER_S
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -11,6 +11,7 @@
 
 # As in the deploy file, where operators' tools find it.
 METRICS_PORT = 9464
+_BYTES_PER_MBIT = 125_000
 
 
 class SettingsError(ValueError):
@@ -26,6 +27,8 @@
     # Counted per process: bytes of memory and open descriptors.
     memory_mb: float = 0.0
     max_fds: int = 0
+    # Of the machine; 0 if it is not known.
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct):
@@ -109,6 +112,8 @@
             retry_window_s=file.bounds.budget_window_s,
             retry_slack=file.bounds.budget_slack,
             prompt_reuse_s=file.bounds.reuse_window_s,
+            link_bytes_per_s=file.limits.link_mbps * _BYTES_PER_MBIT
+            or float('inf'),
         )
     except (OSError, ValueError, yaml.YAMLError) as error:
         raise SettingsError(f'{path}: {error}') from error
