--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -172,8 +172,6 @@
 
     def apply(self, records: list[Record], end: int) -> None:
         """Take records in order."""
-        # Records prove contact, whichever of both is told first.
-        self.note_contact(reachable=True)
         for record in records:
             if record.value is None:
                 self._lapse(record.key)
