Fetch configurations from routers that progress, not within one second

Callers saw: for many seconds 404 and 503 on routes that operators had added. Cause: routers that cannot read a version from the store in time fetch it from another router, within 1.0 s for the whole transfer. A version of 1,334 routes has 300 KB, half a second of a 5 Mbit/s link. All routers that lacked it asked the first one in their table that had it, so its link was divided by up to 71, all transfers were cut off at the same moment, and all began anew: 1,071 failures for one version, 1,037 by time, 1,032 of them from one router. Ruled out: that nobody had the version. Two to four routers had it within 0.1 s, on links of 100 Mbit/s. Change: a transfer goes on as long as bytes arrive within a second of each other; the source is one of those that have the version at random; versions are sent compressed (260 KB to 33 KB in 2 ms); a source begins 0.3 MB of transfers a second and turns others away, who ask those that have it by then. A failure says how many bytes arrived. The first router gets the version 2.8 s after its start (42.87 to 45.72 s): its first calls for the newest records, even on a link of 100 Mbit/s, are cut off after 1.0 s at all three topics, as those of all 73 routers at once take longer. The same limit on a whole transfer at the store is open here.

--- a/src/basilpond/node/_configuration_spread.py
+++ b/src/basilpond/node/_configuration_spread.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+import zlib
 
 from ..http1 import ConnectionPool
 from ..http1 import ExchangeError
@@ -17,7 +19,16 @@
 # lacks it after this time is cut off.
 LAG_S = 0.3
 _CONNECT_TIMEOUT_S = 0.4
-_FETCH_TIMEOUT_S = 1.0
+# A source that sends nothing for this long is given up. The time of a whole
+# transfer says nothing: one of 300 KB takes seconds on a link that many share.
+_STALL_S = 1.0
+# Bytes of transfers begun in a second: half of a 5 Mbit/s link. Routers that
+# are turned away ask others, of which more have the version each second; all
+# transfers at once would end together, and late.
+_MAX_BYTES_PER_S = 300_000
+# Versions shrink to an eighth at the fastest level, in 2 ms for 260 KB.
+_COMPRESSION_LEVEL = 1
+_MAX_BYTES = 64 * 1024 * 1024
 
 
 class ConfigurationSpread:
@@ -40,6 +51,11 @@
         self._peers = peers
         self._decisions = decisions
         self._server = InternalServer(self._answer)
+        # Start and bytes of the last second's transfers.
+        self._begun: deque[tuple[float, int]] = deque()
+        # The version in force, and the same compressed.
+        self._packed_from: bytes | None = None
+        self._packed = b''
 
     async def listen(self, host: str, port: int) -> None:
         """Serve the version in force."""
@@ -66,34 +82,72 @@
     async def _fetch(self, version: int, address: tuple[str, int]) -> None:
         pool = ConnectionPool(*address, _CONNECT_TIMEOUT_S)
         source = f'{address[0]}:{address[1]}'
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        parts: list[bytes] = []
         try:
-            async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                connection = await pool.connect()
-                try:
-                    connection.begin(
-                        b'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n'
-                        % (PATH, source.encode())
-                    )
+            connection = await pool.connect()
+            try:
+                connection.begin(
+                    b'GET %s HTTP/1.1\r\nHost: %s\r\n\r\n'
+                    % (PATH, source.encode())
+                )
+                async with asyncio.timeout(_STALL_S):
                     head = await connection.read_head()
-                    data = await connection.read_body()
-                finally:
-                    connection.abort()
+                while True:
+                    async with asyncio.timeout(_STALL_S):
+                        part = await connection.read_part()
+                    if not part:
+                        break
+                    parts.append(part)
+            finally:
+                connection.abort()
         except (ExchangeError, TimeoutError) as error:
-            self._decisions.event(
-                'configuration_not_fetched',
-                version=version,
-                source=source,
-                reason=str(error) or 'timed out',
-            )
-            return
-        if head.status == 200:
-            self._configuration.offer(data, source=source)
+            reason = str(error) or f'sent nothing for {_STALL_S} s'
+        else:
+            reason = self._take(head.status, b''.join(parts), source)
+            if reason is None:
+                return
+        self._decisions.event(
+            'configuration_not_fetched',
+            version=version,
+            source=source,
+            reason=reason,
+            received_bytes=sum(map(len, parts)),
+            took_s=round(loop.time() - started_s, 3),
+        )
+
+    def _take(self, status: int, packed: bytes, source: str) -> str | None:
+        # Returns why a version cannot be used.
+        if status != 200:
+            return f'status {status}'
+        try:
+            data = zlib.decompressobj().decompress(packed, _MAX_BYTES)
+        except zlib.error as error:
+            return str(error)
+        self._configuration.offer(data, source=source)
+        return None
 
     def _answer(self, path: bytes) -> Answer:
         data = self._configuration.data
         if path != PATH or data is None:
             return 404, [], b''
-        return 200, [], data
+        if data is not self._packed_from:
+            self._packed_from = data
+            self._packed = zlib.compress(data, _COMPRESSION_LEVEL)
+        if not self._may_begin(len(self._packed)):
+            return 503, [], b''
+        return 200, [], self._packed
+
+    def _may_begin(self, size: int) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        while self._begun and now_s - self._begun[0][0] >= 1.0:
+            self._begun.popleft()
+        recent = sum(known for _, known in self._begun)
+        if self._begun and recent + size > _MAX_BYTES_PER_S:
+            return False
+        self._begun.append((now_s, size))
+        return True
 
     def _version(self) -> int:
         catalogue = self._configuration.catalogue
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 from pathlib import Path
+import random
 import time
 import typing
 
@@ -129,6 +130,7 @@
         self._number = 0
         self._clock = FleetClock()
         self._transfers: dict[tuple[str, int], None] = {}
+        self._rng = random.Random()
 
     async def listen(self, host: str, port: int) -> None:
         """Open the socket."""
@@ -182,12 +184,17 @@
         )
 
     def newest_configuration(self) -> tuple[int, tuple[str, int]] | None:
-        """Return the newest version at a live router, and its address."""
+        """Return the newest version at live routers and the address of one.
+
+        One of those that have it, at random: all routers that lack it ask at
+        the same moment.
+        """
         peers = self._live()
         if not peers:
             return None
-        newest = max(peers, key=lambda peer: peer.configuration_version)
-        return newest.configuration_version, newest.address
+        newest = max(peer.configuration_version for peer in peers)
+        sources = [p for p in peers if p.configuration_version == newest]
+        return newest, self._rng.choice(sources).address
 
     def live_routers(self) -> int:
         """Return the number of live routers, this one included."""
