Revert: note that the log is back before its records are applied

Open: entries that lapse while the store itself is away are removed with the first read after it, though they may be back within 2 s.

--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -49,7 +49,7 @@
         """Take records in order; `end` is the offset after them."""
 
     def note_contact(self, *, reachable: bool) -> None:
-        """Take whether the last call was answered, before its records."""
+        """Take whether the last call was answered, after its records."""
 
 
 class TopicFollower:
@@ -147,6 +147,7 @@
                 self._offset = None
                 continue
             self._restarted = False
+            self._note_contact(True, '')
             self._metrics.count_read(
                 self._topic, 'ok', self._progress.received_bytes
             )
@@ -164,7 +165,6 @@
             self._progress,
             most_records=1 if self._state.only_newest else None,
         )
-        self._note_contact(True, '')
         if page.records:
             self._offset = page.records[-1].offset + 1
             self._state.apply(page.records, self._offset)
@@ -183,7 +183,6 @@
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
-        self._note_contact(True, '')
         self._state.apply_newest(
             records, page.end, snapshot=page.end == first_end
         )
