Judge the log's silence by the usual time of an append

Callers got 503 for want of tokens though the log was up: an append of over 0.1 s counted as an outage, in which only other routers have tokens. Where the log or the router's own link is slow, each append takes longer, and the grant under way was not waited for. Change: the log is doubtful after three times the usual time of an append, at least 0.1 s as before and at most 0.8 s. Lines of appends say how long they took. Ruled out: a longer fixed limit, which would delay the requests of each real outage. The paused clock of the test of cuts is the test kit's own, which existed already.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -34,8 +34,12 @@
 # Routers that had no tokens to give are not asked again for this time, as
 # each request of an exhausted budget would ask all of them.
 _DENIED_S = 0.25
-# An append that takes longer makes the store doubtful. It takes 4 ms.
+# An append that takes longer makes the store doubtful. It takes 4 ms; where
+# the store or the link is slow, one that takes a multiple of its usual time
+# does, up to a maximum.
 _DOUBT_S = 0.1
+_DOUBT_FACTOR = 3.0
+_MAX_DOUBT_S = 0.8
 # Pause between two looks at the allotments.
 _TICK_S = 0.1
 # Time in which routers that start together agree on the time of day.
@@ -295,7 +299,10 @@
 
     def is_doubtful(self) -> bool:
         """Whether the store has not answered for a while."""
-        return not self._reachable or self._writer.waiting_s > _DOUBT_S
+        doubt_s = max(_DOUBT_S, _DOUBT_FACTOR * self._writer.usual_s)
+        return not self._reachable or self._writer.waiting_s > min(
+            doubt_s, _MAX_DOUBT_S
+        )
 
     def explain(self, organisation: str, tokens: int) -> dict[str, object]:
         """Return what a denial was decided from, for the log."""
--- a/src/basilpond/node/_log_writer.py
+++ b/src/basilpond/node/_log_writer.py
@@ -13,6 +13,8 @@
 
 _FIRST_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 0.25
+# Weight of the newest append in the usual time of one.
+_USUAL_WEIGHT = 0.3
 
 
 class LogWriter:
@@ -40,6 +42,8 @@
         self._lock = asyncio.Lock()
         self._since_s: float | None = None
         self._sent_s = 0.0
+        # Time that answered tries took lately.
+        self.usual_s = 0.0
         # When the try of the last append that was answered was sent, if an
         # earlier try got no answer. One that was refused or reset proves that
         # the log can be reached.
@@ -108,6 +112,8 @@
                 reason=str(error),
             )
             return error
+        took_s = asyncio.get_running_loop().time() - self._sent_s
+        self.usual_s += _USUAL_WEIGHT * (took_s - self.usual_s)
         self._decisions.event(
             'appended',
             routine=True,
@@ -115,5 +121,6 @@
             sequence=self._sequence,
             log_offset=offset,
             records=len(records),
+            took_s=round(took_s, 4),
         )
         return None
--- a/src/basilpond/node/tests/test_budgets_in_a_cut.py
+++ b/src/basilpond/node/tests/test_budgets_in_a_cut.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import selectors
 
 import pytest
 
@@ -11,6 +10,7 @@
 from basilpond.node._peers import PeerTask
 from basilpond.routing import CrashCounter
 from basilpond.routing import Stamp
+from basilpond_testkit.paused_clock import run
 
 ORG = 'org'
 # The largest organisation of wagenpark-grown's small twin on a quiet day, at
@@ -32,28 +32,6 @@
 _NETWORK_S = 0.001
 
 
-class PausedClockLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time goes straight to the next timer."""
-
-    def __init__(self):
-        super().__init__(_NoWaiting(self))
-        self.now_s = 100.0
-
-    def time(self):
-        return self.now_s
-
-
-class _NoWaiting(selectors.DefaultSelector):
-    def __init__(self, loop):
-        super().__init__()
-        self._loop = loop
-
-    def select(self, timeout=None):
-        if timeout:
-            self._loop.now_s += timeout
-        return super().select(0)
-
-
 class Nothing:
     def event(self, name, **fields):
         pass
@@ -104,6 +82,7 @@
 
     # No test here has reads that an outage could hold up.
     back_since_s = None
+    usual_s = 0.0
 
     def __init__(self, log):
         self._log = log
@@ -252,8 +231,7 @@
 
 def share_served(number, seed=1):
     """Play a cut on a paused clock."""
-    with asyncio.Runner(loop_factory=PausedClockLoop) as runner:
-        return runner.run(play(number, seed))
+    return run(play(number, seed))
 
 
 @pytest.mark.parametrize(
--- a/src/basilpond/node/tests/test_fleet_topic.py
+++ b/src/basilpond/node/tests/test_fleet_topic.py
@@ -76,6 +76,7 @@
     """Log writer of a router that reaches the log."""
 
     waiting_s = 0.0
+    usual_s = 0.0
 
 
 def test_router_in_touch_raises_for_one_that_is_cut_off():
