--- /dev/null
+++ b/src/basilpond/routing/tests/test_prepaid_machine.py
@@ -0,0 +1,203 @@
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from basilpond.routing import AllotmentRows
+from basilpond.routing import Allotments
+from basilpond.routing import Stamp
+
+ORG = 'org'
+
+
+class _Router:
+    """A router process with its connection to the log."""
+
+    def __init__(self, name, rows_at, boot_ms):
+        self.name = name
+        self.rows = AllotmentRows()
+        self.allotments = Allotments(name, self.rows)
+        self.offset = 0
+        self.started = Stamp(boot_ms, boot_ms)
+        self.pending = None
+        self.holds = []
+        self.promises = []
+        self.spent = 0
+        for offset, holder, row in rows_at:
+            self.rows.apply(ORG, holder, row, offset)
+            self.offset = offset + 1
+
+
+class BudgetMachine(stateful.RuleBasedStateMachine):
+    """Routers with delayed, lost and late appends, kills and transfers.
+
+    Guards the promise that what all routers together spent and hold, dead
+    ones included, never exceeds the budget.
+    """
+
+    MACHINES = ('m0', 'm1', 'm2')
+
+    def __init__(self):
+        super().__init__()
+        self.now_ms = 10_000
+        self.limit = 1_000
+        self.log = []
+        self.stamps = {}
+        # Appends of dead routers, which may be executed late.
+        self.late = []
+        self.datagrams = []
+        self.dead_spent = 0
+        self.starts = 0
+        self.routers = {}
+        for machine in self.MACHINES:
+            self._start(machine)
+
+    def _start(self, machine):
+        self.starts += 1
+        name = f'{machine}~{self.starts}'
+        router = _Router(name, self.log, self.now_ms)
+        router.allotments.routers = len(self.MACHINES)
+        router.allotments.set_limit(ORG, self.limit)
+        self.routers[machine] = router
+        for holder, stamp in list(self.stamps.items()):
+            predecessor = holder.startswith(machine + '~') and holder != name
+            if predecessor:
+                row, _ = router.rows.row(ORG, holder)
+                reduced = row.reduced(stamp, router.started)
+                if reduced is not None:
+                    self._append(holder, reduced)
+
+    def _append(self, holder, row, stamp=None):
+        self.log.append((len(self.log), holder, row))
+        if stamp is not None:
+            self.stamps[holder] = stamp
+
+    @stateful.rule(machine=st.sampled_from(MACHINES))
+    def compose(self, machine):
+        router = self.routers[machine]
+        if router.pending is None:
+            stamp = Stamp(self.now_ms, self.now_ms)
+            rows = router.allotments.changes(stamp)
+            router.pending = (rows, stamp, False)
+
+    @stateful.rule(machine=st.sampled_from(MACHINES), answered=st.booleans())
+    def execute(self, machine, answered):
+        router = self.routers[machine]
+        if router.pending is None:
+            return
+        rows, stamp, executed = router.pending
+        if not executed:
+            for row in rows.values():
+                self._append(router.name, row, stamp)
+            self.stamps[router.name] = stamp
+        router.pending = (rows, stamp, True)
+        if answered:
+            router.allotments.note_written(rows)
+            router.pending = None
+
+    @stateful.rule(machine=st.sampled_from(MACHINES), count=st.integers(1, 9))
+    def fold(self, machine, count):
+        router = self.routers[machine]
+        for offset, holder, row in self.log[
+            router.offset : router.offset + count
+        ]:
+            router.rows.apply(ORG, holder, row, offset)
+            router.offset = offset + 1
+        router.allotments.decide(router.offset)
+
+    @stateful.rule(
+        machine=st.sampled_from(MACHINES), tokens=st.integers(1, 300)
+    )
+    def hold(self, machine, tokens):
+        router = self.routers[machine]
+        hold = router.allotments.hold(ORG, tokens, self.now_ms)
+        if hold is None:
+            router.allotments.ask(ORG, tokens)
+        else:
+            router.holds.append(hold)
+
+    @stateful.rule(
+        machine=st.sampled_from(MACHINES), tokens=st.integers(1, 300)
+    )
+    def promise(self, machine, tokens):
+        router = self.routers[machine]
+        wait_s = router.allotments.promise(ORG, tokens, self.now_ms)
+        if wait_s is not None:
+            router.promises.append(tokens)
+
+    @stateful.rule(machine=st.sampled_from(MACHINES))
+    def end_promise(self, machine):
+        router = self.routers[machine]
+        if router.promises:
+            tokens = router.promises.pop()
+            router.allotments.withdraw(ORG, tokens)
+            self.hold(machine, tokens)
+
+    @stateful.rule(machine=st.sampled_from(MACHINES), part=st.floats(0, 1))
+    def settle(self, machine, part):
+        router = self.routers[machine]
+        if router.holds:
+            hold = router.holds.pop()
+            spent = int(hold.tokens * part)
+            router.allotments.settle(hold, spent)
+            router.spent += spent
+
+    @stateful.rule(
+        donor=st.sampled_from(MACHINES),
+        receiver=st.sampled_from(MACHINES),
+        tokens=st.integers(1, 300),
+        arrives=st.booleans(),
+    )
+    def transfer(self, donor, receiver, tokens, arrives):
+        if donor == receiver:
+            return
+        given = self.routers[donor].allotments.give(
+            ORG, tokens, 0.5, self.now_ms
+        )
+        if given and arrives:
+            self.routers[receiver].allotments.receive(ORG, given)
+
+    @stateful.rule(passed_ms=st.sampled_from((100, 700, 2_000)))
+    def pass_time(self, passed_ms):
+        self.now_ms += passed_ms
+        for router in self.routers.values():
+            router.allotments.update_rates(passed_ms / 1000)
+
+    @stateful.rule(machine=st.sampled_from(MACHINES), gentle=st.booleans())
+    def restart(self, machine, gentle):
+        router = self.routers[machine]
+        if gentle and router.pending is None and not router.holds:
+            stamp = Stamp(self.now_ms, self.now_ms)
+            rows = router.allotments.release_all(stamp)
+            for row in rows.values():
+                self._append(router.name, row, stamp)
+        elif router.pending is not None and not router.pending[2]:
+            self.late.append((router.name, router.pending))
+        self.dead_spent += router.spent + sum(h.tokens for h in router.holds)
+        self._start(machine)
+
+    @stateful.rule()
+    def execute_late(self):
+        if self.late:
+            holder, (rows, stamp, _) = self.late.pop(0)
+            for row in rows.values():
+                self._append(holder, row, stamp)
+
+    @stateful.rule(tokens=st.integers(0, 500))
+    def top_up(self, tokens):
+        self.limit += tokens
+        for router in self.routers.values():
+            router.allotments.set_limit(ORG, self.limit)
+
+    @stateful.invariant()
+    def budget_is_kept(self):
+        live = sum(
+            router.spent + sum(hold.tokens for hold in router.holds)
+            for router in self.routers.values()
+        )
+        assert self.dead_spent + live <= self.limit
+
+
+TestBudgetMachine = BudgetMachine.TestCase
+TestBudgetMachine.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=60
+)
