Reset endpoint connections that are given up

Closing a socket leaves its undelivered bytes with the kernel, which retransmits them once the partition ends; aborting the transport drops only the bytes in the process.

Change: an aborted connection is closed with a linger time of 0, so the kernel drops what it has not delivered and resets the connection.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 import socket
+import struct
 
 import httptools
 
@@ -48,6 +49,8 @@
 _IDLE_MARGIN_S = 0.5
 # Keep-alive timeout assumed for peers that announce none.
 DEFAULT_IDLE_S = 3.0
+# Value of SO_LINGER, on and 0 s, with which closing resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class ExchangeFailure(enum.Enum):
@@ -394,10 +397,21 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close at once, upon which an endpoint drops the request."""
+        """Reset the connection, upon which an endpoint drops the request.
+
+        Bytes that the kernel has not delivered are dropped with it. A closed
+        socket keeps retransmitting them: a request that could not cross a
+        partition reached its endpoint 5 s after its caller was answered 504.
+        """
         self._reusable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info('socket')
+        if sock is not None and sock.fileno() != -1:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._transport.abort()
 
     def _skip_mismatched(self, until_close: bool) -> None:
         self._reusable = False
