Eject endpoints that break requests, and share the evidence

Routers eject an endpoint only after refused connections, the endpoint does nothing and so looks idle, and each router learns alone.

Change: two broken requests in a row eject an endpoint, for 1 to 8 s; one request at a time probes it. Routers report broken requests and recoveries; reports of three routers, of the own or of several data centres, eject the endpoint everywhere. Ejections of most candidates are ignored.

--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -93,6 +93,7 @@
             crashes,
             decisions,
             self._configuration_version,
+            data_centre=settings.data_centre,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.budgets.request_from_peers = self.peers.request_tokens
--- a/src/basilpond/node/_peer_records.py
+++ b/src/basilpond/node/_peer_records.py
@@ -14,10 +14,14 @@
 
 import xxhash
 
+from ..routing import SendEvidence
+
 # Number of the endpoint, requests there, pending prefill cost.
 _LOAD = struct.Struct('<IHI')
 # Number of the endpoint, key of a prompt prefix.
 _PREFIX = struct.Struct('<IQ')
+# Number of the endpoint, SendEvidence.
+_EVIDENCE = struct.Struct('<IB')
 _MAX_RUNNING = 0xFFFF
 _MAX_PREFILL_COST = 0xFFFF_FFFF
 
@@ -72,6 +76,26 @@
     return _PREFIX.iter_unpack(data)
 
 
+def encode_evidence(evidence: Iterable[tuple[int, SendEvidence]]) -> bytes:
+    """Encode endpoint numbers and the evidence on their broken requests."""
+    return b''.join(_EVIDENCE.pack(number, item) for number, item in evidence)
+
+
+def decode_evidence(data: bytes) -> list[tuple[int, SendEvidence]]:
+    """Decode the result of `encode_evidence`.
+
+    Raises
+    ------
+    ValueError
+    """
+    if len(data) % _EVIDENCE.size:
+        raise ValueError(f'evidence: {len(data)} bytes')
+    return [
+        (number, SendEvidence(item))
+        for number, item in _EVIDENCE.iter_unpack(data)
+    ]
+
+
 class PrefixAnnouncements:
     """Prompt prefixes to announce to other routers.
 
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -22,12 +22,15 @@
 from ..routing import Donors
 from ..routing import FleetClock
 from ..routing import PeerReport
+from ..routing import SendEvidence
 from ._budgets import BudgetTask
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
 from ._peer_records import PrefixAnnouncements
+from ._peer_records import decode_evidence
 from ._peer_records import decode_loads
 from ._peer_records import decode_prefixes
+from ._peer_records import encode_evidence
 from ._peer_records import encode_loads
 from ._peer_records import encode_prefixes
 
@@ -90,6 +93,8 @@
     decisions : DecisionLog
     configuration_version : callable
         Returns the configuration version that this router applies.
+    data_centre : str
+        Data centre of this router.
     link_bytes_per_s : float
         Bandwidth of the VM's link.
     """
@@ -104,8 +109,10 @@
         decisions: DecisionLog,
         configuration_version: Callable[[], int],
         *,
+        data_centre: str = '',
         link_bytes_per_s: float = float('inf'),
     ) -> None:
+        self._data_centre = data_centre
         self._report_bytes_per_s = _LINK_SHARE * link_bytes_per_s
         self._router_id = router_id
         self._holder = holder
@@ -276,6 +283,11 @@
         )
         leaving = self._directory.leaving()
         version = self._configuration_version()
+        evidence = [
+            (entry.number, item)
+            for entry in self._directory
+            if (item := entry.load.outlier.evidence(now_s)) is not None
+        ]
         announced = [crash[:2] for crash in crashes], leaving, version
         changed = announced != self._last_announced
         self._last_announced = announced
@@ -295,8 +307,12 @@
             wall_ms=int(time.time() * 1000),
             loads=encode_loads(loads),
             runs=encode_prefixes(prefixes),
+            # Left out of most reports, whose size counts for slow links.
+            evidence=encode_evidence(evidence) if evidence else None,
+            data_centre=self._data_centre if evidence else None,
         )
-        return report, not (loads or prefixes or crashes or changed)
+        unchanged = not (loads or prefixes or crashes or evidence or changed)
+        return report, unchanged
 
     def _encode(self, **fields: object) -> bytes:
         datagram = messages.Datagram(
@@ -318,6 +334,7 @@
             report = datagram.report
             loads = decode_loads(report and report.loads or b'')
             prefixes = decode_prefixes(report and report.runs or b'')
+            evidence = decode_evidence(report and report.evidence or b'')
         except (TException, ValueError, EOFError, TypeError) as error:
             self._decisions.event(
                 'peer_unreadable', routine=True, reason=str(error)
@@ -341,6 +358,8 @@
         if report is not None:
             self._apply_report(datagram, peer, now_s)
             self._apply_loads(datagram.router, loads, prefixes, now_s)
+            if evidence:
+                self._apply_evidence(datagram, evidence, now_s)
         if datagram.request is not None:
             self._handle_allotment_request(datagram.request, peer)
         if datagram.transfer is not None:
@@ -386,6 +405,34 @@
             if entry is not None:
                 entry.load.cache.touch(key, now_s)
 
+    def _apply_evidence(
+        self,
+        datagram: object,
+        evidence: Iterable[tuple[int, SendEvidence]],
+        now_s: float,
+    ) -> None:
+        routers = self.live_routers()
+        for number, item in evidence:
+            entry = self._directory.find_number(number)
+            if entry is None:
+                continue
+            ejected = entry.load.outlier.apply_report(
+                datagram.router,
+                datagram.report.data_centre or '',
+                item,
+                own_data_centre=self._data_centre,
+                routers=routers,
+                jitter=self._rng.random(),
+                now_s=now_s,
+            )
+            if ejected:
+                self._decisions.event(
+                    'endpoint_ejected',
+                    endpoint=entry.endpoint.id,
+                    reason=f'routers report broken requests: '
+                    f'{datagram.router}',
+                )
+
     # Allotments.
 
     def request_tokens(
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -371,6 +371,12 @@
             self._crashes.clear(context.digest)
         if outcome.broken:
             self._crashes.record(context.digest, context.digest, now_s)
+            if entry.load.outlier.record_broken(now_s):
+                self._decisions.event(
+                    'endpoint_ejected',
+                    endpoint=entry.endpoint.id,
+                    reason=f'requests in a row ended {outcome.reason}',
+                )
         if outcome.result is SendResult.NOT_SENT:
             ejected_s = entry.load.eject(now_s)
             self._decisions.event(
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -16,7 +16,10 @@
   // Load of the sender's requests on endpoints; see _peer_records.py.
   7: binary loads,
   // Prompt prefixes that the sender recently sent to endpoints.
-  8: binary runs
+  8: binary runs,
+  // Endpoints at which the sender's requests break off, or no longer do.
+  9: binary evidence,
+  10: string data_centre
 }
 
 // Request for tokens by a router that cannot get them from the log.
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -11,6 +11,7 @@
 from ._fleet_clock import FleetClock
 from ._fleet_retry_budget import FleetRetryBudget
 from ._long_prompts import long_prompt_endpoints
+from ._outlier_detection import SendEvidence
 from ._placement import Choice
 from ._placement import EndpointLoad
 from ._placement import InFlightRequest
@@ -64,6 +65,7 @@
     'RequestMetadata',
     'Route',
     'RouteKind',
+    'SendEvidence',
     'SendResult',
     'choose_endpoint',
     'choose_service',
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -13,6 +13,8 @@
 import random
 
 from ._long_prompts import LONG_PROMPT_TOKENS
+from ._outlier_detection import MAX_EJECTED_SHARE
+from ._outlier_detection import OutlierDetector
 from ._prompt_cache import PromptCache
 from ._types import Endpoint
 
@@ -149,6 +151,7 @@
         'endpoint',
         'for_long_prompts',
         'in_flight',
+        'outlier',
         'prefill_cost',
         'reported',
         'slowness',
@@ -157,6 +160,7 @@
     def __init__(self, endpoint: Endpoint, cache_retention_s: float) -> None:
         self.endpoint = endpoint
         self.cache = PromptCache(cache_retention_s)
+        self.outlier = OutlierDetector()
         # Whether this is one of the endpoints reserved for long prompts.
         self.for_long_prompts = False
         self.in_flight: dict[InFlightRequest, None] = {}
@@ -267,6 +271,7 @@
         )
         self.in_flight[in_flight] = None
         self.prefill_cost += prefill_cost
+        self.outlier.record_probe(now_s)
         return in_flight
 
     def record_first_byte(
@@ -298,6 +303,7 @@
         if not failed:
             self._ejection_s = _FIRST_EJECTION_S
             self._ejected_until_s = 0.0
+            self.outlier.record_complete(now_s)
 
     def eject(self, now_s: float) -> float:
         """Avoid the endpoint for a while after a connection failed.
@@ -378,7 +384,8 @@
     """Return the endpoint with the lowest cost for a request.
 
     The cost is the expected wait plus penalties in seconds. An ejected
-    endpoint is chosen only if all candidates are ejected.
+    endpoint is chosen only if all candidates are ejected. Ejections for
+    broken requests are ignored if they concern most of the candidates.
 
     Parameters
     ----------
@@ -406,6 +413,10 @@
     is_long = prompt_tokens >= LONG_PROMPT_TOKENS
     # The last part of a prompt is not shared with other requests.
     shared_tokens = prefixes[-2][1] if len(prefixes) > 1 else 0
+    loads = list(loads)
+    outliers = [load for load in loads if load.outlier.is_ejected(now_s)]
+    if len(outliers) > MAX_EJECTED_SHARE * len(loads):
+        outliers = []
     for load in loads:
         candidates += 1
         cached = load.cache.cached_tokens(prefixes[:-1], now_s)
@@ -431,7 +442,7 @@
             + (load.endpoint.data_centre != data_centre) * _REMOTE_PENALTY_S
             + 0.001 * rng.random()
         )
-        ejected = load.is_ejected(now_s)
+        ejected = load.is_ejected(now_s) or load in outliers
         if best is None or (ejected, cost_s) < (best_ejected, best_cost_s):
             best = Choice(load, forecast_s, cached, added_cost, 0)
             best_cost_s = cost_s
