Relate the fleet's clock to the boot-time clock

Cause: found while reading the proofs at 195 routers. Offsets of other routers were kept relative to the local time of day, so a jump of this machine's clock moved the agreed time by as much for up to 1 s. The successor of a router whose clock went back at its start would prove an earlier end of its predecessor and free tokens that had been used. Offsets also expired after 1 s: at 160 datagrams a second, 350 routers hear from each other every 2.2 s and would never agree.

Change: offsets are relative to the boot-time clock, which counts suspended time and does not jump, and expire after 3 s.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -89,8 +89,9 @@
         self._decisions = decisions
         self._clock = clock
         self._started = clock()
-        # Returns the fleet's time minus this machine's time, if known.
-        self.fleet_offset_ms: Callable[[], int | None] = lambda: None
+        # Returns the fleet's time minus the time since boot of this machine,
+        # if known.
+        self.fleet_boot_offset_ms: Callable[[], int | None] = lambda: None
         self._accounts = EscrowAccounts()
         self._heartbeats: dict[str, ClockReading] = {}
         self.allotments = Allotments(holder, self._accounts)
@@ -456,10 +457,10 @@
         return appended
 
     def _with_fleet_time(self, local: ClockReading) -> ClockReading:
-        offset_ms = self.fleet_offset_ms()
+        offset_ms = self.fleet_boot_offset_ms()
         if offset_ms is None:
             return local
-        return dataclasses.replace(local, fleet_ms=local.wall_ms + offset_ms)
+        return dataclasses.replace(local, fleet_ms=local.boot_ms + offset_ms)
 
     async def reduce_predecessors(self) -> None:
         """Release what earlier incarnations of this router cannot use."""
@@ -467,7 +468,7 @@
         await self._synced.wait()
         deadline_s = loop.time() + _AGREEMENT_TIMEOUT_S
         predecessors = [h for h in self._heartbeats if h != self._holder]
-        while predecessors and self.fleet_offset_ms() is None:
+        while predecessors and self.fleet_boot_offset_ms() is None:
             if loop.time() >= deadline_s or any(
                 self._heartbeats[h].proves_within_ceiling(self._started)
                 for h in predecessors
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -98,7 +98,7 @@
         )
         self.budgets.request_from_peers = self.peers.request_tokens
         self.budgets.live_holders = self.peers.live_holders
-        self.budgets.fleet_offset_ms = self.peers.fleet_offset_ms
+        self.budgets.fleet_boot_offset_ms = self.peers.fleet_boot_offset_ms
         self.dispatcher = Dispatcher(
             settings,
             codec,
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -186,11 +186,13 @@
         now_s = asyncio.get_running_loop().time()
         self._prefix_announcements.add(number, keys, now_s)
 
-    def fleet_offset_ms(self) -> int | None:
-        """Return the fleet's time minus the local time, if routers agree."""
-        now_s = asyncio.get_running_loop().time()
-        return self._clock.time_ms(
-            local_ms=0, registered_routers=len(self._peers), now_s=now_s
+    def fleet_boot_offset_ms(self) -> int | None:
+        """Return the fleet's time minus the time since boot, if agreed."""
+        return self._clock.boot_offset_ms(
+            wall_ms=int(time.time() * 1000),
+            boot_ms=self._budgets.boot_ms(),
+            registered_routers=len(self._peers),
+            now_s=asyncio.get_running_loop().time(),
         )
 
     def find_newest_configuration(self) -> tuple[int, tuple[str, int]] | None:
@@ -374,7 +376,7 @@
             self._clock.record(
                 datagram.router,
                 peer_ms=report.wall_ms,
-                local_ms=int(time.time() * 1000),
+                boot_ms=self._budgets.boot_ms(),
                 now_s=now_s,
             )
         for crash in report.crashes or ():
--- a/src/basilpond/routing/_fleet_clock.py
+++ b/src/basilpond/routing/_fleet_clock.py
@@ -2,7 +2,10 @@
 
 The clock of one machine may jump, and its boot-time clock starts from zero
 after a power failure. The median of all routers' clocks is correct as long as
-fewer than half of them jump together.
+fewer than half of them jump together. Offsets are relative to the local
+boot-time clock, which does not jump: relative to the local time of day, a jump
+of this machine's clock moved the result by as much until all routers had sent
+another datagram.
 """
 
 from __future__ import annotations
@@ -11,21 +14,24 @@
 
 # Clocks agree if they differ by less than this; datagrams take a few ms.
 AGREEMENT_MS = 200
-# A clock whose last datagram is older than this is ignored.
-_MAX_AGE_S = 1.0
+# A clock whose last datagram is older than this is ignored. 350 routers hear
+# from each other every 2.2 s.
+_MAX_AGE_S = 3.0
 _MIN_CLOCKS = 3
 
 
 class FleetClock:
-    """Offsets of other routers' clocks from the local clock.
+    """Offsets of routers' times of day from the local boot-time clock.
 
     Examples
     --------
     >>> clock = FleetClock()
     >>> for peer in ('a', 'b', 'c'):
-    ...     clock.record(peer, peer_ms=5_002_000, local_ms=5_000_000, now_s=0)
-    >>> clock.time_ms(local_ms=5_000_000, registered_routers=3, now_s=0.5)
-    5002000
+    ...     clock.record(peer, peer_ms=5_002_000, boot_ms=7_000, now_s=0)
+    >>> clock.boot_offset_ms(
+    ...     wall_ms=5_000_500, boot_ms=7_500, registered_routers=3, now_s=0.5
+    ... )
+    4995000
     """
 
     __slots__ = ('_offsets',)
@@ -34,30 +40,36 @@
         self._offsets: dict[str, tuple[float, float]] = {}
 
     def record(
-        self, router: str, *, peer_ms: int, local_ms: int, now_s: float
+        self, router: str, *, peer_ms: int, boot_ms: int, now_s: float
     ) -> None:
         """Record the offset of another router's clock.
 
         Parameters
         ----------
         router : str
-        peer_ms, local_ms : int
-            Unix time by the clock of that router, as stated in its datagram,
-            and by the local clock when the datagram arrived.
+        peer_ms : int
+            Unix time by the clock of that router, as stated in its datagram.
+        boot_ms : int
+            Time by the local boot-time clock when the datagram arrived.
         now_s : float
             Present time by a monotonic clock.
         """
-        self._offsets[router] = peer_ms - local_ms, now_s
+        self._offsets[router] = peer_ms - boot_ms, now_s
 
-    def time_ms(
-        self, *, local_ms: int, registered_routers: int, now_s: float
+    def boot_offset_ms(
+        self,
+        *,
+        wall_ms: int,
+        boot_ms: int,
+        registered_routers: int,
+        now_s: float,
     ) -> int | None:
-        """Return the time of day on which a majority of routers agrees.
+        """Return the agreed time of day minus the local boot-time clock.
 
         Parameters
         ----------
-        local_ms : int
-            Unix time by the local clock.
+        wall_ms, boot_ms : int
+            Present Unix time and time since boot by the local clocks.
         registered_routers : int
             Number of other routers that are registered, live or not.
         now_s : float
@@ -66,19 +78,19 @@
         Returns
         -------
         int or None
-            Unix time in milliseconds. None if no majority agrees, or fewer
-            than three clocks are known, including the local one.
+            Milliseconds. None if no majority agrees, or fewer than three
+            clocks are known, including the local one.
         """
         offsets = [
             offset
             for offset, received_s in self._offsets.values()
             if now_s - received_s < _MAX_AGE_S
         ]
-        offsets.append(0.0)
+        offsets.append(wall_ms - boot_ms)
         if len(offsets) < _MIN_CLOCKS:
             return None
         median = statistics.median(offsets)
         agreeing = sum(abs(o - median) < AGREEMENT_MS for o in offsets)
         if 2 * agreeing <= registered_routers + 1:
             return None
-        return local_ms + round(median)
+        return round(median)
