Move a resumable stream on when only bytes of an event arrive

Each part of a response, even a byte of an incomplete event, restarted the timeout between events, so a stalled endpoint that sends a byte now and then held a resumable stream until the time limit of the request.

Change: only complete events restart the timeout on resumable routes.

--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -317,13 +317,17 @@
         while part := await connection.read_part():
             now_s = loop.time()
             context.record_part(now_s)
-            response_timer.record_part()
             entry.load.record_first_byte(in_flight, now_s)
             # Only complete events count; another endpoint may have to resume
             # the stream after the last one.
             forwardable = context.events.feed(part)
             if not context.route.resumable:
                 forwardable = part
+            if forwardable:
+                # Bytes of an incomplete event are no progress: a stalled
+                # endpoint that sends one now and then would hold the stream
+                # until the time limit of the request.
+                response_timer.record_part()
             if len(context.events.partial) > MAX_EVENT_BYTES:
                 self._limit_event(context)
             if not forwardable:
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -200,9 +200,10 @@
     """A model or application server.
 
     `mode` is `ok`, `break` (resets after `break_after` events, or at once),
-    `hang`, `fail` (500), `busy` (503 that does not say whether it was run),
-    `shed` (refuses unread), `moved` (421), `unsigned` or `twice` (sends its
-    answer again).
+    `drip` (stalls after `break_after` events, but sends a byte of the next one
+    now and then), `hang`, `fail` (500), `busy` (503 that does not say whether
+    it was run), `shed` (refuses unread), `moved` (421), `unsigned` or `twice`
+    (sends its answer again).
     """
 
     def __init__(self, server_id: str, service: str, *, events: int = 6):
@@ -288,6 +289,11 @@
                 await asyncio.sleep(0.01)
                 responder.abort()
                 return
+            if self.mode == 'drip' and i > self.break_after:
+                responder.send(b'id: %d\ndata: ' % i)
+                while True:
+                    await asyncio.sleep(0.2)
+                    responder.send(b'e')
             responder.send(b'id: %d\ndata: e%d\n\n' % (i, i))
             await asyncio.sleep(self.event_gap_s)
         responder.end_stream()
