Test that evidence of broken requests travels between routers

Measured: test_peer_reports.py passes: the third of three routers ejects an endpoint at a fourth one, a malformed row does not.

--- a/src/basilpond/node/tests/test_peer_reports.py
+++ b/src/basilpond/node/tests/test_peer_reports.py
@@ -213,13 +213,33 @@
 async def test_report_of_invalid_size_is_ignored():
     """Guards against a router that fails on a malformed report of a peer."""
     task, directory = make_task('n', 1)
-    for field in ('loads', 'runs'):
+    # Five bytes are a row of evidence, but of none that is known.
+    for field in ('loads', 'runs', 'evidence'):
         report = messages.Report(wall_ms=1, **{field: b'12345'})
         datagram = messages.Datagram(holder='m~1', router='m', report=report)
         data = serialize(datagram, TCyBinaryProtocolFactory())
         task.datagram_received(data, ('127.0.0.1', 1))
     (entry,) = directory
     assert entry.load.running == 0
+    assert not entry.load.outlier.is_ejected(0.0)
+
+
+@on_paused_clock
+async def test_evidence_of_three_routers_ejects_an_endpoint():
+    """Guards against evidence that is not sent, or not applied."""
+    receiver, received = make_task('r', 2)
+    for i in range(3):
+        sender, sending = make_task(f'm{i:02}', 2)
+        sender.update_address('r', b'127.0.0.1:1000')
+        sender._peers['r'].last_seen_s = 3600.0
+        sender._transport.receivers[1000] = receiver
+        now_s = asyncio.get_running_loop().time()
+        next(iter(sending)).load.outlier.record_broken(now_s)
+        await run_for(sender, asyncio.sleep(0.2))
+        now_s = asyncio.get_running_loop().time()
+        broken, sound = received
+        assert broken.load.outlier.is_ejected(now_s) is (i == 2)
+        assert not sound.load.outlier.is_ejected(now_s)
 
 
 def test_link_of_the_settings_bounds_reports(tmp_path):
