--- a/src/basilpond/routing/_rewrite_limit.py
+++ b/src/basilpond/routing/_rewrite_limit.py
@@ -2,8 +2,8 @@
 
 Designed for many routers that share many small budgets. Each router reads the
 account records of all others, and the size of an account depends on the state
-of all of them, so one change leads to further changes. 84 routers with 24
-budgets wrote 6,700 records a second for 150 requests a second.
+of all of them, so one change leads to further changes. Of 84 routers with 24
+budgets, two whose logs were read wrote up to 106 records a second each.
 """
 
 from __future__ import annotations
--- a/src/basilpond/routing/tests/test_rewrite_limit.py
+++ b/src/basilpond/routing/tests/test_rewrite_limit.py
@@ -85,8 +85,8 @@
 def test_records_follow_the_requests_not_the_routers(routers):
     """Guards against reads whose cost grows with the square of the fleet.
 
-    The accounts of idle routers followed each change of the pool: 84 routers
-    wrote 45 account records for each request.
+    The accounts of idle routers followed each change of the pool: in this
+    replay 24 routers wrote 5,657 records for 1,200 requests.
     """
     fleet = Fleet(routers, organisations=24)
     fleet.play(3.0, requests_per_s=0)
