Log the shared prompt parts of failed sends

The log could not tell whether requests that crash endpoints are repeats of one request or share a part of the prompt.

--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -9,6 +9,7 @@
 from ..http1 import Responder
 from ..routing import Hold
 from ..routing import Organisation
+from ..routing import PromptPart
 from ..routing import RequestMetadata
 from ..routing import Route
 from ..routing import RouteKind
@@ -145,6 +146,11 @@
             rank = self.organisation.priority
         return min(9, max(0, rank))
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Prompt parts that other requests may contain, too."""
+        return self.metadata.parts[:-1]
+
     def record_part(self, now_s: float) -> None:
         """Record the arrival of a part of a stream."""
         if self.first_byte_s is None:
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -222,6 +222,8 @@
                 sends=context.sends,
                 runs=context.possible_runs,
                 events=context.events.count or None,
+                parts=[f'{part.id:x}' for part in context.shared_parts]
+                or None,
             )
         return outcome
 
