--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 import json
 import struct
 from typing import Any
@@ -26,14 +27,14 @@
 class _Listener:
     def __init__(self) -> None:
         self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port, or on the previous one after a stop."""
         self._server = CallerServer(
             self.handle, ConnectionLimits(), lambda status, reason: None
         )
-
-    async def start(self) -> None:
-        """Listen on a free port."""
         self._server._server = await asyncio.get_running_loop().create_server(
-            lambda: _connection(self._server), HOST, 0
+            lambda: _connection(self._server), HOST, self.port
         )
         self.port = self._server._server.sockets[0].getsockname()[1]
 
@@ -204,6 +205,9 @@
     now and then), `hang`, `fail` (500), `busy` (503 that does not say whether
     it was run), `shed` (refuses unread), `moved` (421), `unsigned` or `twice`
     (sends its answer again).
+
+    A request with one of `crashing_parts` in its prompt, not counting the last
+    part, ends the server as its answer begins; `on_crash` is called then.
     """
 
     def __init__(self, server_id: str, service: str, *, events: int = 6):
@@ -214,6 +218,11 @@
         self.mode = 'ok'
         self.break_after = 0
         self.event_gap_s = 0.002
+        # Time from the arrival of a prompt to its first event.
+        self.prefill_s = 0.0
+        self.crashing_parts: set[int] = set()
+        self.crashes = 0
+        self.on_crash: Callable[[ServerStandIn], None] = lambda server: None
         self.requests: list[CallerRequest] = []
         self.ended: list[str] = []
 
@@ -280,6 +289,12 @@
         fields: list[tuple[bytes, bytes]],
     ) -> None:
         first = int(find(request.headers, b'last-event-id') or b'0') + 1
+        await asyncio.sleep(self.prefill_s)
+        if not self.crashing_parts.isdisjoint(_shared_parts(request)):
+            self.crashes += 1
+            self.stop()
+            self.on_crash(self)
+            return
         responder.start_stream(
             200, [*fields, (b'content-type', b'text/event-stream')]
         )
@@ -297,3 +312,9 @@
             responder.send(b'id: %d\ndata: e%d\n\n' % (i, i))
             await asyncio.sleep(self.event_gap_s)
         responder.end_stream()
+
+
+def _shared_parts(request: CallerRequest) -> list[int]:
+    prefix = find(request.headers, b'x-prompt-prefix') or b''
+    parts = [item.partition(b':')[0] for item in prefix.split(b',') if item]
+    return [int(part, 16) for part in parts[:-1]]
