Quarantine prompt parts that crash endpoints

What callers saw: while requests with one prompt part came, endpoints crashed one after another and a quarter to a half of all callers were not served: streams that shared an endpoint with the part broke off, and the endpoints that were left were overloaded.

Cause: crashes were counted by a digest of the whole request and by its id. What the requests have in common is one part of the prompt, and no two are alike, so every count was 1.

Change: evidence is kept by prompt part, only of requests that broke before their response began at an endpoint that then refuses a connection; a response that begins to a part clears it everywhere. Two crashes, the second by a request sent after the first, quarantine a part; parts that another one explains are served; requests on their way are cancelled. Evidence travels epidemically at a constant cost for each router.

Why it works: the part is the only one that no response ever begins to, so the intersection over two crashes is left with it; sound parts are cleared by the next response, and endpoints lost together count once.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -528,6 +528,10 @@
             ) from error
         return connection
 
+    def add_idle(self, connection: PeerConnection) -> None:
+        """Add a connection that has carried no request."""
+        self._idle.append(connection)
+
     def release(self, connection: PeerConnection) -> None:
         """Return a connection to the pool if it can be used again."""
         if connection.finish():
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -13,6 +13,7 @@
 from ..routing import Catalogue
 from ..routing import Choice
 from ..routing import CrashCounter
+from ..routing import CrashingParts
 from ..routing import EventTokens
 from ..routing import FleetRetryBudget
 from ..routing import Organisation
@@ -66,6 +67,7 @@
     budgets : BudgetTask
     peers : PeerTask
     crashes : CrashCounter
+    parts : CrashingParts
     metrics : NodeMetrics
     decisions : DecisionLog
     rng : random.Random
@@ -80,6 +82,7 @@
         budgets: BudgetTask,
         peers: PeerTask,
         crashes: CrashCounter,
+        parts: CrashingParts,
         metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -91,12 +94,19 @@
         self._budgets = budgets
         self._peers = peers
         self._crashes = crashes
+        self._parts = parts
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
         self._reachability = Reachability()
         self._sender = Sender(
-            codec, directory, peers, crashes, self._reachability, decisions
+            codec,
+            directory,
+            peers,
+            crashes,
+            parts,
+            self._reachability,
+            decisions,
         )
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._event_tokens = EventTokens()
@@ -197,6 +207,7 @@
             raise RefusedError(
                 503, 'crashed several endpoints', _POISON_RETRY_S
             )
+        self._check_parts(context, loop.time())
         await self._hold_tokens(context)
         try:
             async with asyncio.timeout_at(context.deadline_s):
@@ -232,6 +243,7 @@
 
     async def _send_until_answered(self, context: RequestContext) -> None:
         while True:
+            self._check_parts(context, asyncio.get_running_loop().time())
             entry, choice = self._choose(context)
             outcome = await self._sender.send(
                 context, entry, choice, lambda: self._may_cancel(context)
@@ -331,6 +343,20 @@
     def _is_poison(self, context: RequestContext, now_s: float) -> bool:
         return self._crashes.is_stopped(context.digest, context.digest, now_s)
 
+    def _check_parts(self, context: RequestContext, now_s: float) -> None:
+        quarantine = self._parts.find_quarantine(
+            context.part_keys, routers=self._peers.live_routers(), now_s=now_s
+        )
+        if quarantine is None:
+            return
+        raise RefusedError(
+            502 if context.possible_runs else 503,
+            'prompt part crashes endpoints',
+            quarantine.remaining_s,
+            part=f'{quarantine.part_id:x}',
+            crashes=quarantine.crashes,
+        )
+
     def _retry_budget(self, service: str) -> FleetRetryBudget:
         retry_budget = self._retry_budgets.get(service)
         if retry_budget is None:
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -85,6 +85,10 @@
                 ('configuration_version', 'Version in force'),
                 ('endpoints', 'Endpoints that the platform lists'),
                 ('store_read_age_seconds', 'Age of the last read'),
+                (
+                    'suspect_prompt_parts',
+                    'Prompt parts that may have crashed endpoints',
+                ),
                 ('log_lines_dropped', 'Log lines that were not written'),
                 (
                     'peer_report_interval_seconds',
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -13,6 +13,7 @@
 from ..http1 import ConnectionLimits
 from ..routing import Catalogue
 from ..routing import CrashCounter
+from ..routing import CrashingParts
 from ._budgets import BudgetTask
 from ._configuration_fetcher import ConfigurationFetcher
 from ._decision_log import DecisionLog
@@ -83,6 +84,7 @@
             codec, decisions, settings.prompt_reuse_s
         )
         crashes = CrashCounter(max_crashes=_MAX_CRASHES)
+        self._parts = CrashingParts(random.Random())
         self._writer = LogWriter(log, FLEET_TOPIC, self.holder, decisions)
         self.budgets = BudgetTask(self.holder, self._writer, decisions)
         self.peers = PeerTask(
@@ -91,6 +93,7 @@
             self.directory,
             self.budgets,
             crashes,
+            self._parts,
             decisions,
             self._configuration_version,
             data_centre=settings.data_centre,
@@ -107,6 +110,7 @@
             self.budgets,
             self.peers,
             crashes,
+            self._parts,
             self._metrics,
             decisions,
             random.Random(),
@@ -312,6 +316,7 @@
             ('configuration_version', self._configuration_version()),
             ('endpoints', len(self.directory)),
             ('store_read_age_seconds', self.budgets.outage_s),
+            ('suspect_prompt_parts', len(self._parts)),
             ('log_lines_dropped', self._decisions.dropped_total),
             ('peer_report_interval_seconds', self.peers.report_interval_s),
             ('peer_sent_bytes', self.peers.sent_bytes),
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -19,11 +19,17 @@
 from thriftpy2.utils import serialize
 
 from ..routing import CrashCounter
+from ..routing import CrashEvidence
+from ..routing import CrashingParts
 from ..routing import Donors
 from ..routing import FleetClock
 from ..routing import PeerReport
 from ..routing import SendEvidence
 from ._budgets import BudgetTask
+from ._crash_records import decode_cleared
+from ._crash_records import decode_crash_evidence
+from ._crash_records import encode_cleared
+from ._crash_records import encode_crash_evidence
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
 from ._peer_records import PrefixAnnouncements
@@ -70,6 +76,16 @@
 _EXPIRY_INTERVAL_S = 0.5
 # Crashes per report; few requests crash endpoints at a time.
 _MAX_CRASHES = 32
+# New evidence on crashing prompt parts is collected this long and sent to this
+# many routers, which pass it on.
+_ANNOUNCEMENT_DELAY_S = 0.005
+_ANNOUNCEMENT_ROUTERS = 6
+# All evidence is sent to a few routers in this interval.
+_SYNCHRONISATION_INTERVAL_S = 1.0
+_SYNCHRONISED_ROUTERS = 2
+# Items per datagram; with four parts a request, 2.4 KB.
+_MAX_EVIDENCE = 32
+_MAX_CLEARED = 48
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +106,7 @@
     directory : EndpointDirectory
     budgets : BudgetTask
     crashes : CrashCounter
+    parts : CrashingParts
     decisions : DecisionLog
     configuration_version : callable
         Returns the configuration version that this router applies.
@@ -106,6 +123,7 @@
         directory: EndpointDirectory,
         budgets: BudgetTask,
         crashes: CrashCounter,
+        parts: CrashingParts,
         decisions: DecisionLog,
         configuration_version: Callable[[], int],
         *,
@@ -119,6 +137,10 @@
         self._directory = directory
         self._budgets = budgets
         self._crashes = crashes
+        self._parts = parts
+        self._announcing = False
+        # Called when there is new evidence on crashing prompt parts.
+        self.on_crash_evidence: Callable[[], None] = lambda: None
         self._decisions = decisions
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -228,6 +250,7 @@
         """Send reports until cancelled."""
         loop = asyncio.get_running_loop()
         expired_s = loop.time()
+        synchronised_s = loop.time()
         while True:
             data, due = self._prepare_report(loop.time())
             interval_s = self._interval_s(data, len(due))
@@ -239,6 +262,9 @@
                     self._send(data, peer)
                 await asyncio.sleep(interval_s / steps)
             self._budgets.allotments.routers = self.live_routers()
+            if loop.time() - synchronised_s >= _SYNCHRONISATION_INTERVAL_S:
+                synchronised_s = loop.time()
+                self._synchronise_crashes(synchronised_s)
             if loop.time() - expired_s >= _EXPIRY_INTERVAL_S:
                 expired_s = loop.time()
                 for entry in self._directory:
@@ -327,6 +353,59 @@
             self.sent_bytes += len(data) + _HEADER_BYTES
             self._transport.sendto(data, peer.address)
 
+    # Crashes.
+
+    def announce_crashes(self) -> None:
+        """Send new evidence on crashing prompt parts to some routers.
+
+        They do the same, so that all routers learn of it within a few hops
+        while the cost of each is independent of their number.
+        """
+        if not self._parts.has_news:
+            return
+        self.on_crash_evidence()
+        if not self._announcing:
+            self._announcing = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(_ANNOUNCEMENT_DELAY_S, self._send_crash_news)
+
+    def _send_crash_news(self) -> None:
+        self._announcing = False
+        now_s = asyncio.get_running_loop().time()
+        evidence, cleared = self._parts.pop_news()
+        self._send_crashes(
+            evidence[-_MAX_EVIDENCE:],
+            cleared[-_MAX_CLEARED:],
+            _ANNOUNCEMENT_ROUTERS,
+            now_s,
+        )
+
+    def _synchronise_crashes(self, now_s: float) -> None:
+        # For routers that have just started, or missed a datagram.
+        self._send_crashes(
+            list(itertools.islice(self._parts.evidence(now_s), _MAX_EVIDENCE)),
+            list(itertools.islice(self._parts.cleared(now_s), _MAX_CLEARED)),
+            _SYNCHRONISED_ROUTERS,
+            now_s,
+        )
+
+    def _send_crashes(
+        self,
+        evidence: list[CrashEvidence],
+        cleared: list[tuple[int, float]],
+        routers: int,
+        now_s: float,
+    ) -> None:
+        if not evidence and not cleared:
+            return
+        data = self._encode(
+            crash_evidence=encode_crash_evidence(evidence, now_s),
+            cleared_parts=encode_cleared(cleared, now_s),
+        )
+        peers = self._live_peers()
+        for peer in self._rng.sample(peers, min(routers, len(peers))):
+            self._send(data, peer)
+
     # Receiving.
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -337,6 +416,11 @@
             loads = decode_loads(report and report.loads or b'')
             prefixes = decode_prefixes(report and report.runs or b'')
             evidence = decode_evidence(report and report.evidence or b'')
+            now_s = asyncio.get_running_loop().time()
+            crashes = decode_crash_evidence(
+                datagram.crash_evidence or b'', now_s
+            )
+            cleared = decode_cleared(datagram.cleared_parts or b'', now_s)
         except (TException, ValueError, EOFError, TypeError) as error:
             self._decisions.event(
                 'peer_unreadable', routine=True, reason=str(error)
@@ -347,7 +431,6 @@
         peer = self._peers.get(datagram.router)
         if peer is None:
             peer = self._peers[datagram.router] = _Peer(addr)
-        now_s = asyncio.get_running_loop().time()
         if now_s - peer.last_seen_s >= LIVENESS_TIMEOUT_S:
             # Routine, as a start logs one line per peer: 84 at once on the
             # largest sites.
@@ -362,6 +445,11 @@
             self._apply_loads(datagram.router, loads, prefixes, now_s)
             if evidence:
                 self._apply_evidence(datagram, evidence, now_s)
+        for item in crashes:
+            self._parts.add(item, now_s)
+        for key, begun_s in cleared:
+            self._parts.clear(key, begun_s)
+        self.announce_crashes()
         if datagram.request is not None:
             self._handle_allotment_request(datagram.request, peer)
         if datagram.transfer is not None:
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -13,7 +13,9 @@
 from ..routing import RequestMetadata
 from ..routing import Route
 from ..routing import RouteKind
+from ..routing import part_key
 from ..routing import prompt_prefixes
+from ._peer_records import endpoint_number
 
 
 class RefusedError(Exception):
@@ -75,6 +77,7 @@
         'longest_pause_s',
         'metadata',
         'organisation',
+        'part_keys',
         'pause_end_s',
         'possible_runs',
         'prompt_prefixes',
@@ -122,6 +125,11 @@
             )
         )
         self.prompt_prefixes = prompt_prefixes(metadata.parts)
+        # Of the parts that other requests may contain, too.
+        self.part_keys = tuple(
+            part_key(endpoint_number(service), part.id)
+            for part in self.shared_parts
+        )
         self.hold: Hold | None = None
         self.charged_tokens: int | None = None
         self.sends = 0
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -12,12 +12,14 @@
 from ..http1 import ResponseHead
 from ..routing import Choice
 from ..routing import CrashCounter
+from ..routing import CrashingParts
 from ..routing import InFlightRequest
 from ..routing import Reachability
 from ..routing import RouteKind
 from ..routing import SendResult
 from ..routing import event_gap_timeout_s
 from ..routing import first_byte_timeout_s
+from ._crash_watch import CrashWatch
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
@@ -136,6 +138,7 @@
     directory : EndpointDirectory
     peers : PeerTask
     crashes : CrashCounter
+    parts : CrashingParts
     reachability : Reachability
     decisions : DecisionLog
     """
@@ -146,15 +149,24 @@
         directory: EndpointDirectory,
         peers: PeerTask,
         crashes: CrashCounter,
+        parts: CrashingParts,
         reachability: Reachability,
         decisions: DecisionLog,
     ) -> None:
+        self._parts = parts
+        self._crash_watch = CrashWatch(
+            parts, decisions, peers.announce_crashes
+        )
         self._codec = codec
         self._directory = directory
         self._peers = peers
         self._crashes = crashes
         self._reachability = reachability
         self._decisions = decisions
+        # Connections that wait for the beginning of a response to a prompt
+        # with shared parts, and when it was sent.
+        self._waiting: dict[PeerConnection, tuple[RequestContext, float]] = {}
+        peers.on_crash_evidence = self._cancel_quarantined
         self._large_responses = asyncio.Semaphore(_MAX_LARGE_RESPONSES)
 
     async def send(
@@ -185,6 +197,8 @@
         self._reachability.record_send(entry.endpoint.data_centre, loop.time())
         context.tried_endpoints.append(entry.endpoint.id)
         started = False
+        sent_s = loop.time()
+        events_before = context.events.count
         response_timer = ResponseTimer(context, choice.forecast_s, may_cancel)
         try:
             if connection is None:
@@ -192,6 +206,9 @@
             started = True
             context.sends += 1
             context.possible_runs += 1
+            sent_s = loop.time()
+            if context.part_keys:
+                self._waiting[connection] = context, sent_s
             self._send_request(context, entry, connection)
             response_timer.start(connection)
             head = await connection.read_head()
@@ -206,6 +223,7 @@
         finally:
             response_timer.stop()
             if connection is not None:
+                self._waiting.pop(connection, None)
                 entry.pool.release(connection)
             load.remove_request(in_flight)
         if outcome.result is not None and outcome.result.proves_not_run:
@@ -225,8 +243,30 @@
                 parts=[f'{part.id:x}' for part in context.shared_parts]
                 or None,
             )
+        if (
+            outcome.broken
+            and context.part_keys
+            and context.events.count == events_before
+        ):
+            await self._crash_watch.record_broken(
+                entry, context.part_keys, sent_s
+            )
         return outcome
 
+    def _cancel_quarantined(self) -> None:
+        # A request that has not begun still can crash its endpoint. A trial
+        # is not cancelled: it was sent after the last crash.
+        now_s = asyncio.get_running_loop().time()
+        routers = self._peers.live_routers()
+        for connection, (context, sent_s) in list(self._waiting.items()):
+            quarantine = self._parts.find_quarantine(
+                context.part_keys, routers=routers, now_s=now_s
+            )
+            if quarantine is not None and quarantine.crashed_s > sent_s:
+                connection.cancel(
+                    f'prompt part {quarantine.part_id:x} crashes endpoints'
+                )
+
     def _send_request(
         self,
         context: RequestContext,
@@ -253,6 +293,7 @@
                 entry.load.cache.touch(key, now_s)
             # The last prefix is specific to this request.
             self._peers.record_prefixes(entry.number, keys[:-1])
+        self._parts.record_sent(context.part_keys, now_s)
 
     async def _receive_response(
         self,
@@ -316,6 +357,7 @@
         loop = asyncio.get_running_loop()
         responder = context.responder
         context.events.drop_partial()
+        begun = False
         while part := await connection.read_part():
             now_s = loop.time()
             context.record_part(now_s)
@@ -323,6 +365,10 @@
             # Only complete events count; another endpoint may have to resume
             # the stream after the last one.
             forwardable = context.events.feed(part)
+            if forwardable and not begun:
+                begun = True
+                self._waiting.pop(connection, None)
+                self._crash_watch.record_begun(context.part_keys)
             if not context.route.resumable:
                 forwardable = part
             if forwardable:
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -45,5 +45,9 @@
   2: string router,
   3: optional Report report,
   4: optional AllotmentRequest request,
-  5: optional AllotmentTransfer transfer
+  5: optional AllotmentTransfer transfer,
+  // Requests broken by crashes, and prompt parts that are no longer suspect;
+  // see _crash_records.py.
+  6: optional binary crash_evidence,
+  7: optional binary cleared_parts
 }
--- a/src/basilpond/node/tests/test_budgets_in_a_cut.py
+++ b/src/basilpond/node/tests/test_budgets_in_a_cut.py
@@ -10,6 +10,7 @@
 from basilpond.node._peers import PeerTask
 from basilpond.routing import ClockReading
 from basilpond.routing import CrashCounter
+from basilpond.routing import CrashingParts
 from basilpond_testkit.paused_clock import run
 
 ORG = 'org'
@@ -142,6 +143,7 @@
             NullStub(),
             budgets,
             CrashCounter(),
+            CrashingParts(random.Random(1)),
             NullStub(),
             lambda: 1,
         )
--- a/src/basilpond/node/tests/test_configuration_fetcher.py
+++ b/src/basilpond/node/tests/test_configuration_fetcher.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import random
 import time
 import zlib
 
@@ -10,6 +11,7 @@
 from basilpond.node._configuration_fetcher import ConfigurationFetcher
 from basilpond.node._peers import PeerTask
 from basilpond.routing import CrashCounter
+from basilpond.routing import CrashingParts
 from basilpond_testkit._fleet import free_ports
 
 HOST = '127.0.0.1'
@@ -107,7 +109,14 @@
     events = Events()
     budgets = BudgetTask('n~1', None, events)
     peers = PeerTask(
-        'n', 'n~1', [], budgets, CrashCounter(), events, lambda: 0
+        'n',
+        'n~1',
+        [],
+        budgets,
+        CrashCounter(),
+        CrashingParts(random.Random(1)),
+        events,
+        lambda: 0,
     )
     now_s = asyncio.get_running_loop().time()
     for i in range(20):
--- a/src/basilpond/node/tests/test_crashing_parts.py
+++ b/src/basilpond/node/tests/test_crashing_parts.py
@@ -82,3 +82,37 @@
         replies = await asyncio.gather(*sound)
         # A crash breaks the requests at its endpoint.
         assert sum(served(reply) for reply in replies[10:]) >= 18
+
+
+async def test_request_on_its_way_is_cancelled_when_its_part_is_known():
+    """Guards against a further crash by a request that was sent before."""
+    async with world(nodes=2, models=4) as system:
+        models = prepare(system, 0xBAD)
+        for server in models:
+            server.prefill_s = 0.4
+
+        def send(i):
+            fields = headers(1, 20, 0xBAD, 2000 + i)
+            return system.prompt(f'/digest/{i}', node=i % 2, headers=fields)
+
+        await send(0)
+        second = asyncio.create_task(send(1))
+        await asyncio.sleep(0.2)
+        third = asyncio.create_task(send(2))
+        assert (await second).status == (await third).status == 502
+        await asyncio.sleep(0.3)
+        assert sum(server.crashes for server in models) == 2
+        assert sum('cancelled' in server.ended for server in models) >= 1
+
+
+async def test_reset_by_an_endpoint_that_lives_makes_no_part_suspect():
+    """Guards against refusing prompts because endpoints reset connections."""
+    async with world(models=3) as system:
+        for server in system.servers.values():
+            server.mode = 'break'
+        for i in range(6):
+            await system.prompt(f'/digest/{i}', headers=headers(1, 2, 3))
+        for server in system.servers.values():
+            server.mode = 'ok'
+        reply = await system.prompt('/digest/x', headers=headers(1, 2, 4))
+        assert served(reply)
--- a/src/basilpond/node/tests/test_fleet_topic.py
+++ b/src/basilpond/node/tests/test_fleet_topic.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 
 from basilpond.node import Record
 from basilpond.node._budgets import BudgetTask
@@ -6,6 +7,7 @@
 from basilpond.node._peers import PeerTask
 from basilpond.routing import ClockReading
 from basilpond.routing import CrashCounter
+from basilpond.routing import CrashingParts
 
 
 class NullStub:
@@ -131,7 +133,14 @@
     topic, budgets = make_topic()
     topic.apply_newest([], 0, snapshot=True)
     peers = PeerTask(
-        'n', 'n~1', [], budgets, CrashCounter(), NullStub(), lambda: 0
+        'n',
+        'n~1',
+        [],
+        budgets,
+        CrashCounter(),
+        CrashingParts(random.Random(1)),
+        NullStub(),
+        lambda: 0,
     )
     peers._transport = RecordingSocket()
     for i in range(20):
--- a/src/basilpond/node/tests/test_peer_reports.py
+++ b/src/basilpond/node/tests/test_peer_reports.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import random
 
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import serialize
@@ -11,6 +12,7 @@
 from basilpond.platform._settings import load_settings
 from basilpond.routing import ClockReading
 from basilpond.routing import CrashCounter
+from basilpond.routing import CrashingParts
 from basilpond.routing import Endpoint
 from basilpond_testkit.paused_clock import on_paused_clock
 
@@ -83,6 +85,7 @@
         directory,
         budgets,
         CrashCounter(),
+        CrashingParts(random.Random(1)),
         NullDecisionLog(),
         lambda: 1,
         link_bytes_per_s=link_bytes_per_s,
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -3,6 +3,10 @@
 from ._catalogue import Catalogue
 from ._catalogue import choose_service
 from ._crash_counter import CrashCounter
+from ._crashing_parts import CrashEvidence
+from ._crashing_parts import CrashingParts
+from ._crashing_parts import Quarantine
+from ._crashing_parts import part_key
 from ._donors import Donors
 from ._escrow_accounts import ClockReading
 from ._escrow_accounts import EscrowAccount
@@ -48,6 +52,8 @@
     'ClockReading',
     'Configuration',
     'CrashCounter',
+    'CrashEvidence',
+    'CrashingParts',
     'Donors',
     'Endpoint',
     'EndpointLoad',
@@ -63,6 +69,7 @@
     'PeerReport',
     'PromptCache',
     'PromptPart',
+    'Quarantine',
     'Reachability',
     'RequestMetadata',
     'Route',
@@ -76,6 +83,7 @@
     'guarantees_not_run',
     'long_prompt_endpoints',
     'may_send_again',
+    'part_key',
     'prefill_cost',
     'prompt_prefixes',
     'sample_loads',
