Treat a stream that ends within an event as broken off

What callers saw: a response without length and without chunks ends with its connection, and so does one whose endpoint crashed. A stream that cannot be resumed was then ended as complete in the middle of an event.

Cause: only resumable streams were checked for an incomplete event at their end, and neither kind counted as a broken request, so the crash was no evidence for the ejection of the endpoint or on its prompt parts.

The stand-in of a model server has the mode. A crash exactly between two events still looks like an end; the protocol has no other sign.

--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -392,8 +392,14 @@
                 await responder.drain()
                 context.last_part_s = loop.time()
                 response_timer.record_part()
-        if context.events.partial and context.route.resumable:
-            return SendOutcome(SendResult.UNKNOWN, 'ended within an event')
+        if context.events.partial.strip():
+            # Without a length or chunks, the end of the connection ends the
+            # response, also where the endpoint crashed.
+            return SendOutcome(
+                SendResult.UNKNOWN,
+                'broken: ended within an event',
+                broken=True,
+            )
         if not responder.started:
             responder.start_stream(
                 head.status, self._codec.response_fields(head)
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -202,7 +202,9 @@
 
     `mode` is `ok`, `break` (resets after `break_after` events, or at once),
     `drip` (stalls after `break_after` events, but sends a byte of the next one
-    now and then), `hang`, `fail` (500), `busy` (503 that does not say whether
+    now and then), `unframed` (a response without length or chunks, which ends
+    with its connection, within the event after `break_after` if there is
+    one), `hang`, `fail` (500), `busy` (503 that does not say whether
     it was run), `shed` (refuses unread), `moved` (421), `unsigned` or `twice`
     (sends its answer again).
 
@@ -295,9 +297,11 @@
             self.stop()
             self.on_crash(self)
             return
-        responder.start_stream(
-            200, [*fields, (b'content-type', b'text/event-stream')]
-        )
+        fields.append((b'content-type', b'text/event-stream'))
+        if self.mode == 'unframed':
+            await self._stream_unframed(responder, fields, first)
+            return
+        responder.start_stream(200, fields)
         for i in range(first, self.events + 1):
             if self.mode == 'break' and i > self.break_after:
                 responder.send(b'id: %d\nda' % i)
@@ -313,6 +317,24 @@
             await asyncio.sleep(self.event_gap_s)
         responder.end_stream()
 
+    async def _stream_unframed(
+        self,
+        responder: Responder,
+        fields: list[tuple[bytes, bytes]],
+        first: int,
+    ) -> None:
+        connection = responder._connection
+        lines = b''.join(b'%s: %s\r\n' % field for field in fields)
+        connection.write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n')
+        for i in range(first, self.events + 1):
+            if self.break_after and i > self.break_after:
+                connection.write(b'id: %d\nda' % i)
+                break
+            connection.write(b'id: %d\ndata: e%d\n\n' % (i, i))
+            await asyncio.sleep(self.event_gap_s)
+        responder.ended = True
+        connection.close()
+
 
 def _shared_parts(request: CallerRequest) -> list[int]:
     prefix = find(request.headers, b'x-prompt-prefix') or b''
