--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -210,6 +210,8 @@
 
     A request with one of `crashing_parts` in its prompt, not counting the last
     part, ends the server as its answer begins; `on_crash` is called then.
+    With `limit_per_s`, its answers name the requests a second that it takes
+    from all callers.
     """
 
     def __init__(self, server_id: str, service: str, *, events: int = 6):
@@ -222,6 +224,9 @@
         self.event_gap_s = 0.002
         # Time from the arrival of a prompt to its first event.
         self.prefill_s = 0.0
+        self.limit_per_s: float | None = None
+        # Times of the event loop at which requests arrived.
+        self.arrived_s: list[float] = []
         self.crashing_parts: set[int] = set()
         self.crashes = 0
         self.on_crash: Callable[[ServerStandIn], None] = lambda server: None
@@ -247,8 +252,10 @@
         self, request: CallerRequest, responder: Responder
     ) -> None:
         """Run a request."""
+        self.arrived_s.append(asyncio.get_running_loop().time())
         if self.mode == 'shed':
-            responder.respond(503, [(b'x-not-executed', b'1')])
+            fields = [(b'x-not-executed', b'1'), *self._limit_fields()]
+            responder.respond(503, fields)
             return
         if self.mode == 'moved':
             responder.respond(421, [(b'x-instance-id', b'other')])
@@ -261,9 +268,14 @@
             self.ended.append('cancelled')
             raise
 
+    def _limit_fields(self) -> list[tuple[bytes, bytes]]:
+        if self.limit_per_s is None:
+            return []
+        return [(b'server-limit', b'%.1f' % self.limit_per_s)]
+
     async def _run(self, request: CallerRequest, responder: Responder) -> None:
         request_id = find(request.headers, b'x-request-id') or b''
-        fields = [(b'x-request-id', request_id)]
+        fields = [(b'x-request-id', request_id), *self._limit_fields()]
         if self.mode != 'unsigned':
             fields.append((b'x-response-stamp', b'stamp-%s' % request_id))
         if self.mode == 'hang':
