Separate the epidemic spread of news from what it carries

Preparation for further records that all routers have to learn; no change of behaviour. Tests of announcements, crashing parts and peer reports pass.

--- a/src/basilpond/node/_crash_watch.py
+++ b/src/basilpond/node/_crash_watch.py
@@ -11,7 +11,6 @@
 from ._crash_records import MAX_PARTS
 from ._decision_log import DecisionLog
 from ._directory import EndpointEntry
-from ._peer_records import endpoint_number
 
 # Longest time for which the retry of a broken request waits for the
 # confirmation: a refused connection takes one round trip.
@@ -100,8 +99,9 @@
         )
         if not crashed:
             return
-        incarnation = endpoint_number(repr(entry.endpoint.incarnation))
         for keys, sent_s, broken_s in broken:
-            evidence = CrashEvidence(incarnation, keys, sent_s, broken_s)
+            evidence = CrashEvidence(
+                entry.incarnation_number, keys, sent_s, broken_s
+            )
             self._parts.add(evidence, now_s)
         self._announce()
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -99,11 +99,13 @@
 class EndpointEntry:
     """An endpoint with its load and its connections."""
 
-    __slots__ = ('endpoint', 'load', 'number', 'pool')
+    __slots__ = ('endpoint', 'incarnation_number', 'load', 'number', 'pool')
 
     def __init__(self, endpoint: Endpoint, cache_retention_s: float) -> None:
         self.endpoint = endpoint
         self.number = endpoint_number(endpoint.id)
+        # The same for its process, as it may start again under its id.
+        self.incarnation_number = endpoint_number(repr(endpoint.incarnation))
         self.load = EndpointLoad(endpoint, cache_retention_s)
         self.pool = ConnectionPool(
             endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -19,7 +19,6 @@
 from thriftpy2.utils import serialize
 
 from ..routing import CrashCounter
-from ..routing import CrashEvidence
 from ..routing import CrashingParts
 from ..routing import Donors
 from ..routing import FleetClock
@@ -76,11 +75,10 @@
 _EXPIRY_INTERVAL_S = 0.5
 # Crashes per report; few requests crash endpoints at a time.
 _MAX_CRASHES = 32
-# New evidence on crashing prompt parts is collected this long and sent to this
-# many routers, which pass it on.
+# News is collected this long and sent to this many routers, which pass it on.
 _ANNOUNCEMENT_DELAY_S = 0.005
 _ANNOUNCEMENT_ROUTERS = 6
-# All evidence is sent to a few routers in this interval.
+# All that was learned is sent to a few routers in this interval.
 _SYNCHRONISATION_INTERVAL_S = 1.0
 _SYNCHRONISED_ROUTERS = 2
 # Items per datagram; with four parts a request, 2.4 KB.
@@ -264,7 +262,7 @@
             self._budgets.allotments.routers = self.live_routers()
             if loop.time() - synchronised_s >= _SYNCHRONISATION_INTERVAL_S:
                 synchronised_s = loop.time()
-                self._synchronise_crashes(synchronised_s)
+                self._synchronise(synchronised_s)
             if loop.time() - expired_s >= _EXPIRY_INTERVAL_S:
                 expired_s = loop.time()
                 for entry in self._directory:
@@ -353,10 +351,10 @@
             self.sent_bytes += len(data) + _HEADER_BYTES
             self._transport.sendto(data, peer.address)
 
-    # Crashes.
+    # News, which routers pass on.
 
-    def announce_crashes(self) -> None:
-        """Send new evidence on crashing prompt parts to some routers.
+    def announce_news(self) -> None:
+        """Send what this router has learned to some routers.
 
         They do the same, so that all routers learn of it within a few hops
         while the cost of each is independent of their number.
@@ -367,41 +365,34 @@
         if not self._announcing:
             self._announcing = True
             loop = asyncio.get_running_loop()
-            loop.call_later(_ANNOUNCEMENT_DELAY_S, self._send_crash_news)
+            loop.call_later(_ANNOUNCEMENT_DELAY_S, self._send_news)
 
-    def _send_crash_news(self) -> None:
+    def _send_news(self) -> None:
         self._announcing = False
         now_s = asyncio.get_running_loop().time()
         evidence, cleared = self._parts.pop_news()
-        self._send_crashes(
-            evidence[-_MAX_EVIDENCE:],
-            cleared[-_MAX_CLEARED:],
+        self._spread(
             _ANNOUNCEMENT_ROUTERS,
-            now_s,
+            crash_evidence=encode_crash_evidence(
+                evidence[-_MAX_EVIDENCE:], now_s
+            ),
+            cleared_parts=encode_cleared(cleared[-_MAX_CLEARED:], now_s),
         )
 
-    def _synchronise_crashes(self, now_s: float) -> None:
+    def _synchronise(self, now_s: float) -> None:
         # For routers that have just started, or missed a datagram.
-        self._send_crashes(
-            list(itertools.islice(self._parts.evidence(now_s), _MAX_EVIDENCE)),
-            list(itertools.islice(self._parts.cleared(now_s), _MAX_CLEARED)),
+        evidence = itertools.islice(self._parts.evidence(now_s), _MAX_EVIDENCE)
+        cleared = itertools.islice(self._parts.cleared(now_s), _MAX_CLEARED)
+        self._spread(
             _SYNCHRONISED_ROUTERS,
-            now_s,
-        )
-
-    def _send_crashes(
-        self,
-        evidence: list[CrashEvidence],
-        cleared: list[tuple[int, float]],
-        routers: int,
-        now_s: float,
-    ) -> None:
-        if not evidence and not cleared:
-            return
-        data = self._encode(
             crash_evidence=encode_crash_evidence(evidence, now_s),
             cleared_parts=encode_cleared(cleared, now_s),
         )
+
+    def _spread(self, routers: int, **records: bytes) -> None:
+        if not any(records.values()):
+            return
+        data = self._encode(**records)
         peers = self._live_peers()
         for peer in self._rng.sample(peers, min(routers, len(peers))):
             self._send(data, peer)
@@ -449,7 +440,7 @@
             self._parts.add(item, now_s)
         for key, begun_s in cleared:
             self._parts.clear(key, begun_s)
-        self.announce_crashes()
+        self.announce_news()
         if datagram.request is not None:
             self._handle_allotment_request(datagram.request, peer)
         if datagram.transfer is not None:
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -154,9 +154,7 @@
         decisions: DecisionLog,
     ) -> None:
         self._parts = parts
-        self._crash_watch = CrashWatch(
-            parts, decisions, peers.announce_crashes
-        )
+        self._crash_watch = CrashWatch(parts, decisions, peers.announce_news)
         self._codec = codec
         self._directory = directory
         self._peers = peers
--- a/src/basilpond/node/tests/test_crash_announcements.py
+++ b/src/basilpond/node/tests/test_crash_announcements.py
@@ -66,17 +66,17 @@
             now_s = loop.time()
             evidence = CrashEvidence(incarnation, KEYS, now_s - 0.2, now_s)
             tasks[incarnation]._parts.add(evidence, now_s)
-            tasks[incarnation].announce_crashes()
+            tasks[incarnation].announce_news()
         await asyncio.sleep(0.05)
         assert refusing(tasks) >= 0.95 * routers
         assert max(task._transport.sent for task in tasks) <= 12
         for _ in range(3):
             for task in tasks:
-                task._synchronise_crashes(loop.time())
+                task._synchronise(loop.time())
             await asyncio.sleep(0.05)
         assert refusing(tasks) == routers
         tasks[0]._parts.record_begun(KEYS, loop.time())
-        tasks[0].announce_crashes()
+        tasks[0].announce_news()
         await asyncio.sleep(0.05)
         assert refusing(tasks) <= 0.05 * routers
 
@@ -96,7 +96,7 @@
             task._parts.pop_news()
     for _ in range(3):
         for task in tasks[1:]:
-            task._synchronise_crashes(loop.time())
+            task._synchronise(loop.time())
     assert refusing(tasks[:1]) == 1
 
 
