Tell a router that still reports evidence that the part is sound

A router that returns from a cut reports old evidence and refuses the part; the others know that responses to it have begun since, ignored the evidence and said nothing after the first 10 s.

--- a/src/basilpond/routing/_crashing_parts.py
+++ b/src/basilpond/routing/_crashing_parts.py
@@ -238,6 +238,8 @@
                 # Other routers may not have seen this response.
                 self.clear(key, begun_s)
             if begun_s >= evidence.broken_s:
+                # Nor may the router that still reports the evidence.
+                self._new_cleared[key] = begun_s
                 continue
             suspect = self._suspects.get(key)
             if suspect is None:
--- a/src/basilpond/routing/tests/test_crashing_parts.py
+++ b/src/basilpond/routing/tests/test_crashing_parts.py
@@ -228,3 +228,21 @@
     # All of it expires.
     assert list(parts.evidence(1000.0)) == []
     assert len(parts) == 0
+
+
+def test_router_with_old_evidence_is_told_that_a_part_is_sound():
+    """Guards against a router that returns from a cut and refuses a part."""
+    fleet = Fleet(2)
+    parts = (SYSTEM,)
+    isolated = fleet.routers[1]
+    for incarnation, sent_s in ((8, 1.0), (9, 2.0)):
+        item = CrashEvidence(incarnation, parts, sent_s, sent_s + 0.2)
+        isolated.add(item, sent_s + 0.2)
+    isolated.pop_news()
+    fleet.begin(0, parts, 5.0)
+    assert fleet.refuses(1, parts, 10.0)
+    for item in list(isolated.evidence(10.0)):
+        fleet.routers[0].add(item, 10.0)
+    fleet.spread(10.0)
+    fleet.advance(10.1)
+    assert not fleet.refuses(1, parts, 10.1)
