Send no probe for a limit to an endpoint that is avoided

A router with a share of a limit sends a request a second to learn whether the limit still holds. It did so although the endpoint was ejected or behind a cut, and a request that cannot be repeated would be lost each second. Routers skip all of this while no endpoint names a limit. Found while reading; tests of limits pass.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -288,18 +288,11 @@
         fresh = [
             e for e in entries if e.endpoint.id not in context.tried_endpoints
         ]
+        if self._limits.is_empty:
+            entries = fresh or entries
+        else:
+            entries = await self._choose_within_limits(context, fresh, entries)
         now_s = asyncio.get_running_loop().time()
-        entries = self._within_limits(fresh, now_s) or self._within_limits(
-            entries, now_s
-        )
-        if not entries:
-            entries = await self._wait_for_limit(context)
-            now_s = asyncio.get_running_loop().time()
-        entries = [
-            entry
-            for entry in entries
-            if self._limits.needs_probe(entry.incarnation_number, now_s)
-        ] or entries
         choice = choose_endpoint(
             sample_loads(
                 [entry.load for entry in entries],
@@ -338,6 +331,29 @@
         )
         return entry, choice
 
+    async def _choose_within_limits(
+        self,
+        context: RequestContext,
+        fresh: list[EndpointEntry],
+        entries: list[EndpointEntry],
+    ) -> list[EndpointEntry]:
+        now_s = asyncio.get_running_loop().time()
+        admitting = self._within_limits(fresh, now_s) or self._within_limits(
+            entries, now_s
+        )
+        if not admitting:
+            return await self._wait_for_limit(context)
+        probed = [
+            entry
+            for entry in admitting
+            if self._limits.needs_probe(entry.incarnation_number, now_s)
+            and not entry.load.is_avoided(now_s)
+            and not self._reachability.is_avoided(
+                entry.endpoint.data_centre, now_s
+            )
+        ]
+        return probed or admitting
+
     def _within_limits(
         self, entries: list[EndpointEntry], now_s: float
     ) -> list[EndpointEntry]:
--- a/src/basilpond/routing/_endpoint_limits.py
+++ b/src/basilpond/routing/_endpoint_limits.py
@@ -118,6 +118,11 @@
     def __len__(self) -> int:
         return sum(limit.per_s is not None for limit in self._limits.values())
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint has named a limit lately."""
+        return not self._limits
+
     @property
     def has_news(self) -> bool:
         """Whether other routers have to learn something."""
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -263,6 +263,10 @@
         """Whether the endpoint is avoided after a failed connection."""
         return now_s < self._ejected_until_s
 
+    def is_avoided(self, now_s: float) -> bool:
+        """Whether the endpoint is avoided after failures of any kind."""
+        return self.is_ejected(now_s) or self.outlier.is_ejected(now_s)
+
     def add_request(
         self, prefill_cost: float, now_s: float
     ) -> InFlightRequest:
