Report the crash counts that matter first

What callers would see: a request that crashes endpoints and is repeated at many routers is stopped by none of them, as their counts do not reach each other.

Cause: a report holds 32 counts, the oldest first, and a count lives 10 minutes. Each crash breaks all requests at its endpoint and counts each of them, so after two or three crashes the reports held only old counts of sound requests.

The test failed before: the count of two crashes came after 100 others.

--- a/src/basilpond/routing/_crash_counter.py
+++ b/src/basilpond/routing/_crash_counter.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 import dataclasses
+import itertools
 
 MAX_CRASHES = 2
 _EXPIRY_S = 600.0
@@ -105,6 +106,9 @@
     def local_counts(self, now_s: float) -> Iterator[tuple[str, int, float]]:
         """Yield the counts of this router, to report them to peers.
 
+        Those of several crashes come first, then the newest: a report holds
+        only some, and each crash breaks many sound requests.
+
         Yields
         ------
         (str, int, float)
@@ -112,9 +116,11 @@
             the last crash.
         """
         self._expire(now_s)
-        for key, entry in self._entries.items():
-            if entry.local:
-                yield key, entry.local, now_s - entry.last_crash_s
+        newest_first = list(reversed(self._entries.items()))
+        repeated = (item for item in newest_first if item[1].local > 1)
+        single = (item for item in newest_first if item[1].local == 1)
+        for key, entry in itertools.chain(repeated, single):
+            yield key, entry.local, now_s - entry.last_crash_s
 
     def __len__(self) -> int:
         return len(self._entries)
--- a/src/basilpond/routing/tests/test_decisions.py
+++ b/src/basilpond/routing/tests/test_decisions.py
@@ -1,3 +1,5 @@
+import itertools
+
 import pytest
 
 from basilpond.routing import Catalogue
@@ -186,3 +188,21 @@
     counter.record('d', 'd', 0.0)
     counter.merge('peer', 'd', 2, age_s=0.0, now_s=0.0)
     assert counter.is_stopped('d', 'd', 1.0)
+
+
+def test_reported_counts_begin_with_the_most_crashes():
+    """Guards against counts that never travel because others fill a report.
+
+    A crash breaks all requests at its endpoint, each of which is counted.
+    """
+    counter = CrashCounter(max_crashes=3)
+    for i in range(100):
+        counter.record(f'sound{i}', f'sound{i}', 0.01 * i)
+    for now_s in (2.0, 3.0):
+        counter.record('bad', 'bad', now_s)
+    for i in range(100, 200):
+        counter.record(f'sound{i}', f'sound{i}', 3.0 + 0.01 * i)
+    reported = list(itertools.islice(counter.local_counts(10.0), 32))
+    assert reported[0][:2] == ('bad', 2)
+    # Then the newest, as the older ones were reported before.
+    assert reported[1][0] == 'sound199'
