Show what a store that comes back from a copy does to budgets

The platform's store may lose the writes of its last seconds and start a new era. The stand-in of the log can do so now, over sockets and without them (log_contents), and answers reads beyond its end with 410.

--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -21,6 +21,10 @@
 from basilpond.http1 import find
 from basilpond.platform import encode_keyed_record
 
+from .log_contents import FencedError
+from .log_contents import LogContents
+from .log_contents import SequenceError
+
 HOST = '127.0.0.1'
 
 
@@ -67,10 +71,10 @@
     def __init__(self) -> None:
         super().__init__()
         self.mode = 'ok'
-        self.topics: dict[str, list[tuple[str, bytes | None]]] = {}
+        self.contents = LogContents()
+        self.topics = self.contents.topics
         self.first: dict[str, int] = {}
         self.calls = 0
-        self._producers: dict[tuple[str, str], tuple[int, dict[int, int]]] = {}
         self._late: list[tuple[dict[str, str], bytes]] = []
         self._changed = asyncio.Event()
 
@@ -83,8 +87,7 @@
 
     def newest(self, topic: str) -> dict[str, bytes]:
         """Return the newest record of each key."""
-        newest = dict(self.topics.get(topic, []))
-        return {k: v for k, v in newest.items() if v is not None}
+        return {k: v for k, (_, v) in self.contents.newest(topic).items()}
 
     def trim(self, topic: str) -> None:
         """Forget all records but the newest of each key."""
@@ -97,6 +100,15 @@
             self._append(query, body)
         self._late.clear()
 
+    def restore(self, age_s: float) -> None:
+        """Come back from a copy that is some seconds old.
+
+        What was written since is lost, and offsets and sequence numbers are
+        given out again. `put` writes again what operators and servers wrote.
+        """
+        self.contents.restore(asyncio.get_running_loop().time() - age_s)
+        self.mode = 'ok'
+
     async def handle(
         self, request: CallerRequest, responder: Responder
     ) -> None:
@@ -105,7 +117,7 @@
         path, _, text = request.target.decode().partition('?')
         query = {k: v[0] for k, v in parse_qs(text).items()}
         if self.mode == 'busy':
-            responder.respond(503)
+            self._respond(responder, 503, {})
             return
         name = path.rpartition('/')[2]
         if self.mode in ('silent', 'lost', 'late'):
@@ -123,41 +135,43 @@
 
     def _extend(
         self, topic: str, records: list[tuple[str, bytes | None]]
-    ) -> int:
-        log = self.topics.setdefault(topic, [])
-        offset = len(log)
-        log.extend(records)
+    ) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.contents.extend(topic, records, now_s)
+        self._notify_readers()
+
+    def _notify_readers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return offset
 
     def _append(self, query: dict[str, str], body: bytes) -> tuple[int, Any]:
-        topic = query['topic']
-        producer = (topic, query['producer'])
-        sequence = int(query['seq'])
-        expected, answers = self._producers.get(producer, (sequence, {}))
-        if sequence in answers:
-            return 200, {'offset': answers[sequence]}
-        if sequence != expected:
-            return 409, {'reason': 'seq'}
-        offset = self._extend(topic, list(_parse_keyed(body)))
-        recent = {**answers, sequence: offset}
-        for old in sorted(recent)[:-5]:
-            del recent[old]
-        self._producers[producer] = (sequence + 1, recent)
+        try:
+            offset = self.contents.append(
+                query['topic'],
+                list(_parse_keyed(body)),
+                producer=query['producer'],
+                epoch=int(query['epoch']),
+                sequence=int(query['seq']),
+                now_s=asyncio.get_running_loop().time(),
+            )
+        except FencedError:
+            return 409, {'reason': 'fenced'}
+        except SequenceError as error:
+            return 409, {'reason': 'seq', 'seq': error.expected}
+        self._notify_readers()
         return 200, {'offset': offset}
 
     def _newest_page(self, query: dict[str, str]) -> Any:
         log = self.topics.get(query['topic'], [])
-        offsets = {key: i for i, (key, _) in enumerate(log)}
         items = [
             {
                 'key': key,
-                'value': base64.b64encode(log[i][1] or b'').decode(),
-                'offset': i,
+                'value': base64.b64encode(value).decode(),
+                'offset': offset,
             }
-            for key, i in offsets.items()
-            if log[i][1] is not None
+            for key, (offset, value) in self.contents.newest(
+                query['topic']
+            ).items()
         ]
         return {'items': items, 'has_more': False, 'end': len(log)}
 
@@ -168,6 +182,9 @@
             self._respond(responder, 410, {'first': self.first[topic]})
             return
         log = self.topics.setdefault(topic, [])
+        if start > len(log):
+            self._respond(responder, 410, {'first': self.first.get(topic, 0)})
+            return
         if len(log) <= start:
             wait_s = int(query.get('wait_ms', '0')) / 1000
             try:
@@ -182,11 +199,15 @@
             encode_keyed_record(key, value or b'')
             for key, value in log[start:]
         )
-        responder.respond(200, [], struct.pack('>QQ', len(log), 0) + records)
+        head = struct.pack('>QQ', len(log), 0)
+        responder.respond(200, [self._era_field()], head + records)
 
     def _respond(self, responder: Responder, status: int, body: Any) -> None:
-        kind = (b'content-type', b'application/json')
-        responder.respond(status, [kind], json.dumps(body).encode())
+        fields = [(b'content-type', b'application/json'), self._era_field()]
+        responder.respond(status, fields, json.dumps(body).encode())
+
+    def _era_field(self) -> tuple[bytes, bytes]:
+        return b'store-era', b'%d' % self.contents.era
 
 
 def _parse_keyed(body: bytes):
