Keep the state of live routers when their addresses are read again

When the fleet's topic was read anew, as after a restore of the store or a trimmed offset, each router/<vm> record replaced what was known of that router: it counted as silent and its holder as unknown until its next datagram. For that time a router believed that it was alone, so its part of every budget was too large, it asked nobody for tokens, and it took part in no agreement on the fleet's clock.

The test failed before (1 live router of 2). A record is now applied only if its router is not live; the datagrams of a live one are newer.

--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -199,7 +199,12 @@
             self._peers.pop(router_id, None)
             return
         host, _, port = value.decode('latin-1').rpartition(':')
-        if port.isdigit():
+        if not port.isdigit():
+            return
+        # What a live router's datagrams tell is newer than its record, which
+        # is read again whenever the topic is.
+        known = self._peers.get(router_id)
+        if known is None or not self._is_live(known):
             self._peers[router_id] = _Peer((host, int(port)))
 
     def record_prefixes(self, number: int, keys: list[int]) -> None:
@@ -258,12 +263,11 @@
         return [peer.holder for peer in self._live_peers()]
 
     def _live_peers(self) -> list[_Peer]:
+        return [p for p in self._peers.values() if self._is_live(p)]
+
+    def _is_live(self, peer: _Peer) -> bool:
         now_s = asyncio.get_running_loop().time()
-        return [
-            p
-            for p in self._peers.values()
-            if now_s - p.last_seen_s < LIVENESS_TIMEOUT_S
-        ]
+        return now_s - peer.last_seen_s < LIVENESS_TIMEOUT_S
 
     async def run(self) -> None:
         """Send reports until cancelled."""
--- a/src/basilpond/node/tests/test_peer_reports.py
+++ b/src/basilpond/node/tests/test_peer_reports.py
@@ -257,3 +257,19 @@
         'limits: {link_mbps: 5.0}\n'
     )
     assert load_settings(path).link_bytes_per_s == LINK_BYTES_PER_S
+
+
+async def test_record_of_a_live_router_keeps_its_state():
+    """Guards against live routers that count as silent after a new read.
+
+    Their addresses are read again when the topic is. The fleet then had one
+    live router, this one, whose part of all budgets became too large.
+    """
+    task, _ = make_task('n', endpoints=0)
+    task.update_address('m', b'127.0.0.1:1001')
+    peer = task._peers['m']
+    peer.holder = 'm~1'
+    peer.last_seen_s = asyncio.get_running_loop().time()
+    task.update_address('m', b'127.0.0.1:1001')
+    assert task.live_routers() == 2
+    assert task.live_holders() == ['m~1']
