--- a/src/basilpond/node/__init__.py
+++ b/src/basilpond/node/__init__.py
@@ -3,6 +3,7 @@
 from ._decision_log import DecisionLog
 from ._interfaces import Log
 from ._interfaces import LogAppendError
+from ._interfaces import LogEraChangedError
 from ._interfaces import LogPage
 from ._interfaces import LogReaderBehindError
 from ._interfaces import LogTimeoutError
@@ -21,6 +22,7 @@
     'DecisionLog',
     'Log',
     'LogAppendError',
+    'LogEraChangedError',
     'LogPage',
     'LogReaderBehindError',
     'LogTimeoutError',
--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -12,16 +12,20 @@
 from ..routing import Allotments
 from ..routing import Catalogue
 from ..routing import ClockReading
+from ..routing import EraStatement
 from ..routing import EscrowAccount
 from ..routing import EscrowAccounts
 from ..routing import Hold
+from ._account_recovery import AccountRecovery
 from ._decision_log import DecisionLog
+from ._fleet_records import Heartbeat
 from ._fleet_records import budget_record
 from ._fleet_records import heartbeat_record
 from ._fleet_records import parse_account
 from ._fleet_records import parse_heartbeat
 from ._fleet_records import router_of
 from ._log_writer import LogWriter
+from ._raise_statements import RaiseStatements
 
 # Time limit of a request's wait for tokens; a grant takes two calls of 4 ms,
 # or of 240 ms where the store is slow.
@@ -49,6 +53,8 @@
 _RATE_INTERVAL_S = 0.5
 # The state of the budgets counts as current up to this age.
 _MAX_STATE_AGE_S = 2.5
+# Interval in which the state after a restore of the log is checked.
+_RECOVERY_INTERVAL_S = 0.05
 
 
 class HoldRejection(enum.Enum):
@@ -75,6 +81,8 @@
     decisions : DecisionLog
     clock : callable
         Returns a ClockReading.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -83,6 +91,8 @@
         writer: LogWriter,
         decisions: DecisionLog,
         clock: Callable[[], ClockReading] = read_clocks,
+        *,
+        is_first_start: bool = False,
     ) -> None:
         self._holder = holder
         self._writer = writer
@@ -93,8 +103,25 @@
         # if known.
         self.fleet_boot_offset_ms: Callable[[], int | None] = lambda: None
         self._accounts = EscrowAccounts()
-        self._heartbeats: dict[str, ClockReading] = {}
+        # Of the earlier incarnations of this router.
+        self._heartbeats: dict[str, Heartbeat] = {}
         self.allotments = Allotments(holder, self._accounts)
+        self.recovery = AccountRecovery(
+            holder,
+            writer,
+            self._accounts,
+            self.allotments,
+            decisions,
+            is_first_start=is_first_start,
+        )
+        self.raise_statements = RaiseStatements(
+            self.allotments,
+            self._accounts,
+            lambda: self.recovery.known_era,
+            self.notify_waiters,
+        )
+        # Written again in each era, besides the accounts.
+        self.announcement: tuple[str, bytes] | None = None
         self.request_from_peers: Callable[[str, int, float], None] = (
             lambda name, tokens, share: None
         )
@@ -122,7 +149,7 @@
         """Apply the record of an escrow account."""
         organisation, _, holder = key.rpartition('/')
         try:
-            account = EscrowAccount(*parse_account(value))
+            account = parse_account(value)
         except ValueError as error:
             self._decisions.event(
                 'budget_row_unreadable',
@@ -138,29 +165,61 @@
             self.decide_raises(offset + 1)
 
     def apply_heartbeat(self, holder: str, value: bytes | None) -> None:
-        """Apply the heartbeat of an earlier incarnation of this router."""
-        if router_of(holder) != router_of(self._holder):
+        """Apply the heartbeat of a router."""
+        is_predecessor = router_of(holder) == router_of(self._holder)
+        if self.recovery.is_complete and not is_predecessor:
             return
         try:
-            self._heartbeats[holder] = parse_heartbeat(value)
+            heartbeat = parse_heartbeat(value)
         except ValueError as error:
             self._decisions.event(
                 'stamp_unreadable', holder=holder, reason=str(error)
             )
+            return
+        self.recovery.apply_statement(holder, heartbeat.statement)
+        if is_predecessor:
+            self._heartbeats[holder] = heartbeat
+
+    def begin_era(self, era: int) -> None:
+        """Apply the records of another era of the log from now on."""
+        self.recovery.begin_era(era)
+        # What a holder wrote in an earlier era proves nothing in this one.
+        self._heartbeats.clear()
+
+    def apply_era(self, value: bytes | None) -> None:
+        """Apply the marker of the era whose accounts are complete."""
+        self.recovery.apply_marker(value)
+
+    @property
+    def knows_accounts(self) -> bool:
+        """Whether raises may be decided: no lost record remains unknown."""
+        return self.recovery.known_era is not None
 
     def suspend_decisions(self) -> None:
         """Stop deciding raises while the accounts are no state of the log."""
         self._consistent_from = None
 
-    def resume_decisions(self, end: int) -> None:
-        """Decide raises again once all records before `end` are applied."""
+    def resume_decisions(
+        self, end: int, *, has_accounts: bool = False
+    ) -> None:
+        """Decide raises again once all records before `end` are applied.
+
+        Parameters
+        ----------
+        end : int
+        has_accounts : bool
+            Whether the log contains any account.
+        """
         self._consistent_from = end
+        self.recovery.finish_snapshot(has_accounts=has_accounts)
         self._synced.set()
 
     def decide_raises(self, end: int) -> None:
         """Decide pending raises once the records before `end` are applied."""
         if self._consistent_from is None or end < self._consistent_from:
             return
+        if not self.knows_accounts:
+            return
         for name, tokens, granted in self.allotments.decide_raises(end):
             self._decisions.event(
                 'allotment_granted' if granted else 'allotment_denied',
@@ -170,12 +229,25 @@
                 log_offset=end,
                 total=self._accounts.total_owned(name),
             )
+            if granted:
+                self.raise_statements.record_granted(name)
+        self.raise_statements.state()
         self.notify_waiters()
 
+    def learn_accounts(
+        self, holder: str, era: int, accounts: dict[str, EscrowAccount]
+    ) -> bool:
+        """Remember the raises of another router; return whether it may be."""
+        return self.raise_statements.learn(
+            holder, era, accounts, self._writer.era
+        )
+
     def update_reachability(self, *, reachable: bool) -> None:
         """Record whether the store responds."""
         self._reachable = reachable
         if reachable:
+            # Reads run one at a time, so this one was sent after the last.
+            self.raise_statements.confirm_read_by_all(self._last_read_s)
             self._last_read_s = asyncio.get_running_loop().time()
 
     @property
@@ -313,8 +385,11 @@
         suspect_after_s = max(
             _SUSPECT_AFTER_S, _SUSPECT_FACTOR * self._writer.usual_append_s
         )
-        return not self._reachable or self._writer.waiting_s > min(
-            suspect_after_s, _MAX_SUSPECT_AFTER_S
+        return (
+            not self._reachable
+            or not self.knows_accounts
+            or self._writer.waiting_s
+            > min(suspect_after_s, _MAX_SUSPECT_AFTER_S)
         )
 
     def rejection_inputs(
@@ -332,6 +407,8 @@
             'store_age_s': round(self.outage_s, 2),
             'store_doubtful': self.is_log_suspect(),
             'live_routers': self.allotments.routers,
+            'era': self.recovery.era,
+            'accounts_complete': self.knows_accounts,
         }
 
     def charge(self, hold: Hold, spent_tokens: int) -> None:
@@ -389,14 +466,17 @@
         loop = asyncio.get_running_loop()
         heartbeat_s = float('-inf')
         while True:
+            interval_s = _POLL_INTERVAL_S
             if self._consistent_from is not None and not self._stopping:
                 due = loop.time() - heartbeat_s >= _HEARTBEAT_INTERVAL_S
-                if await self._append(
-                    self.allotments.collect_changes, heartbeat=due
-                ):
+                if not self.knows_accounts:
+                    due = due or self.recovery.is_statement_due()
+                    interval_s = _RECOVERY_INTERVAL_S
+                if await self._append(self._collect_changes, heartbeat=due):
                     heartbeat_s = loop.time()
+                await self.recovery.complete(reachable=self._reachable)
             try:
-                async with asyncio.timeout(_POLL_INTERVAL_S):
+                async with asyncio.timeout(interval_s):
                     await self._append_requested.wait()
             except TimeoutError:
                 pass
@@ -419,6 +499,10 @@
                 owned_used_budget=self.allotments.balances(),
             )
 
+    def request_append(self) -> None:
+        """Check at once whether there is something to append."""
+        self._append_requested.set()
+
     async def release_allotments(self) -> None:
         """Return all free tokens to the budgets, when the router stops."""
         self._stopping = True
@@ -431,19 +515,32 @@
         heartbeat: bool,
     ) -> bool:
         accounts: dict[str, EscrowAccount] = {}
+        statement = EraStatement()
 
         def collect() -> list[tuple[str, bytes]]:
+            # Called again if the log starts another era meanwhile.
+            nonlocal statement
             now = self._with_fleet_time(self._clock())
             accounts.update(changes(now))
-            if not accounts and not heartbeat:
+            must_rewrite = self.recovery.must_rewrite
+            if not accounts and not heartbeat and not must_rewrite:
                 return []
-            records = [
+            statement = dataclasses.replace(
+                self.recovery.next_statement(), written_era=self._writer.era
+            )
+            records = self.recovery.first_records()
+            records += [
                 budget_record(name, self._holder, account)
                 for name, account in accounts.items()
             ]
-            return [*records, heartbeat_record(self._holder, now)]
+            if must_rewrite and self.announcement is not None:
+                records.append(self.announcement)
+            own = Heartbeat(now, statement)
+            return [*records, heartbeat_record(self._holder, own)]
 
         appended = await self._writer.append(collect)
+        if appended:
+            self.recovery.confirm_written(statement)
         recovered_at_s = self._writer.recovered_at_s
         if appended and recovered_at_s is not None:
             # The log is available again; a read that was sent earlier may
@@ -456,6 +553,13 @@
             self.notify_waiters()
         return appended
 
+    def _collect_changes(
+        self, reading: ClockReading
+    ) -> dict[str, EscrowAccount]:
+        return self.allotments.collect_changes(
+            reading, rewrite_all=self.recovery.must_rewrite
+        )
+
     def _with_fleet_time(self, local: ClockReading) -> ClockReading:
         offset_ms = self.fleet_boot_offset_ms()
         if offset_ms is None:
@@ -467,40 +571,53 @@
         loop = asyncio.get_running_loop()
         await self._synced.wait()
         deadline_s = loop.time() + _AGREEMENT_TIMEOUT_S
-        predecessors = [h for h in self._heartbeats if h != self._holder]
-        while predecessors and self.fleet_boot_offset_ms() is None:
+        while self._predecessors() and self.fleet_boot_offset_ms() is None:
             if loop.time() >= deadline_s or any(
-                self._heartbeats[h].proves_within_ceiling(self._started)
-                for h in predecessors
+                heartbeat.reading.proves_within_ceiling(self._started)
+                for heartbeat in self._predecessors().values()
             ):
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         started = self._with_fleet_time(self._started)
         records = []
-        for holder, heartbeat in self._heartbeats.items():
-            if holder == self._holder:
-                continue
+        for holder, heartbeat in self._predecessors().items():
+            reading = heartbeat.reading
+            # The log may have lost later heartbeats and accounts of a holder
+            # that wrote in an earlier era only.
+            proves = heartbeat.statement.written_era == self.recovery.era
             freed = 0
             for name, account in self._accounts.accounts_of(holder).items():
-                reduced = account.reduced(heartbeat, started)
-                if reduced is not None:
+                reduced = account.reduced(reading, started)
+                if proves and reduced is not None:
                     freed += account.owned - reduced.owned
                     records.append(budget_record(name, holder, reduced))
             self._decisions.event(
                 'predecessor_found',
                 holder=holder,
-                ended_before_outage=heartbeat.proves_within_ceiling(started),
+                ended_before_outage=reading.proves_within_ceiling(started),
                 freed_tokens=freed,
-                stamp_age_ms=started.boot_ms - heartbeat.boot_ms,
-                fleet_age_ms=started.fleet_ms - heartbeat.fleet_ms
-                if started.fleet_ms and heartbeat.fleet_ms
+                written_era=heartbeat.statement.written_era,
+                era=self.recovery.era,
+                stamp_age_ms=started.boot_ms - reading.boot_ms,
+                fleet_age_ms=started.fleet_ms - reading.fleet_ms
+                if started.fleet_ms and reading.fleet_ms
                 else None,
             )
         await self._writer.append(lambda: records)
 
+    def _predecessors(self) -> dict[str, Heartbeat]:
+        return {
+            holder: heartbeat
+            for holder, heartbeat in self._heartbeats.items()
+            if holder != self._holder
+        }
+
     def _is_state_current(self) -> bool:
         now_s = asyncio.get_running_loop().time()
-        return now_s - self._last_read_s < _MAX_STATE_AGE_S
+        return (
+            self.knows_accounts
+            and now_s - self._last_read_s < _MAX_STATE_AGE_S
+        )
 
     def notify_waiters(self) -> None:
         """Let requests that wait for tokens retry."""
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -55,6 +55,9 @@
         # Encoded form of the version in force.
         self.data: bytes | None = None
 
+    def begin_era(self, era: int) -> None:
+        """Keep the version in force, which the log may have lost."""
+
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
     ) -> None:
@@ -166,6 +169,9 @@
             if not entry.endpoint.leaving
         ]
 
+    def begin_era(self, era: int) -> None:
+        """Keep the endpoints, which the log may have lost."""
+
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
     ) -> None:
--- a/src/basilpond/node/_fleet_records.py
+++ b/src/basilpond/node/_fleet_records.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from ..routing import ClockReading
+from ..routing import EraStatement
 from ..routing import EscrowAccount
 
 FLEET_TOPIC = 'keyed.fleet'
 ROUTER_KIND = 'router'
 BUDGET_KIND = 'budget'
 HEARTBEAT_KIND = 'alive'
+ERA_KIND = 'era'
+# Holder of the tokens that nobody can account for after a restore of the log.
+_RESERVE = 'reserve'
 
 Record = tuple[str, bytes]
 
@@ -18,12 +24,33 @@
     return f'{ROUTER_KIND}/{router_id}', address.encode()
 
 
-def heartbeat_record(holder: str, reading: ClockReading) -> Record:
+@dataclasses.dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """Clock reading of a holder, and what it states about its accounts."""
+
+    reading: ClockReading
+    statement: EraStatement
+
+
+def heartbeat_record(holder: str, heartbeat: Heartbeat) -> Record:
     """Return the record of a holder's last heartbeat."""
-    times = [reading.boot_ms, reading.wall_ms]
+    reading, statement = heartbeat.reading, heartbeat.statement
+    numbers = [
+        reading.boot_ms,
+        reading.wall_ms,
+        statement.written_era,
+        statement.known_era,
+        int(statement.remembers),
+    ]
     if reading.fleet_ms is not None:
-        times.append(reading.fleet_ms)
-    return f'{HEARTBEAT_KIND}/{holder}', b' '.join(b'%d' % t for t in times)
+        numbers.append(reading.fleet_ms)
+    value = b' '.join(b'%d' % number for number in numbers)
+    return f'{HEARTBEAT_KIND}/{holder}', value
+
+
+def era_record(era: int) -> Record:
+    """Return the record of an era in which all accounts are in the log."""
+    return f'{ERA_KIND}/complete', b'%d' % era
 
 
 def budget_record(
@@ -32,32 +59,51 @@
     """Return the record of an escrow account."""
     return (
         f'{BUDGET_KIND}/{organisation}/{holder}',
-        b'%d %d' % (account.owned, account.ceiling),
+        b'%d %d %d' % (account.owned, account.ceiling, account.revision),
     )
 
 
-def parse_account(value: bytes | None) -> tuple[int, int]:
-    """Return what an escrow account owns, and its ceiling.
+def parse_account(value: bytes | None) -> EscrowAccount:
+    """Return the escrow account of a record.
 
     Raises
     ------
     ValueError
     """
-    first, second = (value or b'0 0').split()
-    return int(first), int(second)
+    owned, ceiling, revision = (value or b'0 0 0').split()
+    return EscrowAccount(int(owned), int(ceiling), int(revision))
 
 
-def parse_heartbeat(value: bytes | None) -> ClockReading:
-    """Return the clock reading of a holder's last heartbeat.
+def parse_heartbeat(value: bytes | None) -> Heartbeat:
+    """Return a holder's last heartbeat.
 
     Raises
     ------
     ValueError
     """
-    times = [int(item) for item in (value or b'').split()]
-    if len(times) not in (2, 3):
+    numbers = [int(item) for item in (value or b'').split()]
+    if len(numbers) not in (5, 6):
         raise ValueError(f'{value!r} is not a heartbeat')
-    return ClockReading(*times)
+    boot_ms, wall_ms, written_era, known_era, remembers, *fleet_ms = numbers
+    return Heartbeat(
+        ClockReading(boot_ms, wall_ms, *fleet_ms),
+        EraStatement(written_era, known_era, remembers=bool(remembers)),
+    )
+
+
+def parse_era(value: bytes | None) -> int:
+    """Return the era of a record of `era_record`.
+
+    Raises
+    ------
+    ValueError
+    """
+    return int(value or b'-1')
+
+
+def reserve_holder(era: int) -> str:
+    """Return the holder of the tokens that are reserved in an era."""
+    return f'{_RESERVE}~{era}'
 
 
 def new_holder(router_id: str, suffix: str) -> str:
--- a/src/basilpond/node/_fleet_topic.py
+++ b/src/basilpond/node/_fleet_topic.py
@@ -4,6 +4,7 @@
 
 from ._budgets import BudgetTask
 from ._fleet_records import BUDGET_KIND
+from ._fleet_records import ERA_KIND
 from ._fleet_records import HEARTBEAT_KIND
 from ._fleet_records import ROUTER_KIND
 from ._interfaces import Record
@@ -25,13 +26,22 @@
         self._budgets = budgets
         self._peers = peers
 
+    def begin_era(self, era: int) -> None:
+        """Apply the records of another era from now on."""
+        self._budgets.begin_era(era)
+
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
     ) -> None:
         """Apply the newest record of each key."""
         self._budgets.suspend_decisions()
         self._dispatch(records)
-        self._budgets.resume_decisions(end)
+        self._budgets.resume_decisions(
+            end,
+            has_accounts=any(
+                record.key.startswith(f'{BUDGET_KIND}/') for record in records
+            ),
+        )
         if snapshot:
             self._budgets.decide_raises(end)
 
@@ -51,5 +61,7 @@
                 self._budgets.apply_account(name, record.value, record.offset)
             elif kind == HEARTBEAT_KIND:
                 self._budgets.apply_heartbeat(name, record.value)
+            elif kind == ERA_KIND:
+                self._budgets.apply_era(record.value)
             elif kind == ROUTER_KIND:
                 self._peers.update_address(name, record.value)
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -7,6 +7,7 @@
 
 from ._decision_log import DecisionLog
 from ._interfaces import Log
+from ._interfaces import LogEraChangedError
 from ._interfaces import LogReaderBehindError
 from ._interfaces import LogTrimmedError
 from ._interfaces import LogUnavailableError
@@ -36,6 +37,13 @@
 
     only_newest: bool
 
+    def begin_era(self, era: int) -> None:
+        """Note that the next newest records are of another era of the log.
+
+        Called before the first records, too. The log may lack records that
+        were applied before, and their offsets are given out again.
+        """
+
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
     ) -> None:
@@ -83,6 +91,8 @@
         self._metrics = metrics
         self._wake_requested = asyncio.Event()
         self._offset: int | None = None
+        # Era of the records applied so far, to which the offset belongs.
+        self._era: int | None = None
         self._reachable: bool | None = None
         self._read_task: asyncio.Task[None] | None = None
         self._progress = ReadProgress()
@@ -115,6 +125,22 @@
             self._restarted = True
             self._read_task.cancel()
 
+    def resync(self) -> None:
+        """Replace a read that was sent in an earlier era of the log.
+
+        A read that has not applied anything yet, or that got the response
+        that named the new era, checks the era itself.
+        """
+        self.wake_up()
+        task = self._read_task
+        if (
+            task is not None
+            and not task.done()
+            and self._era not in (None, self._log.era)
+            and task is not asyncio.current_task()
+        ):
+            task.cancel()
+
     def wake_up(self) -> None:
         """End the pause between two reads."""
         self._wake_requested.set()
@@ -145,6 +171,12 @@
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
                 continue
+            except LogEraChangedError as error:
+                # Records of two eras must not be combined.
+                self._log_failure(str(error))
+                await asyncio.sleep(backoff_s)
+                backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
+                continue
             except (LogReaderBehindError, LogTrimmedError) as error:
                 self._decisions.event(
                     'topic_resync', topic=self._topic, reason=str(error)
@@ -160,9 +192,10 @@
             await self._pause()
 
     async def _read(self) -> None:
-        if self._offset is None:
+        if self._offset is None or self._era != self._log.era:
             await self._read_newest()
             return
+        era = self._era
         page = await self._log.read(
             self._topic,
             self._offset,
@@ -170,6 +203,8 @@
             self._progress,
             max_records=1 if self._state.only_newest else None,
         )
+        if page.era != era:
+            raise LogEraChangedError(f'{self._topic}: era {page.era}')
         if page.records:
             self._offset = page.records[-1].offset + 1
             self._state.apply(page.records, self._offset)
@@ -178,16 +213,33 @@
         records: list[Record] = []
         after: str | None = None
         first_end: int | None = None
+        first_era: int | None = None
         while True:
             page = await self._log.read_newest(
                 self._topic, after, self._progress
             )
             if first_end is None:
                 first_end = page.end
+                first_era = page.era
+            if page.era != first_era or page.era != self._log.era:
+                raise LogEraChangedError(f'{self._topic}: era {page.era}')
             records.extend(page.records)
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
+        if self._era != page.era:
+            if self._era is not None:
+                self._decisions.event(
+                    'store_restored',
+                    topic=self._topic,
+                    era=page.era,
+                    era_before=self._era,
+                    end=page.end,
+                    offset_before=self._offset,
+                    keys=len(records),
+                )
+            self._state.begin_era(page.era)
+            self._era = page.era
         self._state.apply_newest(
             records, page.end, snapshot=page.end == first_end
         )
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import Protocol
@@ -37,6 +38,8 @@
         Time for which prompt prefixes count as cached by an endpoint.
     link_bytes_per_s : float
         Bandwidth of the VM's own link in each direction.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time.
     """
 
     node_id: str
@@ -56,6 +59,7 @@
     retry_window_s: float
     prompt_reuse_s: float
     link_bytes_per_s: float = float('inf')
+    is_first_start: bool = False
 
 
 class LogUnavailableError(Exception):
@@ -71,11 +75,28 @@
 
 
 class LogTrimmedError(Exception):
-    """The requested records are no longer retained."""
+    """The log does not have the requested records, or no longer."""
+
+
+class LogEraChangedError(Exception):
+    """A response is of another era of the log than those before."""
 
 
 class LogAppendError(Exception):
-    """An append was rejected because of its sequence number."""
+    """An append was rejected because of its sequence number or epoch.
+
+    Parameters
+    ----------
+    reason : str
+    expected_sequence : int or None
+        Next sequence number of the producer, if the log states it.
+    """
+
+    def __init__(
+        self, reason: str, expected_sequence: int | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.expected_sequence = expected_sequence
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -97,19 +118,27 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LogPage:
-    """Records in the order of their offsets and the end offset of the log."""
+    """Records in the order of their offsets and the end offset of the log.
+
+    `era` is that of the response, see `Log`.
+    """
 
     records: list[Record]
     end: int
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NewestPage:
-    """Newest records of some keys; pages do not form a snapshot."""
+    """Newest records of some keys; pages do not form a snapshot.
+
+    `era` is that of the response, see `Log`.
+    """
 
     records: list[Record]
     end: int
     has_more: bool
+    era: int = 0
 
 
 class ReadProgress:
@@ -122,7 +151,22 @@
 
 
 class Log(Protocol):
-    """The platform's log."""
+    """The platform's log.
+
+    A log that is restored from a copy starts a new era: it lacks the records
+    of its last seconds, and offsets and sequence numbers are given out again.
+
+    Attributes
+    ----------
+    era : int
+        Highest era that any response has named, also one of an error; 0 if
+        none has.
+    on_new_era : callable
+        Called when the era rises.
+    """
+
+    era: int
+    on_new_era: Callable[[], None]
 
     async def append(
         self,
@@ -130,9 +174,14 @@
         records: list[tuple[str, bytes]],
         *,
         producer: str,
+        epoch: int,
         sequence: int,
     ) -> int:
-        """Append records, all or none, and return the first offset."""
+        """Append records, all or none, and return the first offset.
+
+        Appends of an epoch are rejected after the first one of a higher
+        epoch of the producer, which may start at any sequence number.
+        """
 
     async def read(
         self,
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -85,6 +85,11 @@
                 ('configuration_version', 'Version in force'),
                 ('endpoints', 'Endpoints that the platform lists'),
                 ('store_read_age_seconds', 'Age of the last read'),
+                ('store_era', 'Rises when the store comes back from a copy'),
+                (
+                    'accounts_complete',
+                    'Whether all escrow accounts of the era are known',
+                ),
                 (
                     'suspect_prompt_parts',
                     'Prompt parts that may have crashed endpoints',
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -88,7 +88,12 @@
         self._parts = CrashingParts(random.Random())
         self._limits = EndpointLimits(settings.node_id)
         self._writer = LogWriter(log, FLEET_TOPIC, self.holder, decisions)
-        self.budgets = BudgetTask(self.holder, self._writer, decisions)
+        self.budgets = BudgetTask(
+            self.holder,
+            self._writer,
+            decisions,
+            is_first_start=settings.is_first_start,
+        )
         self.peers = PeerTask(
             settings.node_id,
             self.holder,
@@ -105,6 +110,10 @@
         self.budgets.request_from_peers = self.peers.request_tokens
         self.budgets.live_holders = self.peers.live_holders
         self.budgets.fleet_boot_offset_ms = self.peers.fleet_boot_offset_ms
+        self.budgets.recovery.heard_routers = self.peers.heard_routers
+        self.budgets.raise_statements.send = self.peers.state_accounts
+        address = f'{settings.host}:{settings.peer_port}'
+        self.budgets.announcement = router_record(settings.node_id, address)
         self.dispatcher = Dispatcher(
             settings,
             codec,
@@ -128,6 +137,7 @@
             self._metrics,
         )
         self.budgets.wake_reader = fleet.wake_up
+        self.budgets.recovery.wake_reader = fleet.wake_up
         self.budgets.restart_reader = self._restart_readers
         self._configuration_fetcher = ConfigurationFetcher(
             self.configuration, self.peers, decisions
@@ -151,6 +161,7 @@
             ),
             fleet,
         )
+        log.on_new_era = self._resync_readers
         self._callers = CallerServer(
             self.dispatcher.handle,
             ConnectionLimits(),
@@ -320,6 +331,8 @@
             ('configuration_version', self._configuration_version()),
             ('endpoints', len(self.directory)),
             ('store_read_age_seconds', self.budgets.outage_s),
+            ('store_era', self._writer.era),
+            ('accounts_complete', int(self.budgets.knows_accounts)),
             ('suspect_prompt_parts', len(self._parts)),
             ('limited_endpoints', len(self._limits)),
             ('log_lines_dropped', self._decisions.dropped_total),
@@ -332,13 +345,17 @@
         for follower in self._followers:
             follower.restart(sent_before_s)
 
+    def _resync_readers(self) -> None:
+        self.budgets.request_append()
+        for follower in self._followers:
+            follower.resync()
+
     def _configuration_version(self) -> int:
         catalogue = self.configuration.catalogue
         return -1 if catalogue is None else catalogue.version
 
     async def _announce(self) -> None:
-        address = f'{self._settings.host}:{self._settings.peer_port}'
-        record = router_record(self._settings.node_id, address)
+        record = self.budgets.announcement
         await self._writer.append(lambda: [record])
         await self.budgets.reduce_predecessors()
 
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -22,6 +22,7 @@
 from ..routing import CrashingParts
 from ..routing import Donors
 from ..routing import EndpointLimits
+from ..routing import EscrowAccount
 from ..routing import FleetClock
 from ..routing import PeerReport
 from ..routing import SendEvidence
@@ -84,6 +85,9 @@
 # All that was learned is sent to a few routers in this interval.
 _SYNCHRONISATION_INTERVAL_S = 1.0
 _SYNCHRONISED_ROUTERS = 2
+# Routers to which a granted raise is stated at a time. One that remembers it
+# is enough, the others make up for lost datagrams.
+_STATEMENT_ROUTERS = 3
 # Items per datagram; with four parts a request, 2.4 KB.
 _MAX_EVIDENCE = 32
 _MAX_CLEARED = 48
@@ -480,6 +484,10 @@
             self._handle_allotment_request(datagram.request, peer)
         if datagram.transfer is not None:
             self._receive_transfer(datagram.holder, datagram.transfer)
+        if datagram.account_statement is not None:
+            self._receive_statement(datagram.account_statement, peer)
+        if datagram.known_statement is not None:
+            self._budgets.raise_statements.confirm(datagram.known_statement)
 
     def _apply_report(
         self, datagram: object, peer: _Peer, now_s: float
@@ -549,6 +557,70 @@
                     f'{datagram.router}',
                 )
 
+    # Accounts that must not be lost with the log.
+
+    def heard_routers(self, within_s: float) -> dict[str, str]:
+        """Return ids and holders of routers heard of within a time."""
+        now_s = asyncio.get_running_loop().time()
+        return {
+            router_id: peer.holder
+            for router_id, peer in self._peers.items()
+            if now_s - peer.last_seen_s < within_s
+        }
+
+    def state_accounts(
+        self, number: int, era: int, accounts: dict[str, EscrowAccount]
+    ) -> bool:
+        """State accounts of this router to some others, which remember them.
+
+        Parameters
+        ----------
+        number : int
+            Of the statement; `RaiseStatements.confirm` is called with it
+            for each router that remembers the accounts.
+        era : int
+            Era of the log.
+        accounts : dict of str to EscrowAccount
+            By organisation.
+
+        Returns
+        -------
+        bool
+            Whether this router knows of any other, live or not.
+        """
+        if not self._peers:
+            return False
+        statement = messages.AccountStatement(
+            number=number,
+            era=era,
+            accounts=[
+                messages.Account(
+                    organisation=name,
+                    owned=account.owned,
+                    ceiling=account.ceiling,
+                    revision=account.revision,
+                )
+                for name, account in accounts.items()
+            ],
+        )
+        data = self._encode(account_statement=statement)
+        peers = self._live_peers()
+        for peer in self._rng.sample(
+            peers, min(_STATEMENT_ROUTERS, len(peers))
+        ):
+            self._send(data, peer)
+        return True
+
+    def _receive_statement(self, statement: object, peer: _Peer) -> None:
+        accounts = {
+            account.organisation: EscrowAccount(
+                account.owned, account.ceiling, account.revision
+            )
+            for account in statement.accounts or ()
+        }
+        if self._budgets.learn_accounts(peer.holder, statement.era, accounts):
+            self._send(self._encode(known_statement=statement.number), peer)
+
     # Allotments.
 
     def request_tokens(
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -40,6 +40,21 @@
   4: i64 left
 }
 
+// Account of the sender whose raise the log granted.
+struct Account {
+  1: string organisation,
+  2: i64 owned,
+  3: i64 ceiling,
+  4: i64 revision
+}
+
+struct AccountStatement {
+  1: i64 number,
+  // Era of the log in which the raises were granted.
+  2: i64 era,
+  3: list<Account> accounts
+}
+
 struct Datagram {
   1: string holder,
   2: string router,
@@ -51,5 +66,8 @@
   6: optional binary crash_evidence,
   7: optional binary cleared_parts,
   // Limits that endpoints name; see _limit_records.py.
-  8: optional binary endpoint_limits
+  8: optional binary endpoint_limits,
+  9: optional AccountStatement account_statement,
+  // Number of a statement whose accounts the sender remembers.
+  10: optional i64 known_statement
 }
--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -112,6 +112,7 @@
             retry_slack=56.0,
             retry_window_s=10.0,
             prompt_reuse_s=10.0,
+            is_first_start=not self.nodes,
         )
         decisions = DecisionLog(name, fd=self.sink)
         log = PlatformLog(settings.store_address)
--- a/src/basilpond/node/tests/test_budgets_in_a_cut.py
+++ b/src/basilpond/node/tests/test_budgets_in_a_cut.py
@@ -84,6 +84,7 @@
 
     # No test here has reads that an outage could delay.
     recovered_at_s = None
+    era = 0
     usual_append_s = 0.0
 
     def __init__(self, log):
@@ -136,7 +137,11 @@
     for i in range(number):
         holder = f'r{i}~1'
         budgets = BudgetTask(
-            holder, FakeWriter(log), NullStub(), clock=read_clocks
+            holder,
+            FakeWriter(log),
+            NullStub(),
+            clock=read_clocks,
+            is_first_start=True,
         )
         peers = PeerTask(
             f'r{i}',
@@ -156,6 +161,9 @@
         budgets.live_holders = peers.live_holders
         budgets.allotments.routers = number
         budgets.allotments.set_limit(ORG, LIMIT_TOKENS)
+        budgets.recovery.heard_routers = peers.heard_routers
+        budgets.raise_statements.send = peers.state_accounts
+        budgets.begin_era(0)
         budgets.resume_decisions(0)
         fleet.append((budgets, peers))
         log.readers.append(budgets)
--- a/src/basilpond/node/tests/test_fleet_topic.py
+++ b/src/basilpond/node/tests/test_fleet_topic.py
@@ -19,16 +19,36 @@
         pass
 
 
-def make_topic():
+class Writer:
+    """Log writer of a router that can reach the log."""
+
+    era = 0
+    waiting_s = 0.0
+    usual_append_s = 0.0
+
+
+def make_topic(limit=100):
+    """Return the topic of a router of a fleet that starts."""
     budgets = BudgetTask(
-        'n~1', None, NullStub(), clock=lambda: ClockReading(0, 0)
+        'n~1',
+        Writer(),
+        NullStub(),
+        clock=lambda: ClockReading(0, 0),
+        is_first_start=True,
     )
-    budgets.allotments.set_limit('org', 100)
-    return FleetTopic(budgets, NullStub()), budgets
+    budgets.allotments.set_limit('org', limit)
+    topic = FleetTopic(budgets, NullStub())
+    topic.begin_era(0)
+    topic.apply_newest([], 0, snapshot=True)
+    return topic, budgets
 
 
-def account_record(offset, holder, owned):
-    return Record(offset, f'budget/org/{holder}', b'%d %d' % (owned, owned))
+def account_record(offset, holder, owned, revision=1):
+    return Record(
+        offset,
+        f'budget/org/{holder}',
+        b'%d %d %d' % (owned, owned, revision),
+    )
 
 
 def raise_allotment(budgets, tokens):
@@ -42,14 +62,13 @@
     return budgets.allotments.hold('org', tokens, 0) is not None
 
 
-def test_first_record_in_the_log_wins():
+async def test_first_record_in_the_log_wins():
     """Replays routers that request the rest of a budget at the same moment.
 
     Decided with the state at the end of the batch, each router saw the budget
     exceeded, and no raise was granted.
     """
     topic, budgets = make_topic()
-    topic.apply_newest([], 0, snapshot=True)
     owned = raise_allotment(budgets, 80)
     topic.apply(
         [account_record(0, 'n~1', owned), account_record(1, 'm~1', 80)], 2
@@ -57,10 +76,9 @@
     assert can_hold(budgets, 80)
 
 
-def test_later_record_in_the_log_loses():
+async def test_later_record_in_the_log_loses():
     """Guards against two routers that own the same tokens."""
     topic, budgets = make_topic()
-    topic.apply_newest([], 0, snapshot=True)
     owned = raise_allotment(budgets, 80)
     topic.apply(
         [account_record(0, 'm~1', 80), account_record(1, 'n~1', owned)], 2
@@ -68,41 +86,28 @@
     assert not can_hold(budgets, 80)
 
 
-def test_pages_are_not_used_for_decisions():
+async def test_pages_are_not_used_for_decisions():
     """Guards against a grant based on pages read at different times."""
     topic, budgets = make_topic()
-    topic.apply_newest([], 0, snapshot=True)
     owned = raise_allotment(budgets, 80)
     # The account of the other router was raised after its page was read.
     pages = [account_record(3, 'm~1', 10), account_record(9, 'n~1', owned)]
     topic.apply_newest(pages, 10, snapshot=False)
     assert not can_hold(budgets, 80)
     topic.apply(
-        [account_record(5, 'm~1', 60), account_record(9, 'n~1', owned)], 10
+        [account_record(5, 'm~1', 60, 2), account_record(9, 'n~1', owned)], 10
     )
     assert not can_hold(budgets, 80)
 
 
-class Writer:
-    """Log writer of a router that can reach the log."""
-
-    waiting_s = 0.0
-    usual_append_s = 0.0
-
-
-def test_router_with_the_log_raises_for_one_without_it():
+async def test_router_with_the_log_raises_for_one_without_it():
     """Replays an outage of the log for some routers.
 
     They had consumed their allotments while no router owned a large part of
     the budget, which only routers that reach the log could raise.
     """
-    budgets = BudgetTask(
-        'n~1', Writer(), NullStub(), clock=lambda: ClockReading(0, 0)
-    )
+    topic, budgets = make_topic(limit=10_000)
     budgets._reachable = True
-    budgets.allotments.set_limit('org', 10_000)
-    topic = FleetTopic(budgets, NullStub())
-    topic.apply_newest([], 0, snapshot=True)
     assert budgets.transfer_out('org', 4_000, 0.5) == 0
     changes = budgets.allotments.collect_changes(ClockReading(0, 0))
     budgets.allotments.confirm_written(changes)
@@ -110,7 +115,7 @@
     record = Record(
         0,
         'budget/org/n~1',
-        b'%d %d' % (account.owned, account.ceiling),
+        b'%d %d %d' % (account.owned, account.ceiling, account.revision),
     )
     topic.apply([record], 1)
     assert budgets.transfer_out('org', 4_000, 1.0) == 4_000
@@ -132,7 +137,6 @@
     Accounts with rejected raises appeared to have the most idle tokens.
     """
     topic, budgets = make_topic()
-    topic.apply_newest([], 0, snapshot=True)
     peers = PeerTask(
         'n',
         'n~1',
@@ -150,7 +154,7 @@
         peer = peers._peers[f'm{i:02}']
         peer.holder = f'm{i:02}~1'
         peer.last_seen_s = asyncio.get_running_loop().time()
-        record = Record(i, f'budget/org/{peer.holder}', b'%d 0' % i)
+        record = Record(i, f'budget/org/{peer.holder}', b'%d 0 1' % i)
         topic.apply([record], i + 1)
     requested = []
     for _ in range(3):
--- a/src/basilpond/node/tests/test_follower.py
+++ b/src/basilpond/node/tests/test_follower.py
@@ -47,6 +47,9 @@
         self.count = 0
         self.end = 0
 
+    def begin_era(self, era):
+        pass
+
     def apply_newest(self, records, end, *, snapshot):
         self.apply(records, end)
 
@@ -71,7 +74,9 @@
         self.decisions = Decisions()
         self.configurations = Configurations()
         writer = LogWriter(log, 'fleet', 'n~1', self.decisions)
-        self.budgets = BudgetTask('n~1', writer, self.decisions, clock)
+        self.budgets = BudgetTask(
+            'n~1', writer, self.decisions, clock, is_first_start=True
+        )
         metrics = NodeMetrics()
         self.followers = [
             TopicFollower(log, topic, state, self.decisions, 0.05, metrics)
@@ -164,7 +169,7 @@
         self._newest_s = newest_s
         self._refuse = False
 
-    async def append(self, topic, records, *, producer, sequence):
+    async def append(self, topic, records, *, producer, epoch, sequence):
         if self.refusing:
             self._refuse = not self._refuse
             if self._refuse:
@@ -172,7 +177,11 @@
                 self.refused += 1
                 raise LogUnavailableError('append: status 503')
         return await super().append(
-            topic, records, producer=producer, sequence=sequence
+            topic,
+            records,
+            producer=producer,
+            epoch=epoch,
+            sequence=sequence,
         )
 
     async def read_newest(self, topic, after, progress):
--- a/src/basilpond/node/tests/test_node.py
+++ b/src/basilpond/node/tests/test_node.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from basilpond.node._fleet_records import parse_account
 from basilpond.node._node import _STOP_NOTICE_S
 from basilpond.node.tests.platform_world import PROMPT
 from basilpond.node.tests.platform_world import configuration
@@ -253,8 +254,8 @@
         key = f'budget/org/{holder}'
 
         def reduced():
-            owned, ceiling = system.log.newest('keyed.fleet')[key].split()
-            return owned == ceiling
+            account = parse_account(system.log.newest('keyed.fleet')[key])
+            return account.owned == account.ceiling
 
         await system.until(reduced)
 
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -59,6 +59,8 @@
     port_range: tuple[int, int]
     platform: _Platform
     zones: dict[str, str] = {}
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -114,6 +116,7 @@
             prompt_reuse_s=file.bounds.reuse_window_s,
             link_bytes_per_s=file.limits.link_mbps * _BYTES_PER_MBIT
             or float('inf'),
+            is_first_start=file.bootstrap,
         )
     except (OSError, ValueError, yaml.YAMLError) as error:
         raise SettingsError(f'{path}: {error}') from error
--- a/src/basilpond/platform/_store.py
+++ b/src/basilpond/platform/_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 from collections.abc import Callable
+import dataclasses
 import struct
 from typing import TypeVar
 from urllib.parse import quote
@@ -39,6 +40,8 @@
 # Offsets of the end of the partition and of the first retained record, which
 # precede the records of a read.
 _READ_HEAD_BYTES = 16
+# The era rises with each restore; a longer number is no era.
+_MAX_ERA_DIGITS = 9
 
 
 class _AppendResponse(msgspec.Struct):
@@ -61,6 +64,8 @@
 
 class _ErrorResponse(msgspec.Struct):
     reason: str = ''
+    # Next sequence number of the producer.
+    seq: int | None = None
 
 
 def encode_keyed_record(key: str, value: bytes) -> bytes:
@@ -104,6 +109,13 @@
     return Record(offset, key, value or None)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _LogResponse:
+    status: int
+    data: bytes
+    era: int
+
+
 class PlatformLog:
     """Log client that uses a separate connection for each concurrent call.
 
@@ -116,6 +128,8 @@
         self._pool = ConnectionPool(*address, _CONNECT_TIMEOUT_S)
         self._host = f'{address[0]}:{address[1]}'
         self.calls = 0
+        self.era = 0
+        self.on_new_era: Callable[[], None] = lambda: None
 
     async def append(
         self,
@@ -123,6 +137,7 @@
         records: list[tuple[str, bytes]],
         *,
         producer: str,
+        epoch: int,
         sequence: int,
     ) -> int:
         """Append keyed records, all or none.
@@ -140,7 +155,8 @@
         LogUnavailableError
             It is unknown whether the records were appended.
         LogAppendError
-            The sequence does not follow the last one of the producer.
+            The sequence does not follow the last one of the producer, or the
+            producer has used a higher epoch.
         """
         body = b''.join(
             encode_keyed_record(key, value) for key, value in records
@@ -149,15 +165,16 @@
             'topic': topic,
             'part': 0,
             'producer': producer,
-            'epoch': 1,
+            'epoch': epoch,
             'seq': sequence,
         }
-        head, data = await self._request('POST', 'log-append', query, body)
-        if head.status == 409:
-            raise LogAppendError(_decode_json(data, _ErrorResponse).reason)
-        if head.status != 200:
-            raise LogUnavailableError(f'append: status {head.status}')
-        return _decode_json(data, _AppendResponse).offset
+        response = await self._request('POST', 'log-append', query, body)
+        if response.status == 409:
+            error = _decode_json(response.data, _ErrorResponse)
+            raise LogAppendError(error.reason, error.seq)
+        if response.status != 200:
+            raise LogUnavailableError(f'append: status {response.status}')
+        return _decode_json(response.data, _AppendResponse).offset
 
     async def read(
         self,
@@ -195,7 +212,7 @@
             'from': offset,
             'wait_ms': int(wait_s * 1000),
         }
-        head, data = await self._request(
+        response = await self._request(
             'GET',
             'log-read',
             query,
@@ -204,12 +221,13 @@
             progress=progress,
             check_start=check,
         )
-        if head.status == 410:
-            raise LogTrimmedError(f'{topic}: offset {offset} is trimmed')
-        if head.status != 200 or len(data) < _READ_HEAD_BYTES:
-            raise LogUnavailableError(f'read: status {head.status}')
-        end, _ = struct.unpack_from('>QQ', data)
-        return LogPage(_decode_records(data[_READ_HEAD_BYTES:], offset), end)
+        if response.status == 410:
+            raise LogTrimmedError(f'{topic}: no record at offset {offset}')
+        if response.status != 200 or len(response.data) < _READ_HEAD_BYTES:
+            raise LogUnavailableError(f'read: status {response.status}')
+        end, _ = struct.unpack_from('>QQ', response.data)
+        records = _decode_records(response.data[_READ_HEAD_BYTES:], offset)
+        return LogPage(records, end, response.era)
 
     async def read_newest(
         self, topic: str, after: str | None, progress: ReadProgress
@@ -223,12 +241,12 @@
         query = {'topic': topic, 'part': 0}
         if after is not None:
             query['after'] = after
-        head, data = await self._request(
+        response = await self._request(
             'GET', 'log-newest', query, b'', progress=progress
         )
-        if head.status != 200:
-            raise LogUnavailableError(f'newest: status {head.status}')
-        page = _decode_json(data, _NewestResponse)
+        if response.status != 200:
+            raise LogUnavailableError(f'newest: status {response.status}')
+        page = _decode_json(response.data, _NewestResponse)
         try:
             records = [
                 Record(item.offset, item.key, _decode_value(item.value))
@@ -236,7 +254,19 @@
             ]
         except ValueError as error:
             raise LogUnavailableError(f'newest: {error}') from error
-        return NewestPage(records, page.end, page.has_more)
+        return NewestPage(records, page.end, page.has_more, response.era)
+
+    def _record_era(self, head: ResponseHead) -> int:
+        # Returns the era of the response, that is the last one if it names
+        # none. Responses may overtake each other, so the highest era counts.
+        value = head.find(b'store-era') or b''
+        if not value.isdigit() or len(value) > _MAX_ERA_DIGITS:
+            return self.era
+        era = int(value)
+        if era > self.era:
+            self.era = era
+            self.on_new_era()
+        return era
 
     async def _request(
         self,
@@ -248,7 +278,7 @@
         extra_s: float = 0.0,
         progress: ReadProgress | None = None,
         check_start: Callable[[int, bytes], None] = lambda status, data: None,
-    ) -> tuple[ResponseHead, bytes]:
+    ) -> _LogResponse:
         self.calls += 1
         target = f'/basilpond/{name}?{urlencode(query, quote_via=quote)}'
         message = (
@@ -266,6 +296,7 @@
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(_RESPONSE_TIMEOUT_S + extra_s) as limit:
                 head = await connection.read_head()
+                era = self._record_era(head)
                 parts = []
                 while True:
                     limit.reschedule(loop.time() + _RESPONSE_TIMEOUT_S)
@@ -289,4 +320,4 @@
         finally:
             if connection is not None:
                 self._pool.release(connection)
-        return head, b''.join(parts)
+        return _LogResponse(head.status, b''.join(parts), era)
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -10,6 +10,9 @@
 from ._donors import Donors
 from ._endpoint_limits import EndpointLimits
 from ._endpoint_limits import LimitReport
+from ._era_recovery import Completion
+from ._era_recovery import EraRecovery
+from ._era_recovery import EraStatement
 from ._escrow_accounts import ClockReading
 from ._escrow_accounts import EscrowAccount
 from ._escrow_accounts import EscrowAccounts
@@ -52,6 +55,7 @@
     'Catalogue',
     'Choice',
     'ClockReading',
+    'Completion',
     'Configuration',
     'CrashCounter',
     'CrashEvidence',
@@ -60,6 +64,8 @@
     'Endpoint',
     'EndpointLimits',
     'EndpointLoad',
+    'EraRecovery',
+    'EraStatement',
     'EscrowAccount',
     'EscrowAccounts',
     'EventTokens',
--- a/src/basilpond/routing/_escrow_accounts.py
+++ b/src/basilpond/routing/_escrow_accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 
 # Time after its last heartbeat at which a router may exceed its ceiling, by a
@@ -19,6 +20,9 @@
 # Proofs by the fleet clock end this much earlier than those by the clocks of
 # the machine, as the clocks of the fleet agree to 0.2 s only.
 _FLEET_MARGIN_S = 0.3
+# A holder has one append in flight, whose accounts are one revision newer than
+# those in the log. A reduction by its successor takes precedence over them.
+_REDUCTION_STEP = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -33,10 +37,14 @@
         from other holders.
     ceiling : int
         Cumulative tokens that it consumes at most while the log responds.
+    revision : int
+        Increases with each change of the account. A log that was restored
+        from a copy may return an older revision than the newest.
     """
 
     owned: int
     ceiling: int
+    revision: int = 0
 
     @property
     def short_outage_limit(self) -> int:
@@ -67,7 +75,9 @@
             limit = self.short_outage_limit
         else:
             return None
-        return EscrowAccount(limit, limit) if limit < self.owned else None
+        if limit >= self.owned:
+            return None
+        return EscrowAccount(limit, limit, self.revision + _REDUCTION_STEP)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -128,14 +138,22 @@
 
 
 class EscrowAccounts:
-    """Accounts of all holders, as applied from the records of the log."""
+    """Newest known accounts of all holders.
+
+    They are applied from the records of the log, and learned from statements
+    of other routers. The revision decides which one is newer. Those that the
+    log does not contain at their newest revision are unwritten: the log was
+    restored from a copy that is older than they are, or an append of an
+    earlier process was executed late.
+    """
 
-    __slots__ = ('_accounts', '_ceilings', '_totals')
+    __slots__ = ('_accounts', '_ceilings', '_totals', '_unwritten')
 
     def __init__(self) -> None:
         self._accounts: dict[str, dict[str, tuple[EscrowAccount, int]]] = {}
         self._totals: dict[str, int] = {}
         self._ceilings: dict[str, int] = {}
+        self._unwritten: dict[tuple[str, str], None] = {}
 
     def apply(
         self,
@@ -153,10 +171,54 @@
         offset : int
             Position of the record in the log.
         """
-        accounts = self._accounts.setdefault(organisation, {})
-        previous, previous_offset = accounts.get(holder, (EMPTY_ACCOUNT, -1))
-        if offset <= previous_offset:
+        known, known_offset = self.account(organisation, holder)
+        if account.revision < known.revision:
+            if offset > known_offset:
+                self._set(organisation, holder, known, -1)
+            return
+        if account.revision == known.revision and offset <= known_offset:
             return
+        self._set(organisation, holder, account, offset)
+
+    def learn(
+        self, organisation: str, holder: str, account: EscrowAccount
+    ) -> None:
+        """Apply an account that was not read from the log.
+
+        Parameters
+        ----------
+        organisation, holder : str
+        account : EscrowAccount
+        """
+        known, _ = self.account(organisation, holder)
+        if account.revision > known.revision:
+            self._set(organisation, holder, account, -1)
+
+    def forget_offsets(self) -> None:
+        """Treat all accounts as unwritten, as the log may have lost them."""
+        for organisation, accounts in self._accounts.items():
+            for holder, (account, _) in list(accounts.items()):
+                self._set(organisation, holder, account, -1)
+
+    def unwritten(self) -> list[tuple[str, str]]:
+        """Return the accounts that the log does not contain.
+
+        Returns
+        -------
+        list of (str, str)
+            Organisations and holders.
+        """
+        return list(self._unwritten)
+
+    def _set(
+        self,
+        organisation: str,
+        holder: str,
+        account: EscrowAccount,
+        offset: int,
+    ) -> None:
+        accounts = self._accounts.setdefault(organisation, {})
+        previous, _ = accounts.get(holder, (EMPTY_ACCOUNT, -1))
         total_owned = self._totals.get(organisation, 0)
         self._totals[organisation] = (
             total_owned + account.owned - previous.owned
@@ -166,11 +228,34 @@
             ceiling + account.ceiling - previous.ceiling
         )
         accounts[holder] = account, offset
+        if offset < 0:
+            self._unwritten[organisation, holder] = None
+        else:
+            self._unwritten.pop((organisation, holder), None)
 
     def total_owned(self, organisation: str) -> int:
         """Return the sum of the tokens owned by all holders."""
         return self._totals.get(organisation, 0)
 
+    def owned_by(
+        self, organisation: str, selects: Callable[[str], bool]
+    ) -> int:
+        """Return the sum of the tokens owned by some holders.
+
+        Parameters
+        ----------
+        organisation : str
+        selects : callable
+            Called with a holder; returns whether it counts.
+        """
+        return sum(
+            account.owned
+            for holder, (account, _) in self._accounts.get(
+                organisation, {}
+            ).items()
+            if selects(holder)
+        )
+
     def total_ceiling(self, organisation: str) -> int:
         """Return the sum of the ceilings of all holders."""
         return self._ceilings.get(organisation, 0)
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -29,6 +29,13 @@
 successor that starts in between reduces the account to that limit. Both
 limits are computed from the account alone. A router obeys the lowest of those
 in all of its records that may be the newest in the log.
+
+A log that is restored from a copy loses what it had acknowledged. Each change
+of an account therefore has a revision, the newest known revision counts
+whether or not the log contains it, and a raise that the log grants is used
+only once another router has stated that it knows of it, or had the time to
+read it. After a restore, raises are decided again only when the routers that
+remember the accounts have written them; see `EraRecovery`.
 """
 
 from __future__ import annotations
@@ -97,6 +104,8 @@
     last_appended: EscrowAccount = EMPTY_ACCOUNT
     # Whether the newest account requests more tokens and is not decided yet.
     raise_pending: bool = False
+    # Whether the log granted the pending raise, which no other router knows.
+    granted_by_log: bool = False
     # Sum of the token bounds of the requests that wait for tokens.
     demand: int = 0
     # Owned tokens above the ceiling, reserved for requests that wait until the
@@ -432,7 +441,7 @@
             allotment.fleet_ceiling = fleet_ceiling
 
     def collect_changes(
-        self, reading: ClockReading
+        self, reading: ClockReading, *, rewrite_all: bool = False
     ) -> dict[str, EscrowAccount]:
         """Return the changed accounts that have to be appended to the log.
 
@@ -444,6 +453,9 @@
         ----------
         reading : ClockReading
             Present time; appended with the accounts as the heartbeat.
+        rewrite_all : bool
+            Whether to return unchanged accounts, too, as the log may have lost
+            them.
 
         Returns
         -------
@@ -460,9 +472,15 @@
             has_demand = allotment.demand > 0
             account = self._next_account(organisation, allotment)
             if account == allotment.last_appended:
+                if rewrite_all and account.revision:
+                    accounts[organisation] = account
                 continue
             if not has_demand and not self._rewrite_limit.try_take():
-                break
+                if not rewrite_all:
+                    break
+                if allotment.last_appended.revision:
+                    accounts[organisation] = allotment.last_appended
+                continue
             allotment.raise_pending = (
                 allotment.raise_pending or account.owned > allotment.granted
             )
@@ -505,10 +523,10 @@
             allotment.short_outage_limit = account.short_outage_limit
 
     def decide_raises(self, offset: int) -> list[tuple[str, int, bool]]:
-        """Grant or reject the raises whose records have been applied.
+        """Decide the raises whose records have been applied.
 
         A raise is granted if all accounts of the organisation add up to at
-        most its budget.
+        most its budget. Its tokens may be used once `confirm_raise` is called.
 
         Parameters
         ----------
@@ -523,7 +541,7 @@
         """
         decided = []
         for organisation, allotment in self._allotments.items():
-            if not allotment.raise_pending:
+            if not allotment.raise_pending or allotment.granted_by_log:
                 continue
             account, account_offset = self._accounts.account(
                 organisation, self._holder
@@ -538,14 +556,59 @@
                 self._accounts.total_owned(organisation) <= allotment.limit
             )
             raised = account.owned - allotment.granted
-            allotment.raise_pending = False
+            allotment.granted_by_log = granted
+            allotment.raise_pending = granted
             # Requests that still wait add their demand again.
             allotment.demand = 0
-            if granted:
-                allotment.granted = account.owned
             decided.append((organisation, raised, granted))
         return decided
 
+    def raises_to_confirm(self) -> dict[str, EscrowAccount]:
+        """Return the accounts whose raises the log granted.
+
+        Other routers have to know of them before their tokens are used, as
+        the log may lose its records.
+        """
+        return {
+            organisation: allotment.last_appended
+            for organisation, allotment in self._allotments.items()
+            if allotment.granted_by_log
+        }
+
+    def confirm_raise(self, organisation: str, revision: int) -> bool:
+        """Use the tokens of a raise that the log granted.
+
+        Parameters
+        ----------
+        organisation : str
+        revision : int
+            Of the account that was raised.
+
+        Returns
+        -------
+        bool
+            Whether this raise was waiting to be confirmed.
+        """
+        allotment = self._allotments.get(organisation)
+        if (
+            allotment is None
+            or not allotment.granted_by_log
+            or allotment.last_appended.revision != revision
+        ):
+            return False
+        allotment.granted = allotment.last_appended.owned
+        allotment.granted_by_log = allotment.raise_pending = False
+        return True
+
+    def revoke_unconfirmed_raises(self) -> None:
+        """Decide granted raises again that are not confirmed yet.
+
+        Called when the log may have lost records: their grants followed from
+        a state of the log that no longer exists.
+        """
+        for allotment in self._allotments.values():
+            allotment.granted_by_log = False
+
     def release_all(self, reading: ClockReading) -> dict[str, EscrowAccount]:
         """Return all free tokens to the budgets when the router stops.
 
@@ -567,8 +630,9 @@
             if allotment.raise_pending:
                 continue
             owned = allotment.local_use
-            account = EscrowAccount(owned, owned)
-            if account != allotment.last_appended:
+            last = allotment.last_appended
+            if (last.owned, last.ceiling) != (owned, owned):
+                account = EscrowAccount(owned, owned, last.revision + 1)
                 allotment.granted = allotment.ceiling = owned
                 allotment.short_outage_limit = owned
                 allotment.last_appended = account
@@ -636,7 +700,13 @@
             ceiling=allotment.last_appended.ceiling,
         )
         allotment.demand = 0
-        return EscrowAccount(owned, ceiling)
+        if (owned, ceiling) == (
+            allotment.last_appended.owned,
+            allotment.last_appended.ceiling,
+        ):
+            return allotment.last_appended
+        revision = allotment.last_appended.revision + 1
+        return EscrowAccount(owned, ceiling, revision)
 
     def _budget_state(
         self, organisation: str, allotment: _LocalAllotment
--- a/src/basilpond/routing/tests/test_prepaid.py
+++ b/src/basilpond/routing/tests/test_prepaid.py
@@ -29,7 +29,15 @@
     for organisation, account in changes.items():
         accounts.apply(organisation, holder, account, offset)
     allotments.confirm_written(changes)
-    return allotments.decide_raises(offset + 1)
+    return decide(allotments, offset + 1)
+
+
+def decide(allotments, end):
+    """Decide a router's raises; another router remembers those granted."""
+    decided = allotments.decide_raises(end)
+    for organisation, account in allotments.raises_to_confirm().items():
+        assert allotments.confirm_raise(organisation, account.revision)
+    return decided
 
 
 def test_hold_needs_a_grant():
@@ -50,7 +58,7 @@
     accounts.apply(ORG, 'b', EscrowAccount(90, 90), 1)
     accounts.apply(ORG, 'a', changes[ORG], 2)
     allotments.confirm_written(changes)
-    [(_, tokens, was_granted)] = allotments.decide_raises(3)
+    [(_, tokens, was_granted)] = decide(allotments, 3)
     assert tokens >= 80 and not was_granted
     assert allotments.hold(ORG, 80, 0) is None
 
@@ -64,7 +72,7 @@
     accounts.apply(ORG, 'b', EscrowAccount(95, 95), 1)
     accounts.apply(ORG, 'a', raised[ORG], 2)
     allotments.confirm_written(raised)
-    allotments.decide_raises(3)
+    decide(allotments, 3)
     allotments.add_demand(ORG, 80)
     corrected = allotments.collect_changes(HEARTBEAT)
     assert corrected[ORG].owned == 0
@@ -100,10 +108,10 @@
 @pytest.mark.parametrize(
     ('age_s', 'reduced'),
     [
-        (0.0, EscrowAccount(40, 40)),
-        (OUTAGE_S - 0.1, EscrowAccount(40, 40)),
-        (OUTAGE_S, EscrowAccount(58, 58)),
-        (LONG_OUTAGE_S - 0.1, EscrowAccount(58, 58)),
+        (0.0, EscrowAccount(40, 40, 2)),
+        (OUTAGE_S - 0.1, EscrowAccount(40, 40, 2)),
+        (OUTAGE_S, EscrowAccount(58, 58, 2)),
+        (LONG_OUTAGE_S - 0.1, EscrowAccount(58, 58, 2)),
         (LONG_OUTAGE_S, None),
     ],
 )
@@ -135,7 +143,8 @@
     allotments, accounts = make_allotments(limit=1000)
     accounts.apply(ORG, 'b', EscrowAccount(400, 400), 0)
     allotments.transfer_in(ORG, 300)
-    assert allotments.release_all(HEARTBEAT)[ORG] == EscrowAccount(-300, -300)
+    released = allotments.release_all(HEARTBEAT)[ORG]
+    assert released == EscrowAccount(-300, -300, 1)
 
 
 def test_donor_owns_less_than_before():
@@ -384,7 +393,7 @@
         changes = allotments.collect_changes(heartbeat)
         append(holder, changes)
         allotments.confirm_written(changes)
-        allotments.decide_raises(len(log))
+        decide(allotments, len(log))
 
     first.add_demand(ORG, demand)
     start = ClockReading(10_000, 10_000)
--- a/src/basilpond/routing/tests/test_prepaid_machine.py
+++ b/src/basilpond/routing/tests/test_prepaid_machine.py
@@ -106,6 +106,12 @@
             router.offset = offset + 1
         router.allotments.decide_raises(router.offset)
 
+    @stateful.rule(machine=st.sampled_from(MACHINES))
+    def confirm(self, machine):
+        allotments = self.routers[machine].allotments
+        for organisation, account in allotments.raises_to_confirm().items():
+            assert allotments.confirm_raise(organisation, account.revision)
+
     @stateful.rule(
         machine=st.sampled_from(MACHINES), tokens=st.integers(1, 300)
     )
--- a/src/basilpond/routing/tests/test_rewrite_limit.py
+++ b/src/basilpond/routing/tests/test_rewrite_limit.py
@@ -79,6 +79,8 @@
             self.records += 1
         allotments.confirm_written(accounts)
         allotments.decide_raises(self.records)
+        for name, account in allotments.raises_to_confirm().items():
+            assert allotments.confirm_raise(name, account.revision)
 
 
 @pytest.mark.parametrize('routers', [24, 96])
--- a/src/basilpond_testkit/slow_link_log.py
+++ b/src/basilpond_testkit/slow_link_log.py
@@ -31,6 +31,8 @@
     def __init__(self, link_bytes_per_s: float) -> None:
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.sent_bytes = 0
+        self.era = 0
+        self.on_new_era = lambda: None
         self._link_bytes_per_s = link_bytes_per_s
         self._link_free_s = 0.0
         self._is_cut = False
@@ -56,6 +58,7 @@
         records: list[tuple[str, bytes]],
         *,
         producer: str,
+        epoch: int,
         sequence: int,
     ) -> int:
         """Append records."""
