Keep an endpoint that started again when a 421 comes from its former address

Callers of a small service would see 503 until the endpoint's next entry.

A request to the former start of an endpoint was under way when the endpoint started again under its id, at another address. The 421 from the former address removed the endpoint by its id, and so the new start. A 421 now removes an endpoint only if it is still the one that the request was sent to. The new test failed before.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -228,7 +228,11 @@
 
     def mark_misdirected(self, entry: EndpointEntry) -> None:
         """Remove an endpoint whose address now belongs to another server."""
-        self._remove(entry.endpoint.id, 'address belongs to another server')
+        endpoint_id = entry.endpoint.id
+        if self._entries.get(endpoint_id) is not entry:
+            # It has started again, at another address.
+            return
+        self._remove(endpoint_id, 'address belongs to another server')
 
     def _add_or_update(self, endpoint: Endpoint) -> None:
         timer = self._lapsed.pop(endpoint.id, None)
--- a/src/basilpond/node/tests/test_directory.py
+++ b/src/basilpond/node/tests/test_directory.py
@@ -16,7 +16,7 @@
         pass
 
 
-def entry(offset, name='s-1'):
+def entry(offset, name='s-1', **changes):
     value = {
         'service': 'app',
         'address': '127.0.0.1:1000',
@@ -27,6 +27,7 @@
         'seq': offset,
         'version': 'v',
         'born': 1,
+        **changes,
     }
     return Record(offset, name, msgspec.json.encode(value))
 
@@ -93,3 +94,17 @@
     assert directory.candidates('app')
     await asyncio.sleep(0.2)
     assert not directory.candidates('app')
+
+
+@on_paused_clock
+async def test_late_421_does_not_remove_the_next_start():
+    """Guards against the loss of an endpoint that has started again.
+
+    A request was under way to the former address when the endpoint started
+    again under its id; the 421 from there removed the new start.
+    """
+    directory = make_directory()
+    former = directory.find('s-1')
+    directory.apply([entry(1, born=2, address='127.0.0.1:2000')], 2)
+    directory.mark_misdirected(former)
+    assert directory.candidates('app')
