Compare entries of endpoints by start and sequence number

Callers would see requests at servers that had left (DRAIN) and at former addresses, and 421 from them, after the store came back from an older copy.

The newest record that was read counted as the newest that was written. A copy lists endpoints as ready that had left, and their former addresses; each re-read of an entry that led to a 421 added it again. After a loss of records an endpoint that was removed returns only with a higher sequence number or a later start, and one that had reported that it was leaving only with a later start; it is listed as leaving until then, so that other routers learn of it. A withheld entry that the store still lists after a minute belongs to a server that reports, and is used.

The new tests in test_directory.py failed before, with a begin_era that did nothing.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -10,7 +10,9 @@
 from ..http1 import ConnectionPool
 from ..routing import Catalogue
 from ..routing import Endpoint
+from ..routing import EndpointHistory
 from ..routing import EndpointLoad
+from ..routing import EntryVerdict
 from ..routing import long_prompt_endpoints
 from ._decision_log import DecisionLog
 from ._interfaces import PlatformCodec
@@ -146,6 +148,10 @@
         # entries may have lapsed.
         self._reachable_again_s = float('-inf')
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
+        self._history = EndpointHistory()
+        # Listed entries that may be older than the departures of their
+        # endpoints.
+        self._withheld: dict[str, asyncio.TimerHandle] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -170,7 +176,20 @@
         ]
 
     def begin_era(self, era: int) -> None:
-        """Keep the endpoints, which the log may have lost."""
+        """Note that the next newest records are of another era of the store.
+
+        It may lack records that were applied before.
+        """
+        before = self._history.era
+        if not self._history.begin_era(era):
+            return
+        self._decisions.event(
+            'endpoints_unconfirmed',
+            era=era,
+            before=before,
+            endpoints=len(self._entries),
+            departures=len(self._history) - len(self._entries),
+        )
 
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
@@ -181,10 +200,13 @@
         for endpoint_id in list(self._entries):
             if endpoint_id not in listed:
                 self._schedule_removal(endpoint_id)
+        for endpoint_id in self._withheld.keys() - listed:
+            self._release_withheld(endpoint_id)
 
     def apply(self, records: list[Record], end: int) -> None:
         """Apply records in order."""
         for record in records:
+            self._release_withheld(record.key)
             if record.value is None:
                 self._schedule_removal(record.key)
                 continue
@@ -217,7 +239,10 @@
 
     def mark_leaving(self, incarnation: str, source: str) -> None:
         """Mark an endpoint as leaving, as reported by another router."""
-        entry = self._entries.get(incarnation.rpartition('@')[0])
+        endpoint_id = incarnation.rpartition('@')[0]
+        if self._history.record_leaving(incarnation):
+            self._release_withheld(endpoint_id)
+        entry = self._entries.get(endpoint_id)
         if entry is None or entry.endpoint.leaving:
             return
         if _incarnation_text(entry.endpoint) == incarnation:
@@ -232,12 +257,32 @@
         if self._entries.get(endpoint_id) is not entry:
             # It has started again, at another address.
             return
-        self._remove(endpoint_id, 'address belongs to another server')
+        self._remove(
+            endpoint_id, 'address belongs to another server', listed=True
+        )
 
     def _add_or_update(self, endpoint: Endpoint) -> None:
+        now_s = asyncio.get_running_loop().time()
+        verdict = self._history.judge(endpoint, now_s)
+        if verdict is not EntryVerdict.CURRENT:
+            self._log_ignored(endpoint, verdict, now_s)
+        if verdict is EntryVerdict.REMOVED:
+            self._withhold(endpoint, now_s)
+            return
+        if verdict is EntryVerdict.EARLIER_START:
+            self._schedule_removal(endpoint.id)
+            return
         timer = self._lapsed.pop(endpoint.id, None)
         if timer is not None:
             timer.cancel()
+        if verdict is EntryVerdict.OLDER:
+            return
+        if verdict is EntryVerdict.LEFT:
+            endpoint = dataclasses.replace(endpoint, leaving=True)
+        self._update(endpoint)
+        self._history.record(endpoint)
+
+    def _update(self, endpoint: Endpoint) -> None:
         known = self._entries.get(endpoint.id)
         if known is not None:
             same = known.endpoint.incarnation == endpoint.incarnation
@@ -259,6 +304,21 @@
         self._assign_long_prompts(endpoint.service)
         self._log_endpoint('endpoint_added', endpoint)
 
+    def _withhold(self, endpoint: Endpoint, now_s: float) -> None:
+        # The store removes entries of silent servers within seconds: one that
+        # it still lists when the departure is forgotten is in use.
+        self._release_withheld(endpoint.id)
+        self._withheld[endpoint.id] = asyncio.get_running_loop().call_later(
+            self._history.retention_s(endpoint.id, now_s),
+            self._add_or_update,
+            endpoint,
+        )
+
+    def _release_withheld(self, endpoint_id: str) -> None:
+        timer = self._withheld.pop(endpoint_id, None)
+        if timer is not None:
+            timer.cancel()
+
     def _schedule_removal(self, endpoint_id: str) -> None:
         if endpoint_id not in self._entries:
             return
@@ -271,7 +331,9 @@
                 remaining_s, self._remove, endpoint_id, 'entry lapsed'
             )
 
-    def _remove(self, endpoint_id: str, reason: str) -> None:
+    def _remove(
+        self, endpoint_id: str, reason: str, *, listed: bool = False
+    ) -> None:
         timer = self._lapsed.pop(endpoint_id, None)
         if timer is not None:
             timer.cancel()
@@ -281,6 +343,9 @@
         self._by_service[entry.endpoint.service].pop(endpoint_id, None)
         self._by_number.pop(entry.number, None)
         entry.pool.close()
+        self._history.record_departure(
+            endpoint_id, asyncio.get_running_loop().time(), listed=listed
+        )
         self._assign_long_prompts(entry.endpoint.service)
         self._log_endpoint('endpoint_removed', entry.endpoint, reason)
 
@@ -290,6 +355,22 @@
         for endpoint_id, entry in entries.items():
             entry.load.for_long_prompts = endpoint_id in reserved
 
+    def _log_ignored(
+        self, endpoint: Endpoint, verdict: EntryVerdict, now_s: float
+    ) -> None:
+        self._decisions.event(
+            'endpoint_entry_ignored',
+            routine=True,
+            endpoint=endpoint.id,
+            service=endpoint.service,
+            address=f'{endpoint.host}:{endpoint.port}',
+            reason=verdict.value,
+            era=self._history.era,
+            boot_ms=endpoint.boot_ms,
+            sequence=endpoint.sequence,
+            **self._history.inputs(endpoint.id, now_s),
+        )
+
     def _log_endpoint(
         self, event: str, endpoint: Endpoint, reason: str | None = None
     ) -> None:
--- a/src/basilpond/node/tests/test_directory.py
+++ b/src/basilpond/node/tests/test_directory.py
@@ -11,9 +11,17 @@
 READ_INTERVAL_S = 1.25
 
 
-class NullDecisionLog:
+class Events:
+    """Decision log that stores its lines."""
+
+    def __init__(self):
+        self.lines = []
+
     def event(self, name, **fields):
-        pass
+        self.lines.append((name, fields))
+
+    def named(self, name):
+        return [fields for event, fields in self.lines if event == name]
 
 
 def entry(offset, name='s-1', **changes):
@@ -36,13 +44,36 @@
     return Record(offset, name, None)
 
 
-def make_directory():
-    directory = EndpointDirectory(JsonPlatformCodec(), NullDecisionLog(), 10.0)
-    directory.apply_newest([entry(0)], 1, snapshot=True)
+def make_directory(*records, events=None):
+    directory = EndpointDirectory(
+        JsonPlatformCodec(), events or Events(), 10.0
+    )
+    directory.begin_era(1)
+    directory.apply_newest(list(records or [entry(0)]), 1, snapshot=True)
     directory.update_reachability(reachable=True)
     return directory
 
 
+def restore(directory, *records, era=2):
+    """Let the store come back from a copy that lists these records."""
+    directory.update_reachability(reachable=False)
+    directory.begin_era(era)
+    directory.apply_newest(list(records), 1, snapshot=True)
+    directory.update_reachability(reachable=True)
+
+
+def in_service(directory):
+    """Return the ids of the endpoints that accept requests."""
+    return [entry.endpoint.id for entry in directory.candidates('app')]
+
+
+async def running_directory(*records, **kwargs):
+    """Return a directory of a router that has read the store for some time."""
+    directory = make_directory(*records, **kwargs)
+    await pass_time(directory, 3)
+    return directory
+
+
 async def pass_time(directory, reads):
     for _ in range(reads):
         await asyncio.sleep(READ_INTERVAL_S)
@@ -103,8 +134,103 @@
     A request was under way to the former address when the endpoint started
     again under its id; the 421 from there removed the new start.
     """
-    directory = make_directory()
+    directory = await running_directory()
     former = directory.find('s-1')
     directory.apply([entry(1, born=2, address='127.0.0.1:2000')], 2)
     directory.mark_misdirected(former)
-    assert directory.candidates('app')
+    assert in_service(directory) == ['s-1']
+
+
+@on_paused_clock
+async def test_older_entry_does_not_replace_a_newer_one():
+    """Guards against a former address after the store lost records."""
+    directory = await running_directory(
+        entry(9, address='127.0.0.1:2000', slots=12)
+    )
+    older = entry(7, state='draining')
+    directory.apply([older], 2)
+    restore(directory, older)
+    directory.apply([older], 2)
+    (known,) = directory.candidates('app')
+    assert (known.endpoint.port, known.endpoint.slots) == (2000, 12)
+    directory.apply([entry(10, slots=3)], 3)
+    (known,) = directory.candidates('app')
+    assert (known.endpoint.port, known.endpoint.slots) == (1000, 3)
+
+
+@on_paused_clock
+async def test_departed_endpoint_does_not_return_from_a_copy():
+    """Guards against requests to an endpoint that had left (DRAIN)."""
+    events = Events()
+    directory = await running_directory(
+        entry(5), entry(3, 's-2'), events=events
+    )
+    directory.apply([removal(6), removal(7, 's-2')], 8)
+    restore(directory, entry(5), entry(2, 's-2'))
+    directory.apply([entry(5), entry(2, 's-2')], 10)
+    assert not in_service(directory)
+    ignored = events.named('endpoint_entry_ignored')
+    assert ignored[0]['reason'] == 'removed'
+    assert (ignored[0]['era'], ignored[0]['known_sequence']) == (2, 5)
+    # Their servers report again, or have started again.
+    directory.apply([entry(6), entry(1, 's-2', born=2)], 12)
+    assert in_service(directory) == ['s-1', 's-2']
+
+
+@on_paused_clock
+async def test_endpoint_that_reported_leaving_stays_leaving():
+    """Guards against a restored entry that says that it is ready (DRAIN).
+
+    Other routers, also ones that have just started, learn that it left.
+    """
+    directory = await running_directory(entry(5), entry(5, 's-2'))
+    draining = [entry(6, state='draining'), entry(6, 's-2', state='draining')]
+    directory.apply([*draining, removal(7)], 8)
+    restore(directory, entry(5), entry(5, 's-2'))
+    # A write that was delayed.
+    directory.apply([entry(7), entry(7, 's-2')], 9)
+    assert not in_service(directory)
+    assert sorted(directory.leaving()) == ['s-1@1', 's-2@1']
+    directory.apply([entry(1, born=2), entry(1, 's-2', born=2)], 10)
+    assert in_service(directory) == ['s-1', 's-2']
+
+
+@on_paused_clock
+async def test_report_on_a_removed_endpoint_holds_after_a_loss():
+    """Guards against the return of an endpoint that only a peer saw leave."""
+    directory = await running_directory(entry(5))
+    directory.apply([removal(6)], 7)
+    directory.mark_leaving('s-1@1', 'node-2')
+    restore(directory, entry(5))
+    directory.apply([entry(7)], 9)
+    assert not in_service(directory)
+
+
+@on_paused_clock
+async def test_misdirected_entry_is_not_added_again():
+    """Guards against a 421 for each time that a stale entry is read."""
+    directory = await running_directory()
+    directory.mark_misdirected(directory.find('s-1'))
+    directory.apply_newest([entry(0)], 1, snapshot=True)
+    restore(directory, entry(0))
+    directory.apply([entry(0)], 1)
+    assert not in_service(directory)
+    directory.apply([entry(1)], 2)
+    assert in_service(directory) == ['s-1']
+
+
+@on_paused_clock
+async def test_withheld_entry_is_used_while_the_store_keeps_listing_it():
+    """Guards against an endpoint that is kept out for good.
+
+    The store removes entries after three intervals without a report, so one
+    that it lists for longer belongs to a server that reports.
+    """
+    directory = await running_directory(entry(5), entry(5, 's-2'))
+    directory.apply([removal(6), removal(7, 's-2')], 8)
+    restore(directory, entry(5), entry(5, 's-2'))
+    await asyncio.sleep(30.0)
+    directory.apply([removal(8, 's-2')], 9)
+    assert not in_service(directory)
+    await asyncio.sleep(31.0)
+    assert in_service(directory) == ['s-1']
--- a/src/basilpond/platform/_records.py
+++ b/src/basilpond/platform/_records.py
@@ -182,4 +182,5 @@
         slots=max(1, server.slots),
         leaving=server.state == 'draining',
         slow_start_s=server.cold_left_ms / 1000,
+        sequence=server.seq,
     )
--- a/src/basilpond/platform/tests/test_records.py
+++ b/src/basilpond/platform/tests/test_records.py
@@ -69,6 +69,7 @@
     assert endpoint.slots == 64
     assert not endpoint.leaving
     assert endpoint.boot_ms == 1_781_071_529_128
+    assert endpoint.sequence == 4
 
 
 def test_draining_server_is_leaving():
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -8,6 +8,8 @@
 from ._crashing_parts import Quarantine
 from ._crashing_parts import part_key
 from ._donors import Donors
+from ._endpoint_history import EndpointHistory
+from ._endpoint_history import EntryVerdict
 from ._endpoint_limits import EndpointLimits
 from ._endpoint_limits import LimitReport
 from ._era_recovery import Completion
@@ -62,10 +64,12 @@
     'CrashingParts',
     'Donors',
     'Endpoint',
+    'EndpointHistory',
     'EndpointLimits',
     'EndpointLoad',
     'EraRecovery',
     'EraStatement',
+    'EntryVerdict',
     'EscrowAccount',
     'EscrowAccounts',
     'EventTokens',
--- a/src/basilpond/routing/_types.py
+++ b/src/basilpond/routing/_types.py
@@ -151,6 +151,8 @@
         Whether it accepts no further requests.
     slow_start_s : float
         Remaining time for which it is slow after its start.
+    sequence : int
+        Number of its entry, which grows with each entry since its start.
     """
 
     id: str
@@ -162,6 +164,7 @@
     slots: int
     leaving: bool
     slow_start_s: float
+    sequence: int = 0
 
     @property
     def incarnation(self) -> tuple[str, int | None, str, int]:
