Keep endpoints that a restored store does not list yet for 2 s

Callers of a service would get 503 (no endpoint) after the store came back from a copy of some seconds before, or 421 or refused connections from the address of an endpoint's former start.

Endpoints that registered in the lost seconds are missing from the copy, and their removals or unreadable entries of before are read once more. In an outage shorter than 2.4 s no entry lapses, so all of these counted as departures. After a loss of records an endpoint now stays for 2 s unless an entry as new as its own has been read since; a removal after such an entry applies at once, as it cannot be part of the copy.

The tests on missing, unreadable and earlier entries and on the second loss failed before, with a begin_era that did nothing; the test on a removal after a loss and the one on a lapsed entry guard the other side.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -23,7 +23,8 @@
 # is retransmitted after 200 ms.
 CONNECT_TIMEOUT_S = 0.4
 # Time after the end of a store outage in which entries that lapsed during the
-# outage are written again, if their servers are alive.
+# outage, or that the store has lost in it, are written again, if their servers
+# are alive.
 _LAPSE_GRACE_S = 2.0
 # Endpoints report every 1.2 s, and an entry lapses after three such intervals
 # without a report. The last report is up to one interval old when an outage of
@@ -147,6 +148,8 @@
         # When the store last became reachable after an outage in which
         # entries may have lapsed.
         self._reachable_again_s = float('-inf')
+        # When the store last came back without its latest records.
+        self._restored_s = float('-inf')
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._history = EndpointHistory()
         # Listed entries that may be older than the departures of their
@@ -178,17 +181,23 @@
     def begin_era(self, era: int) -> None:
         """Note that the next newest records are of another era of the store.
 
-        It may lack records that were applied before.
+        It may lack records that were applied before. What it does not list
+        stays for the time in which servers write their entries again.
         """
         before = self._history.era
         if not self._history.begin_era(era):
             return
+        self._restored_s = asyncio.get_running_loop().time()
+        for endpoint_id in list(self._lapsed):
+            self._lapsed.pop(endpoint_id).cancel()
+            self._schedule_removal(endpoint_id)
         self._decisions.event(
             'endpoints_unconfirmed',
             era=era,
             before=before,
             endpoints=len(self._entries),
             departures=len(self._history) - len(self._entries),
+            grace_s=_LAPSE_GRACE_S,
         )
 
     def apply_newest(
@@ -215,7 +224,9 @@
                     record.key, record.value
                 )
             except ValueError as error:
-                self._remove(record.key, f'unreadable entry: {error}')
+                self._schedule_removal(
+                    record.key, f'unreadable entry: {error}'
+                )
                 continue
             self._add_or_update(endpoint)
 
@@ -319,17 +330,30 @@
         if timer is not None:
             timer.cancel()
 
-    def _schedule_removal(self, endpoint_id: str) -> None:
+    def _schedule_removal(
+        self, endpoint_id: str, reason: str = 'entry removed'
+    ) -> None:
         if endpoint_id not in self._entries:
             return
         loop = asyncio.get_running_loop()
-        remaining_s = self._reachable_again_s + _LAPSE_GRACE_S - loop.time()
+        since_s = self._reachable_again_s
+        if not self._history.is_confirmed(endpoint_id):
+            since_s = max(since_s, self._restored_s)
+        remaining_s = since_s + _LAPSE_GRACE_S - loop.time()
         if remaining_s <= 0:
-            self._remove(endpoint_id, 'entry removed')
+            self._remove(endpoint_id, reason)
         elif endpoint_id not in self._lapsed:
             self._lapsed[endpoint_id] = loop.call_later(
                 remaining_s, self._remove, endpoint_id, 'entry lapsed'
             )
+            self._decisions.event(
+                'endpoint_entry_missing',
+                routine=True,
+                endpoint=endpoint_id,
+                reason=reason,
+                era=self._history.era,
+                remaining_s=round(remaining_s, 3),
+            )
 
     def _remove(
         self, endpoint_id: str, reason: str, *, listed: bool = False
--- a/src/basilpond/node/tests/test_directory.py
+++ b/src/basilpond/node/tests/test_directory.py
@@ -158,6 +158,89 @@
     assert (known.endpoint.port, known.endpoint.slots) == (1000, 3)
 
 
+@on_paused_clock
+async def test_entry_of_an_earlier_start_does_not_replace_a_later_one():
+    """Guards against the address of a former start of an endpoint.
+
+    The start in service is missing from the copy, so it is gone unless it is
+    written again.
+    """
+    later = entry(3, born=2, address='127.0.0.1:2000')
+    directory = await running_directory(later)
+    restore(directory, entry(40))
+    await asyncio.sleep(1.0)
+    (known,) = directory.candidates('app')
+    assert known.endpoint.port == 2000
+    directory.apply([entry(4, born=2, address='127.0.0.1:2000')], 2)
+    await asyncio.sleep(3.0)
+    assert in_service(directory) == ['s-1']
+    restore(directory, entry(40), era=3)
+    await asyncio.sleep(3.0)
+    assert not in_service(directory)
+
+
+@on_paused_clock
+async def test_entry_missing_from_a_copy_stays_until_it_is_written_again():
+    """Guards against a service without endpoints after the store lost records.
+
+    The outage is too short for entries to lapse in it, so that missing
+    entries counted as removed.
+    """
+    directory = await running_directory(
+        entry(0), entry(1, 's-2'), entry(2, 's-3')
+    )
+    restore(directory, entry(1, 's-2'))
+    await asyncio.sleep(1.0)
+    # The copy's own history of the endpoint, read before it is written again.
+    directory.apply([removal(2), removal(3, 's-3')], 4)
+    assert in_service(directory) == ['s-1', 's-2', 's-3']
+    directory.apply([entry(4)], 5)
+    await asyncio.sleep(0.9)
+    assert in_service(directory) == ['s-1', 's-2', 's-3']
+    await asyncio.sleep(0.2)
+    assert in_service(directory) == ['s-1', 's-2']
+
+
+@on_paused_clock
+async def test_second_loss_begins_the_time_for_missing_entries_anew():
+    """Guards against removals between two losses of records."""
+    directory = await running_directory(entry(0))
+    restore(directory)
+    await asyncio.sleep(1.5)
+    restore(directory, era=3)
+    await asyncio.sleep(1.5)
+    assert in_service(directory) == ['s-1']
+    await asyncio.sleep(0.6)
+    assert not in_service(directory)
+
+
+@on_paused_clock
+async def test_removal_after_a_loss_applies_at_once():
+    """Guards against requests to an endpoint that left after a loss.
+
+    Its entry was read since, so the removal is newer and no part of the copy.
+    """
+    directory = await running_directory()
+    restore(directory, entry(0))
+    directory.apply([removal(1)], 2)
+    assert not in_service(directory)
+
+
+@on_paused_clock
+async def test_unreadable_entry_of_a_copy_does_not_remove_an_endpoint():
+    """Guards against entries of other writers that were replaced meanwhile."""
+    directory = await running_directory()
+    unreadable = Record(0, 's-1', b'{')
+    restore(directory, unreadable)
+    await asyncio.sleep(1.9)
+    assert in_service(directory) == ['s-1']
+    await asyncio.sleep(0.2)
+    assert not in_service(directory)
+    directory.apply([entry(1)], 2)
+    directory.apply([unreadable], 3)
+    assert not in_service(directory)
+
+
 @on_paused_clock
 async def test_departed_endpoint_does_not_return_from_a_copy():
     """Guards against requests to an endpoint that had left (DRAIN)."""
@@ -206,6 +289,20 @@
     assert not in_service(directory)
 
 
+@on_paused_clock
+async def test_lapsed_entry_returns_with_the_same_sequence():
+    """Guards against an endpoint that is kept out after an outage.
+
+    It was only missing, so nothing says that it had left.
+    """
+    directory = await running_directory(entry(5))
+    restore(directory)
+    await asyncio.sleep(3.0)
+    assert not in_service(directory)
+    directory.apply([entry(5)], 2)
+    assert in_service(directory) == ['s-1']
+
+
 @on_paused_clock
 async def test_misdirected_entry_is_not_added_again():
     """Guards against a 421 for each time that a stale entry is read."""
--- a/src/basilpond/routing/_endpoint_history.py
+++ b/src/basilpond/routing/_endpoint_history.py
@@ -138,6 +138,11 @@
         )
         self._departures.pop(endpoint.id, None)
 
+    def is_confirmed(self, endpoint_id: str) -> bool:
+        """Whether the newest entry was read in the present era."""
+        known = self._known.get(endpoint_id)
+        return known is not None and known.confirmed
+
     def record_departure(
         self, endpoint_id: str, now_s: float, *, listed: bool = False
     ) -> None:
--- a/src/basilpond/routing/tests/test_endpoint_history.py
+++ b/src/basilpond/routing/tests/test_endpoint_history.py
@@ -92,7 +92,9 @@
     history.record(changed(sequence=6))
     history.begin_era(2)
     assert history.judge(READY, 1.0) is EntryVerdict.OLDER
+    assert not history.is_confirmed('e-1')
     history.record(changed(sequence=7))
+    assert history.is_confirmed('e-1')
     history.record_departure('e-1', 2.0)
     history.begin_era(3)
     for sequence in (5, 6, 7):
