Apply the newest valid version and log rejected records once

Callers would get 404 or 401 for what a new version allows if an invalid or an older record followed it in one read, and routers would differ if operators publish other content under the number of a version that the store has lost. Each loss of records logged an invalid record once more.

Of several records only the last was considered, valid or not. All are considered now. A version of the store with the number of the one in force replaces it if that was not read in the present era. Records that were rejected are remembered by their hash values, 16 at most, and logged once: configuration_unreadable, configuration_older, configuration_differs.

That a key which a lost version took away stays without access held before; its test covers apply, apply_newest and versions of peers.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
@@ -26,6 +27,10 @@
 # outage, or that the store has lost in it, are written again, if their servers
 # are alive.
 _LAPSE_GRACE_S = 2.0
+# Source of versions that are read from the store.
+_STORE = 'store'
+# Rejected records whose log lines are not repeated.
+_MAX_REJECTED = 16
 # Endpoints report every 1.2 s, and an entry lapses after three such intervals
 # without a report. The last report is up to one interval old when an outage of
 # the store begins, so no entry lapses in a shorter outage.
@@ -57,9 +62,15 @@
         self.catalogue: Catalogue | None = None
         # Encoded form of the version in force.
         self.data: bytes | None = None
+        self._era: int | None = None
+        # Era in which the version in force was read from the store.
+        self._read_era: int | None = None
+        # Hash values of the last records that were rejected.
+        self._rejected: deque[int] = deque(maxlen=_MAX_REJECTED)
 
     def begin_era(self, era: int) -> None:
-        """Keep the version in force, which the log may have lost."""
+        """Note that the next records are of another era of the store."""
+        self._era = era
 
     def apply_newest(
         self, records: list[Record], end: int, *, snapshot: bool
@@ -68,39 +79,80 @@
         self.apply(records, end)
 
     def apply(self, records: list[Record], end: int) -> None:
-        """Apply the last version in some records."""
-        for record in reversed(records):
+        """Apply the newest version in some records."""
+        for record in records:
             if record.key == self._codec.configuration_key and record.value:
-                self.apply_version(record.value, source='store')
-                return
+                self.apply_version(record.value, source=_STORE)
 
     def update_reachability(self, *, reachable: bool) -> None:
         """Keep the version in force, whether or not the store responds."""
 
     def apply_version(self, data: bytes, *, source: str) -> None:
-        """Apply a version unless the same or a newer one is in force."""
+        """Apply a version unless the same or a newer one is in force.
+
+        Operators may publish other content under the number of a version that
+        the store has lost. The store's version then replaces one of the same
+        number that was not read in the present era.
+        """
+        if data == self.data:
+            self._note_read(source)
+            return
         try:
             configuration = self._codec.decode_configuration(data)
         except ValueError as error:
-            self._decisions.event(
-                'configuration_unreadable', source=source, reason=str(error)
+            self._log_rejected(
+                'configuration_unreadable', data, source, reason=str(error)
             )
             return
+        version = configuration.version
         known = self.catalogue
-        if known is not None and configuration.version <= known.version:
+        if known is not None and version < known.version:
+            self._log_rejected(
+                'configuration_older',
+                data,
+                source,
+                version=version,
+                known=known.version,
+            )
             return
+        if known is not None and version == known.version:
+            if configuration == known.configuration:
+                self._note_read(source)
+                return
+            if source != _STORE or self._read_era == self._era:
+                self._log_rejected(
+                    'configuration_differs', data, source, version=version
+                )
+                return
         self.catalogue = Catalogue(configuration)
         self.data = data
+        self._read_era = None
+        self._note_read(source)
         self._decisions.event(
             'configuration_applied',
-            version=configuration.version,
+            version=version,
             replaced=None if known is None else known.version,
             source=source,
+            era=self._era,
             routes=len(configuration.routes),
             organisations=len(configuration.organisations or ()),
         )
         self._on_change(self.catalogue)
 
+    def _note_read(self, source: str) -> None:
+        if source == _STORE:
+            self._read_era = self._era
+
+    def _log_rejected(
+        self, event: str, data: bytes, source: str, **inputs: object
+    ) -> None:
+        # A record is read again with each era and with each newest records.
+        key = hash(data)
+        if key in self._rejected:
+            return
+        self._rejected.append(key)
+        self._decisions.event(event, source=source, era=self._era, **inputs)
+
 
 class EndpointEntry:
     """An endpoint with its load and its connections."""
--- a/src/basilpond/node/tests/test_directory.py
+++ b/src/basilpond/node/tests/test_directory.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from basilpond.node import Record
+from basilpond.node._directory import ConfigurationState
 from basilpond.node._directory import EndpointDirectory
 from basilpond.platform import JsonPlatformCodec
 from basilpond_testkit.paused_clock import on_paused_clock
@@ -331,3 +332,111 @@
     assert not in_service(directory)
     await asyncio.sleep(31.0)
     assert in_service(directory) == ['s-1']
+
+
+class Configurations:
+    """Configuration of a router, with the versions that it has applied."""
+
+    def __init__(self):
+        self.events = Events()
+        self.applied = []
+        self.state = ConfigurationState(
+            JsonPlatformCodec(), self.events, self.record
+        )
+        self.state.begin_era(1)
+
+    def record(self, catalogue):
+        keys = catalogue.organisations['org'].keys
+        self.applied.append((catalogue.version, *keys))
+
+    def restore(self, *records, era=2):
+        """Let the store come back from a copy that lists these records."""
+        self.state.begin_era(era)
+        self.state.apply_newest(list(records), 1, snapshot=True)
+
+    def logged(self, name):
+        return len(self.events.named(name))
+
+
+def version(number, *keys):
+    value = {
+        'version': number,
+        'routes': [],
+        'tenants': [{'name': 'org', 'api_keys': keys}],
+    }
+    return Record(number, 'config', msgspec.json.encode(value))
+
+
+def test_version_of_a_copy_does_not_replace_a_newer_one():
+    """Guards against a key that works again after it was taken away.
+
+    The version that took it away is missing from the copy.
+    """
+    router = Configurations()
+    older, newer = version(4, 'a', 'b'), version(7, 'a')
+    router.state.apply([older, newer], 8)
+    router.restore(older)
+    router.state.apply([older], 5)
+    router.state.apply_version(older.value, source='10.0.0.2:9400')
+    router.restore(older, era=3)
+    assert router.applied[-1] == (7, 'a')
+    assert router.state.data == newer.value
+    (line,) = router.events.named('configuration_older')
+    assert (line['version'], line['known'], line['era']) == (4, 7, 2)
+    router.state.apply([newer], 8)
+    router.state.apply([version(9, 'a', 'c')], 10)
+    assert router.applied[-1] == (9, 'a', 'c')
+
+
+def test_valid_version_before_an_invalid_record_is_applied():
+    """Guards against a version that is lost to an invalid record after it."""
+    router = Configurations()
+    invalid = Record(3, 'config', b'{"version": 9}')
+    router.state.apply([version(2, 'a'), invalid, version(1, 'b')], 4)
+    assert router.applied == [(2, 'a')]
+
+
+def test_invalid_record_is_logged_once():
+    """Guards against a log line for each time that the record is read."""
+    router = Configurations()
+    router.state.apply([version(2, 'a')], 1)
+    invalid = Record(3, 'config', b'{"version": 9}')
+    router.state.apply([invalid], 4)
+    router.restore(invalid)
+    router.restore(invalid, era=3)
+    router.state.apply([invalid], 4)
+    assert router.logged('configuration_unreadable') == 1
+    assert router.applied == [(2, 'a')]
+    router.state.apply([Record(4, 'config', b'{')], 5)
+    assert router.logged('configuration_unreadable') == 2
+
+
+def test_version_that_is_written_anew_after_a_loss_is_applied():
+    """Guards against routers that differ under one version number.
+
+    An operator who lost the version may publish other content under the same
+    number; routers that start later read only that.
+    """
+    router = Configurations()
+    lost, anew = version(7, 'a'), version(7, 'b')
+    router.state.apply([lost], 8)
+    router.state.apply([anew], 9)
+    assert router.applied == [(7, 'a')]
+    router.restore(version(4, 'a', 'b'))
+    router.state.apply([lost], 9)
+    assert router.applied == [(7, 'a')]
+    router.restore(version(4, 'a', 'b'), era=3)
+    router.state.apply([anew], 9)
+    assert router.applied == [(7, 'a'), (7, 'b')]
+    # A router that lost contact may still serve the former content.
+    router.state.apply_version(lost.value, source='10.0.0.2:9400')
+    assert router.applied == [(7, 'a'), (7, 'b')]
+    assert router.logged('configuration_differs') == 2
+
+
+def test_version_of_the_store_replaces_one_of_a_peer():
+    """Guards against a router that keeps a version that the store has lost."""
+    router = Configurations()
+    router.state.apply_version(version(7, 'a').value, source='10.0.0.2:9400')
+    router.state.apply([version(7, 'b')], 8)
+    assert router.applied == [(7, 'a'), (7, 'b')]
