Compare the first configuration of a router with those of the others

Callers got 401 for a key that was in force, and access by one that had been taken away, at a router that started after the store had come back from an older copy: it counted as ready with the version of the copy, until it fetched the newer one 0.6 s later.

A router now uses its first version only after one report interval in which no live router reported a newer one, or after it has fetched that. Requests get 503 until then. The line configuration_checked names the outcome.

--- a/src/basilpond/node/_configuration_fetcher.py
+++ b/src/basilpond/node/_configuration_fetcher.py
@@ -1,14 +1,22 @@
-"""Exchange of configurations between routers while the store is down."""
+"""Exchange of configurations between routers.
+
+While the store is down, routers fetch newer versions from each other. A
+router that has just started also asks them whether its first version is the
+newest one, as the store may have come back from an older copy.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 import zlib
 
 from ..http1 import ConnectionPool
 from ..http1 import ExchangeError
 from ..http1 import ExchangeFailure
+from ..routing import CheckState
+from ..routing import VersionCheck
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
 from ._internal_server import InternalResponse
@@ -19,6 +27,8 @@
 # All routers read a version from the store within about 50 ms; a router that
 # still lacks it after this time cannot reach the store.
 FETCH_DELAY_S = 0.3
+# Interval in which a router that has just started compares its version.
+_CHECK_INTERVAL_S = 0.05
 _CONNECT_TIMEOUT_S = 0.4
 # A fetch is cancelled if its source sends nothing for this long. The time of a
 # complete transfer has no limit: 300 KB take seconds on a shared link.
@@ -43,6 +53,8 @@
     configuration : ConfigurationState
     peers : PeerTask
     decisions : DecisionLog
+    are_routers_known : callable
+        Returns whether the addresses of the routers have been read.
     """
 
     def __init__(
@@ -50,11 +62,15 @@
         configuration: ConfigurationState,
         peers: PeerTask,
         decisions: DecisionLog,
+        *,
+        are_routers_known: Callable[[], bool] = lambda: True,
     ) -> None:
         self._configuration = configuration
         self._peers = peers
         self._decisions = decisions
+        self._are_routers_known = are_routers_known
         self._server = InternalServer(self._respond)
+        self._fetching: asyncio.Task[None] | None = None
         # Start time and bytes of the transfers of the last second.
         self._recent_transfers: deque[tuple[float, int]] = deque()
         # The version in force when it was compressed, and the result.
@@ -71,6 +87,47 @@
 
     async def run(self) -> None:
         """Fetch newer versions until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._check_first_version(group))
+            group.create_task(self._follow_peers(group))
+
+    async def _check_first_version(self, group: asyncio.TaskGroup) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        check = VersionCheck()
+        first_version: int | None = None
+        while True:
+            await asyncio.sleep(_CHECK_INTERVAL_S)
+            catalogue = self._configuration.catalogue
+            version = None if catalogue is None else catalogue.version
+            if first_version is None:
+                first_version = version
+            newest = self._peers.find_newest_configuration()
+            registered = self._peers.registered_routers()
+            state = check.update(
+                version,
+                None if newest is None else newest[0],
+                registered=registered if self._are_routers_known() else None,
+                interval_s=self._peers.report_interval_s,
+                now_s=loop.time(),
+            )
+            if state.is_final:
+                break
+            if state is CheckState.FETCHING and newest is not None:
+                # The time limit applies during a slow transfer too.
+                self._start_fetch(group, *newest)
+        self._configuration.in_use = True
+        self._decisions.event(
+            'configuration_checked',
+            state=state.value,
+            version=version,
+            first_version=first_version,
+            peer_version=None if newest is None else newest[0],
+            registered=registered,
+            took_s=round(loop.time() - started_s, 3),
+        )
+
+    async def _follow_peers(self, group: asyncio.TaskGroup) -> None:
         pending_version: int | None = None
         while True:
             await asyncio.sleep(FETCH_DELAY_S)
@@ -80,9 +137,15 @@
                 continue
             version, address = newest
             if pending_version is not None:
-                await self._fetch(version, address)
+                self._start_fetch(group, version, address)
             pending_version = version
 
+    def _start_fetch(
+        self, group: asyncio.TaskGroup, version: int, address: tuple[str, int]
+    ) -> None:
+        if self._fetching is None or self._fetching.done():
+            self._fetching = group.create_task(self._fetch(version, address))
+
     async def _fetch(self, version: int, address: tuple[str, int]) -> None:
         pool = ConnectionPool(*address, _CONNECT_TIMEOUT_S)
         source = f'{address[0]}:{address[1]}'
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -60,6 +60,8 @@
         self._decisions = decisions
         self._on_change = on_change
         self.catalogue: Catalogue | None = None
+        # Whether requests may be handled by the version in force.
+        self.in_use = False
         # Encoded form of the version in force.
         self.data: bytes | None = None
         self._era: int | None = None
@@ -68,6 +70,11 @@
         # Hash values of the last records that were rejected.
         self._rejected: deque[int] = deque(maxlen=_MAX_REJECTED)
 
+    @property
+    def serving(self) -> Catalogue | None:
+        """Catalogue to handle requests by, if there is one."""
+        return self.catalogue if self.in_use else None
+
     def begin_era(self, era: int) -> None:
         """Note that the next records are of another era of the store."""
         self._era = era
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -174,7 +174,7 @@
     ) -> RequestContext:
         if self._refusing:
             raise RefusedError(503, 'router stops', _STOPPING_RETRY_S)
-        catalogue = self._configuration.catalogue
+        catalogue = self._configuration.serving
         if catalogue is None:
             raise RefusedError(503, 'no configuration yet', _STARTING_RETRY_S)
         host = (find(request.headers, b'host') or b'').decode('latin-1')
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -140,7 +140,10 @@
         self.budgets.recovery.wake_reader = fleet.wake_up
         self.budgets.restart_reader = self._restart_readers
         self._configuration_fetcher = ConfigurationFetcher(
-            self.configuration, self.peers, decisions
+            self.configuration,
+            self.peers,
+            decisions,
+            are_routers_known=fleet.synced.is_set,
         )
         self._followers = (
             TopicFollower(
@@ -177,7 +180,7 @@
         """Whether requests can be served."""
         return (
             not self._stopping
-            and self.configuration.catalogue is not None
+            and self.configuration.serving is not None
             and all(f.synced.is_set() for f in self._followers)
         )
 
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -246,6 +246,10 @@
         sources = [p for p in peers if p.configuration_version == newest]
         return newest, self._rng.choice(sources).address
 
+    def registered_routers(self) -> int:
+        """Return the number of other routers whose addresses are known."""
+        return len(self._peers)
+
     def live_routers(self) -> int:
         """Return the number of live routers, this one included."""
         return 1 + sum(1 for _ in self._live_peers())
--- a/src/basilpond/node/tests/test_configuration_fetcher.py
+++ b/src/basilpond/node/tests/test_configuration_fetcher.py
@@ -2,6 +2,7 @@
 import contextlib
 import random
 import time
+from types import SimpleNamespace
 import zlib
 
 import pytest
@@ -13,6 +14,7 @@
 from basilpond.routing import CrashCounter
 from basilpond.routing import CrashingParts
 from basilpond.routing import EndpointLimits
+from basilpond.routing import _version_check
 from basilpond_testkit._fleet import free_ports
 
 HOST = '127.0.0.1'
@@ -34,6 +36,7 @@
     """Configuration of a router, which records applied versions."""
 
     catalogue = None
+    in_use = False
 
     def __init__(self, data=None):
         self.data = data
@@ -149,3 +152,43 @@
     assert [applied for applied, _ in results if applied] == [[DATA]] * 4
     refused = [lines for applied, lines in results if not applied]
     assert all('503' in lines[0][1]['reason'] for lines in refused)
+
+
+class Peers:
+    """Other routers, one of which reports a newer version."""
+
+    report_interval_s = 0.05
+
+    def __init__(self, version, address):
+        self.newest = version, address
+
+    def find_newest_configuration(self):
+        return self.newest
+
+    def registered_routers(self):
+        return 1
+
+
+async def test_slow_transfer_does_not_hold_a_router_that_starts(monkeypatch):
+    """Guards against a router that a faulty one keeps unready.
+
+    The faulty router sends a byte of the version now and then.
+    """
+    monkeypatch.setattr(_version_check, 'LIMIT_S', 0.4)
+    events = Events()
+    configuration = Configuration()
+    configuration.catalogue = SimpleNamespace(version=1)
+    async with source(7, 0.15) as address:
+        fetcher = ConfigurationFetcher(
+            configuration, Peers(2, address), events
+        )
+        run = asyncio.create_task(fetcher.run())
+        started_s = time.monotonic()
+        async with asyncio.timeout(5.0):
+            while not configuration.in_use:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        run.cancel()
+    assert time.monotonic() - started_s < 0.8
+    ((name, fields),) = events.lines
+    assert name == 'configuration_checked'
+    assert (fields['state'], fields['peer_version']) == ('expired', 2)
--- a/src/basilpond/node/tests/test_node.py
+++ b/src/basilpond/node/tests/test_node.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import urllib.request
 
 import pytest
@@ -396,3 +397,39 @@
 def test_prompt_headers_are_complete():
     """Guards against prompts in these tests that consume no tokens."""
     assert dict(PROMPT)['X-Token-Count'] == '300,60'
+
+
+async def test_router_that_starts_on_an_old_copy_asks_the_others():
+    """Guards against refusals by a version that is no longer in force.
+
+    The store came back from a copy with the version before, in which a key
+    was missing that was added since and another one had access still.
+    """
+    organisation = {'name': 'org', 'api_keys': ['added'], 'prepaid': 100_000}
+    newer = configuration(2, tenants=[organisation])
+    async with world(newer, nodes=2) as system:
+        older = json.dumps(configuration(1)).encode()
+        system.log.topics['keyed.op'] = [('config', older)]
+        node = await system.add_node('node-2')
+        while not node.is_ready():
+            for key in ('added', 'key'):
+                reply = await system.call('/look/1', node=2, key=key)
+                expected = {'added': {200, 503}, 'key': {401, 503}}
+                assert reply.status in expected[key]
+        reply = await system.call('/look/1', node=2, key='added')
+        assert reply.status == 200
+        reply = await system.call('/look/1', node=2, key='key')
+        assert reply.status == 401
+
+
+async def test_router_starts_without_the_others():
+    """Guards against a router that waits for routers that have ended."""
+    async with world(nodes=2) as system:
+        for node in list(system.nodes):
+            system.kill(node)
+        node = await system.add_node('node-0')
+        started_s = asyncio.get_running_loop().time()
+        await system.until(node.is_ready)
+        assert asyncio.get_running_loop().time() - started_s < 2.0
+        reply = await system.call('/look/1')
+        assert reply.status == 200
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -50,11 +50,14 @@
 from ._types import RequestMetadata
 from ._types import Route
 from ._types import RouteKind
+from ._version_check import CheckState
+from ._version_check import VersionCheck
 
 __all__ = [
     'Allotments',
     'CallerLimits',
     'Catalogue',
+    'CheckState',
     'Choice',
     'ClockReading',
     'Completion',
@@ -90,6 +93,7 @@
     'RouteKind',
     'SendEvidence',
     'SendResult',
+    'VersionCheck',
     'choose_endpoint',
     'choose_service',
     'event_gap_timeout_s',
