Keep a report of leaving whatever the age of its entry

Callers would see requests at a server that is leaving (DRAIN) if its report is read after an entry with a higher sequence number.

An older entry of the start in service was ignored as a whole. A server that has reported its leaving does not become ready again without a new start, so the report now counts in every order; address and slots stay those of the newer entry.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -336,6 +336,10 @@
         verdict = self._history.judge(endpoint, now_s)
         if verdict is not EntryVerdict.CURRENT:
             self._log_ignored(endpoint, verdict, now_s)
+            if endpoint.leaving:
+                # A server that has reported its leaving does not become ready
+                # again without a new start.
+                self._history.record_leaving(_incarnation_text(endpoint))
         if verdict is EntryVerdict.REMOVED:
             self._withhold(endpoint, now_s)
             return
@@ -346,6 +350,9 @@
         if timer is not None:
             timer.cancel()
         if verdict is EntryVerdict.OLDER:
+            if endpoint.leaving:
+                known = self._entries[endpoint.id].endpoint
+                self._update(dataclasses.replace(known, leaving=True))
             return
         if verdict is EntryVerdict.LEFT:
             endpoint = dataclasses.replace(endpoint, leaving=True)
