Log callers' connections that end unanswered

A request that was read whole and got neither a response nor a refusal left no line that told whether the caller left, the router cut it, or the connection was closed for another reason. connection_unanswered names the reason, the ages and the limit in force; answered and ended tell how long a request waited before its first send (unsent_s) and whether the caller left before the end (caller_left).

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -16,6 +16,7 @@
 from ._server import ConnectionLimits
 from ._server import Handler
 from ._server import Responder
+from ._server import UnansweredClose
 
 __all__ = [
     'ResponseHead',
@@ -30,6 +31,7 @@
     'Header',
     'PeerConnection',
     'Responder',
+    'UnansweredClose',
     'encode_fields',
     'end_to_end_fields',
     'find',
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -62,16 +62,52 @@
     received_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class UnansweredClose:
+    """A connection that ended before all of its requests were answered.
+
+    Parameters
+    ----------
+    reason : str
+        What ended the connection; 'caller' if the caller did.
+    whole_requests : int
+        Requests that were received completely and have no complete response.
+    is_partial : bool
+        Whether another request was received in part.
+    connection_age_s, request_age_s : float
+        Time since the connection was accepted, and since the first byte of
+        the oldest of these requests.
+    idle_timeout_s : float
+        Limit in force.
+    """
+
+    reason: str
+    whole_requests: int
+    is_partial: bool
+    connection_age_s: float
+    request_age_s: float
+    idle_timeout_s: float
+
+
 class Responder:
     """Response to one request; each method writes immediately."""
 
-    __slots__ = ('_chunked', '_connection', 'ended', 'started', 'status')
+    __slots__ = (
+        '_chunked',
+        '_connection',
+        'cut',
+        'ended',
+        'started',
+        'status',
+    )
 
     def __init__(self, connection: CallerConnection) -> None:
         self._connection = connection
         self._chunked = False
         self.started = False
         self.ended = False
+        # Whether the response ended before it was complete.
+        self.cut = False
         self.status = 0
 
     def respond(
@@ -116,8 +152,9 @@
 
     def abort(self) -> None:
         """Close the connection, which marks the response as truncated."""
-        self._connection.abort()
+        self._connection.abort('response cut')
         self.ended = True
+        self.cut = True
 
     def _start(self, status: int) -> None:
         assert not self.started, 'response started twice'
@@ -133,6 +170,10 @@
 Handler = Callable[[CallerRequest, Responder], Awaitable[None]]
 
 
+def _ignore_close(close: UnansweredClose) -> None:
+    pass
+
+
 class CallerServer:
     """HTTP server with one listener and its connections.
 
@@ -146,6 +187,8 @@
     on_reject : callable
         Called with status and reason of each request that is refused while
         it is read.
+    on_unanswered : callable
+        Called with an UnansweredClose.
     """
 
     def __init__(
@@ -153,10 +196,12 @@
         handler: Handler,
         limits: ConnectionLimits,
         on_reject: Callable[[int, str], None],
+        on_unanswered: Callable[[UnansweredClose], None] = _ignore_close,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.on_reject = on_reject
+        self.on_unanswered = on_unanswered
         self.stopping = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -186,13 +231,13 @@
         """Close the listener and all connections at once."""
         self.close_listener()
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort('router ends')
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
             if not connection.busy:
-                connection.close()
+                connection.close('router stops')
 
 
 class CallerConnection(asyncio.Protocol):
@@ -212,6 +257,10 @@
         # Whether the write buffer is above the high-water mark.
         self.is_congested = False
         self._drained: asyncio.Future[None] | None = None
+        self._accepted_s = self._loop.time()
+        # Of the request in progress.
+        self._request: CallerRequest | None = None
+        self._close_reason = 'caller'
         self._reset()
 
     def _reset(self) -> None:
@@ -237,6 +286,7 @@
         self._server.connections.discard(self)
         self._set_timer(None)
         self.resume_writing()
+        self._report_unanswered()
         if self._task is not None:
             self._task.cancel()
 
@@ -352,7 +402,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
-            self._transport.abort()
+            self.abort('responses not read')
             return
         self._transport.write(data)
 
@@ -362,16 +412,38 @@
             self._drained = self._loop.create_future()
             await self._drained
 
-    def close(self) -> None:
+    def close(self, reason: str = 'closed') -> None:
         """Close after the written data has been sent."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._close_reason = reason
             self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: str = 'closed') -> None:
         """Close at once."""
         if self._transport is not None:
+            if not self._transport.is_closing():
+                self._close_reason = reason
             self._transport.abort()
 
+    def _report_unanswered(self) -> None:
+        requests = list(self._queued_requests)
+        if self._request is not None:
+            requests.insert(0, self._request)
+        if not requests and not self._reading:
+            return
+        now_s = self._loop.time()
+        started_s = requests[0].started_s if requests else self._started_s
+        self._server.on_unanswered(
+            UnansweredClose(
+                self._close_reason,
+                len(requests),
+                self._reading,
+                now_s - self._accepted_s,
+                now_s - started_s,
+                self._server.limits.idle_timeout_s,
+            )
+        )
+
     def _start_request(self) -> None:
         self._reading = True
         self._started_s = self._loop.time()
@@ -384,6 +456,7 @@
 
     def _handle(self, request: CallerRequest) -> None:
         responder = Responder(self)
+        self._request = request
         self._task = self._loop.create_task(self._run(request, responder))
 
     async def _run(self, request: CallerRequest, responder: Responder) -> None:
@@ -392,9 +465,11 @@
         finally:
             self._task = None
             if not responder.ended:
-                self.abort()
+                self.abort('handler ended without a response')
+            elif not responder.cut:
+                self._request = None
         if not self.keeps_open():
-            self.close()
+            self.close('end announced')
         elif self._queued_requests:
             self._handle(self._queued_requests.pop(0))
         elif not self._reading:
@@ -420,7 +495,7 @@
     def _on_timer(self) -> None:
         self._timer = None
         if self._lingering or not self._reading:
-            self.close()
+            self.close('refused' if self._lingering else 'idle')
             return
         self._rejection = (408, 'request was not sent in time')
         self._reject()
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -267,3 +267,52 @@
 
     caller = None
     check()
+
+
+@on_paused_clock
+async def test_connection_that_ends_unanswered_is_reported():
+    """Guards against requests that are lost without a trace."""
+
+    async def wait(request, responder):
+        await asyncio.sleep(100.0)
+
+    closes = []
+    caller = Caller(wait, idle_timeout_s=5.0)
+    caller.server.on_unanswered = closes.append
+    await asyncio.sleep(1.0)
+    await caller.send(GET + GET + GET[:9])
+    await asyncio.sleep(2.0)
+    caller.transport.close()
+    await asyncio.sleep(0.0)
+    (close,) = closes
+    assert close.reason == 'caller'
+    assert (close.whole_requests, close.is_partial) == (2, True)
+    assert close.connection_age_s == pytest.approx(3.0)
+    assert close.request_age_s == pytest.approx(2.0)
+
+
+@on_paused_clock
+async def test_connection_that_ends_answered_is_not_reported():
+    """Guards against reports of connections that lost no request."""
+    closes = []
+    caller = Caller(echo, idle_timeout_s=5.0)
+    caller.server.on_unanswered = closes.append
+    await caller.send(GET)
+    await asyncio.sleep(6.0)
+    assert caller.transport.closed
+    assert not closes
+
+
+@on_paused_clock
+async def test_cut_response_is_reported():
+    """Guards against streams that are cut without a trace."""
+
+    async def cut(request, responder):
+        responder.start_stream(200, [])
+        responder.abort()
+
+    closes = []
+    caller = Caller(cut)
+    caller.server.on_unanswered = closes.append
+    await caller.send(GET)
+    assert [close.reason for close in closes] == ['response cut']
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -550,4 +550,9 @@
             held=context.hold and context.hold.tokens,
             spent=context.charged_tokens,
             sends=context.sends,
+            # Time before the first send, or in total.
+            unsent_s=round(
+                (context.first_sent_s or now_s) - context.started_s, 4
+            ),
+            caller_left=not context.responder.ended or None,
         )
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -49,6 +49,12 @@
             'status',
             'reason',
         )
+        self._unanswered = self._counter(
+            'basilpond_connections_unanswered',
+            'Connections that ended before all of their requests were'
+            ' answered, by what ended them',
+            'reason',
+        )
         self._grants = self._counter(
             'basilpond_grants', 'Requests for tokens by result', 'result'
         )
@@ -128,6 +134,10 @@
         """Count a refusal by the router."""
         self._refusals.labels(status, reason).inc()
 
+    def count_unanswered(self, reason: str) -> None:
+        """Count a connection that ended with unanswered requests."""
+        self._unanswered.labels(reason).inc()
+
     def count_send(self, service: str, result: str) -> None:
         """Count a send to an endpoint."""
         self._sends.labels(service, result).inc()
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -11,6 +11,7 @@
 
 from ..http1 import CallerServer
 from ..http1 import ConnectionLimits
+from ..http1 import UnansweredClose
 from ..routing import Catalogue
 from ..routing import CrashCounter
 from ..routing import CrashingParts
@@ -169,6 +170,7 @@
             self.dispatcher.handle,
             ConnectionLimits(),
             self._log_malformed_request,
+            self._log_unanswered,
         )
         self._ready_path = codec.ready_path
         self._ready = InternalServer(self._respond_ready)
@@ -291,6 +293,19 @@
             'request_malformed', status=status, reason=reason
         )
 
+    def _log_unanswered(self, close: UnansweredClose) -> None:
+        self._metrics.count_unanswered(close.reason)
+        self._decisions.event(
+            'connection_unanswered',
+            reason=close.reason,
+            requests=close.whole_requests or None,
+            partial=close.is_partial or None,
+            connection_age_s=round(close.connection_age_s, 4),
+            request_age_s=round(close.request_age_s, 4),
+            idle_timeout_s=close.idle_timeout_s,
+            version=self._configuration_version(),
+        )
+
     def watch_settings(
         self, path: Path, load: Callable[[Path], NodeSettings]
     ) -> None:
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -72,6 +72,7 @@
         'events',
         'failed_connects',
         'first_byte_s',
+        'first_sent_s',
         'hold',
         'last_part_s',
         'longest_pause_s',
@@ -133,6 +134,7 @@
         self.hold: Hold | None = None
         self.charged_tokens: int | None = None
         self.sends = 0
+        self.first_sent_s: float | None = None
         self.failed_connects = 0
         # Sends after which an endpoint may have run the request.
         self.possible_runs = 0
