Refuse prompts before their callers leave unanswered

Callers of a stream leave after max(2 s, 4 x objective, 8 x pause) without an event, also before the first one. A request that waited for tokens waited for its time limit instead, 12 to 15 s: beside changes of the configuration, with the store failing, whole requests were never sent and never refused. Their last line was "ended" with sends 0 after 2.40 s.

Cause: the only bound on a wait inside the router was the time limit of the request. Route.patience_s is the time after which callers leave, and RequestContext.send_by_s the last time at which a request may still be sent. Waits for tokens, for the limits of endpoints and for connections end there with 503 and Retry-After, and a wait whose known end lies later is not begun. BudgetTask.hold passed its whole timeout to the wait for the end of a ceiling, after up to 1 s of other waits, so that a request was held beyond its limit; both now share one deadline.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -275,6 +275,7 @@
         organisation : str
         tokens : int
         timeout_s : float
+            Longest wait.
 
         Returns
         -------
@@ -284,7 +285,8 @@
         if hold is not None:
             return hold
         loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + min(GRANT_TIMEOUT_S, timeout_s)
+        limit_s = loop.time() + timeout_s
+        deadline_s = min(loop.time() + GRANT_TIMEOUT_S, limit_s)
         peer_rounds = list(_PEER_ROUNDS)
         rejected_tokens, until_s = self._rejections.get(organisation, (0, 0.0))
         if tokens >= rejected_tokens and loop.time() < until_s:
@@ -307,7 +309,7 @@
                     if exhausted and self._is_state_current():
                         return HoldRejection.EXHAUSTED
                     return await self._wait_for_ceiling(
-                        organisation, tokens, timeout_s
+                        organisation, tokens, limit_s - loop.time()
                     )
                 missing_tokens = self.allotments.shortage(organisation, tokens)
                 self.request_from_peers(
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -31,6 +31,7 @@
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
 from ._decision_log import DecisionLog
+from ._directory import CONNECT_TIMEOUT_S
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
@@ -232,9 +233,10 @@
         if context.organisation is None or not tokens:
             return
         loop = asyncio.get_running_loop()
-        remaining_s = context.deadline_s - loop.time()
         name = context.organisation.name
-        hold = await self._budgets.hold(name, tokens, remaining_s)
+        hold = await self._budgets.hold(
+            name, tokens, context.send_by_s - loop.time()
+        )
         if isinstance(hold, HoldRejection):
             self._metrics.count_grant(hold.name.lower())
         if hold is HoldRejection.EXHAUSTED:
@@ -371,7 +373,7 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(
             _LIMIT_WAIT_SHARE * context.route.objective_s,
-            context.deadline_s - loop.time(),
+            context.wait_until_s - loop.time(),
         )
         while entries := self._directory.candidates(context.service):
             now_s = loop.time()
@@ -397,10 +399,15 @@
         self, context: RequestContext, outcome: SendOutcome
     ) -> bool:
         assert outcome.result is not None
-        if outcome.result is SendResult.NOT_SENT:
-            # The endpoint received nothing, so the service sees no retry.
-            return context.failed_connects < MAX_CONNECTS
         now_s = asyncio.get_running_loop().time()
+        if outcome.result is SendResult.NOT_SENT:
+            # The endpoint received nothing, so the service sees no retry. The
+            # next connection may time out as well.
+            next_s = CONNECT_TIMEOUT_S if outcome.timed_out else 0.0
+            return (
+                context.failed_connects < MAX_CONNECTS
+                and now_s + next_s <= context.wait_until_s
+            )
         if not may_send_again(
             context.route,
             outcome.result,
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -85,6 +85,7 @@
         'request',
         'responder',
         'route',
+        'send_by_s',
         'sends',
         'service',
         'started_s',
@@ -114,6 +115,8 @@
         if metadata.deadline_s is not None:
             allowed_s = min(allowed_s, metadata.deadline_s)
         self.deadline_s = request.started_s + allowed_s
+        # A request that has not been sent by then is refused.
+        self.send_by_s = request.started_s + route.longest_wait_s(allowed_s)
         # Identifies repeated requests of a caller regardless of request id.
         self.digest = xxhash.xxh3_128_hexdigest(
             b'\0'.join(
@@ -148,6 +151,11 @@
         # Whether the caller received a complete response of an endpoint.
         self.complete = False
 
+    @property
+    def wait_until_s(self) -> float:
+        """Time until which the request may wait for an endpoint."""
+        return self.deadline_s if self.possible_runs else self.send_by_s
+
     @property
     def effective_priority(self) -> int:
         """Priority at the endpoint, 0 (first) to 9 (last)."""
--- /dev/null
+++ b/src/basilpond/node/tests/test_callers_patience.py
@@ -0,0 +1,78 @@
+"""Requests that wait in the router, and when their callers leave."""
+
+import asyncio
+
+import pytest
+
+from basilpond.node._budgets import HoldRejection
+from basilpond.node.tests.platform_world import configuration
+from basilpond.node.tests.platform_world import route
+from basilpond.node.tests.platform_world import world
+from basilpond.node.tests.test_budgets_in_a_cut import LIMIT_TOKENS
+from basilpond.node.tests.test_budgets_in_a_cut import ORG
+from basilpond.node.tests.test_budgets_in_a_cut import FakeLog
+from basilpond.node.tests.test_budgets_in_a_cut import make_fleet
+from basilpond.node.tests.test_budgets_in_a_cut import read
+from basilpond_testkit.paused_clock import on_paused_clock
+
+
+async def test_prompt_is_refused_if_its_caller_would_leave_meanwhile():
+    """Replays prompts that waited for tokens until their callers left.
+
+    Callers of a stream leave after a time without its first event, long
+    before their time limit. They got neither a response nor a refusal.
+    """
+    # Callers of this route leave after 2 s.
+    chat = route('chat', 'streaming', 'llm', sticky=True, gap_target_ms=100)
+    tenant = {'name': 'org', 'api_keys': ['key'], 'prepaid': 40_000}
+    config = configuration(routes=[chat], tenants=[tenant])
+    async with world(config) as system:
+        await system.prompt()
+        await asyncio.sleep(0.5)
+        system.log.mode = 'silent'
+        await asyncio.sleep(0.2)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        # Tokens beyond the ceiling can be held after 2.3 s.
+        headers = (('X-Token-Count', '7000,50'),)
+        reply = await system.prompt(headers=headers)
+        assert reply.status == 503
+        assert float(reply.headers['retry-after']) > 0
+        assert loop.time() - started_s < 1.5
+        # The first prompt.
+        assert system.runs('llm') == 1
+
+
+@pytest.mark.parametrize('timeout_s', [0.5, 1.5, 2.5, 2.9, 3.3, 4.0])
+def test_wait_for_tokens_keeps_to_its_timeout(timeout_s):
+    """Guards against requests that are held beyond their time limit.
+
+    A request that waited for the log and then for the end of its ceiling was
+    given the whole timeout once more.
+    """
+
+    @on_paused_clock
+    async def check():
+        loop = asyncio.get_running_loop()
+        log = FakeLog()
+        ((budgets, _),) = make_fleet(log, 1)
+        # The usual time of a slow store.
+        budgets._writer.usual_append_s = 0.25
+        tasks = [
+            loop.create_task(job)
+            for job in (budgets.run(), read(log, budgets))
+        ]
+        await asyncio.sleep(2.0)
+        account = budgets.allotments.balances()[ORG]
+        tokens = account[0] // 2
+        assert 0 < tokens < LIMIT_TOKENS
+        log.unavailable = True
+        log._available.clear()
+        started_s = loop.time()
+        hold = await budgets.hold(ORG, tokens, timeout_s)
+        assert loop.time() - started_s <= timeout_s + 0.001
+        assert timeout_s < 4.0 or not isinstance(hold, HoldRejection)
+        for task in tasks:
+            task.cancel()
+
+    check()
--- a/src/basilpond/routing/_types.py
+++ b/src/basilpond/routing/_types.py
@@ -5,6 +5,16 @@
 import dataclasses
 import enum
 
+# Callers of streams leave after the longest of these times without an event,
+# also before the first one: a minimum, and multiples of the objective and of
+# the pause that is on time.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_OBJECTIVES = 4.0
+_PATIENCE_PAUSES = 8.0
+# Part of the objective that a request which has waited in the router leaves
+# its endpoint for the response to begin.
+_ENDPOINT_SHARE = 0.5
+
 
 class RouteKind(enum.Enum):
     """Kind of a route, which decides what may be retried.
@@ -68,6 +78,28 @@
             self.kind is RouteKind.STREAM and self.resumable
         )
 
+    @property
+    def patience_s(self) -> float:
+        """Time after which callers leave if no response begins."""
+        if self.kind is not RouteKind.STREAM:
+            return float('inf')
+        return max(
+            _MIN_PATIENCE_S,
+            _PATIENCE_OBJECTIVES * self.objective_s,
+            _PATIENCE_PAUSES * self.pause_s,
+        )
+
+    def longest_wait_s(self, allowed_s: float) -> float:
+        """Return how long a request may wait before it is sent.
+
+        Parameters
+        ----------
+        allowed_s : float
+            Time that the request may take.
+        """
+        limit_s = min(allowed_s, self.patience_s)
+        return max(limit_s / 2, limit_s - _ENDPOINT_SHARE * self.objective_s)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Organisation:
