Answer all requests that were read before a connection ends

Callers whose whole request was read saw the connection end with neither a response nor a refusal where

* bytes behind it were refused or not completed in time: the connection was closed 0.5 s later, with the request still in progress;
* it was queued behind another request and the response to that one announced the end, as the router stopped or the last request asked for it;
* it was the request with "Connection: close" and any byte followed.

A stream that began before a stop ended with a close that no response had announced, as the caller's next request could be on its way.

Cause: the end of a connection was decided by flags that a later request or refusal changes, not by what was announced and what is still due. Now a refusal waits for the requests before it, the end is announced in the last response that is due, and a connection closes only after that response, or idle. Bytes after a request with "Connection: close" are ignored (RFC 9112, section 9.6).

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -164,6 +164,7 @@
     def _head(self, status: int, fields: list[_fields.Header]) -> bytes:
         if not self._connection.keeps_open():
             fields.append((b'connection', b'close'))
+            self._connection.end_announced = True
         return _fields.status_line(status) + _fields.encode_fields(fields)
 
 
@@ -203,6 +204,8 @@
         self.on_reject = on_reject
         self.on_unanswered = on_unanswered
         self.stopping = False
+        # Whether connections without a request are closed.
+        self.closing_idle = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -234,7 +237,8 @@
             connection.abort('router ends')
 
     def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+        """Close connections as soon as they have no request in progress."""
+        self.closing_idle = True
         for connection in list(self.connections):
             if not connection.busy:
                 connection.close('router stops')
@@ -251,9 +255,13 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._queued_requests: list[CallerRequest] = []
+        # Whether bytes that arrive are ignored, after a refusal.
         self._lingering = False
         self._keep_alive = True
+        # Refusal of what follows the requests that were received.
         self._rejection: tuple[int, str] | None = None
+        # Whether a response has told the caller that it is the last one.
+        self.end_announced = False
         # Whether the write buffer is above the high-water mark.
         self.is_congested = False
         self._drained: asyncio.Future[None] | None = None
@@ -306,7 +314,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if self._lingering:
+        if self._lingering or not self._keep_alive:
             return
         if not self._reading:
             self._start_request()
@@ -315,6 +323,10 @@
         except httptools.HttpParserUpgrade:
             self._rejection = (400, 'upgrade requested')
         except httptools.HttpParserError as error:
+            if not self._keep_alive:
+                # RFC 9112, section 9.6: nothing follows the request with
+                # which the caller announced the end.
+                return
             if self._rejection is None:
                 self._rejection = (400, str(error))
         if self._rejection is not None:
@@ -395,7 +407,11 @@
 
     def keeps_open(self) -> bool:
         """Whether the connection stays open after the current response."""
-        return self._keep_alive and not self._server.stopping
+        return (
+            bool(self._queued_requests)
+            or self._rejection is not None
+            or (self._keep_alive and not self._server.stopping)
+        )
 
     def write(self, data: bytes) -> None:
         """Write data, or close if the caller has too much unread data."""
@@ -468,21 +484,36 @@
                 self.abort('handler ended without a response')
             elif not responder.cut:
                 self._request = None
-        if not self.keeps_open():
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self.end_announced:
             self.close('end announced')
         elif self._queued_requests:
             self._handle(self._queued_requests.pop(0))
+        elif self._rejection is not None:
+            self._respond_rejection()
         elif not self._reading:
-            self._set_timer(self._server.limits.idle_timeout_s)
+            if self._server.closing_idle:
+                self.close('router stops')
+            else:
+                self._set_timer(self._server.limits.idle_timeout_s)
 
     def _reject(self) -> None:
         assert self._rejection is not None
-        status, reason = self._rejection
         self._lingering = True
-        self._server.on_reject(status, reason)
+        self._reading = False
+        self._set_timer(None)
+        self._server.on_reject(*self._rejection)
+        # Requests that were received before are answered first.
         if self._task is None:
-            self._keep_alive = False
-            Responder(self).respond(status)
+            self._respond_rejection()
+
+    def _respond_rejection(self) -> None:
+        assert self._rejection is not None
+        status, _ = self._rejection
+        self._rejection = None
+        self._keep_alive = False
+        Responder(self).respond(status)
         self._set_timer(LINGER_S)
 
     def _set_timer(self, delay_s: float | None) -> None:
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -316,3 +316,84 @@
     caller.server.on_unanswered = closes.append
     await caller.send(GET)
     assert [close.reason for close in closes] == ['response cut']
+
+
+GET_CLOSE = GET[:-2] + b'Connection: close\r\n\r\n'
+
+
+async def slow_echo(request, responder):
+    await asyncio.sleep(1.0)
+    responder.respond(200, [], request.target)
+
+
+@pytest.mark.parametrize('rest', [b'\r\n', b'x', GET[:9], GET, GET_CLOSE])
+@pytest.mark.parametrize('first', [GET, GET_CLOSE])
+def test_bytes_behind_a_request_do_not_end_it(first, rest):
+    """Guards against whole requests that are dropped with what follows them.
+
+    The connection was closed 0.5 s after bytes that were refused, also while
+    the request before them was in progress.
+    """
+
+    @on_paused_clock
+    async def check():
+        caller = Caller(slow_echo, header_timeout_s=0.2)
+        await caller.send(first + rest)
+        await asyncio.sleep(5.0)
+        sent = caller.transport.sent
+        assert sent.startswith(b'HTTP/1.1 200 ')
+        # A refusal of what follows comes after the response.
+        refused = sent.count(b'HTTP/1.1 4')
+        assert refused == (first == GET and rest in (b'x', GET[:9]))
+        assert caller.transport.closed == (
+            refused == 1 or GET_CLOSE in (first, rest)
+        )
+
+    check()
+
+
+@pytest.mark.parametrize('stopping', [False, True])
+def test_requests_that_were_read_are_answered_before_the_end(stopping):
+    """Guards against whole requests that get no response at all.
+
+    The end of the connection was announced in the response to the first of
+    several requests, and the others were dropped.
+    """
+
+    @on_paused_clock
+    async def check():
+        caller = Caller(slow_echo)
+        if stopping:
+            caller.server.announce_stop()
+        await caller.send(GET + GET + (GET if stopping else GET_CLOSE))
+        await asyncio.sleep(5.0)
+        sent = caller.transport.sent
+        assert sent.count(b'HTTP/1.1 200 ') == 3
+        assert sent.count(b'connection: close') == 1
+        assert caller.transport.closed
+
+    check()
+
+
+@on_paused_clock
+async def test_connection_is_not_closed_before_its_end_is_announced():
+    """Guards against kept connections that close as a request arrives.
+
+    A stream that began before the stop did not announce the end of its
+    connection, and the connection was closed right after it.
+    """
+
+    async def stream(request, responder):
+        responder.start_stream(200, [])
+        await asyncio.sleep(1.0)
+        responder.end_stream()
+
+    caller = Caller(stream)
+    await caller.send(GET)
+    caller.server.announce_stop()
+    await asyncio.sleep(1.5)
+    assert not caller.transport.closed
+    await caller.send(GET)
+    await asyncio.sleep(1.5)
+    assert caller.transport.sent.count(b'connection: close') == 1
+    assert caller.transport.closed
