Read requests in the kernel before an idle connection is closed

A caller's request was reset, unread, where it arrived while the event loop was busy and the idle timer of its connection was due in the same iteration, or while the router stopped. Idle connections now close in the next iteration, after the loop has read what arrived; a request stops the close.

Timers kept the idle limit that was in force when a connection became idle. Callers go by the newest one, so after a version with a longer limit they used connections that were about to be closed. The timer now applies a longer limit at once. A shorter one still applies from the next request on, as callers may not have it yet.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -241,7 +241,7 @@
         self.closing_idle = True
         for connection in list(self.connections):
             if not connection.busy:
-                connection.close('router stops')
+                connection.close_unless_read('router stops')
 
 
 class CallerConnection(asyncio.Protocol):
@@ -254,6 +254,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # Idle timeout with which the timer was set.
+        self._idle_timeout_s = 0.0
         self._queued_requests: list[CallerRequest] = []
         # Whether bytes that arrive are ignored, after a refusal.
         self._lingering = False
@@ -287,7 +289,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.connections.add(self)
-        self._set_timer(self._server.limits.idle_timeout_s)
+        self._start_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
@@ -434,6 +436,15 @@
             self._close_reason = reason
             self._transport.close()
 
+    def close_unless_read(self, reason: str) -> None:
+        """Close an idle connection unless a request has arrived on it.
+
+        A close with unread bytes resets the connection, and the request in
+        them is lost. The event loop reads what has arrived before it runs the
+        timers of its next iteration, and a request stops the timer.
+        """
+        self._set_timer(0.0, lambda: self.close(reason))
+
     def abort(self, reason: str = 'closed') -> None:
         """Close at once."""
         if self._transport is not None:
@@ -494,9 +505,13 @@
             self._respond_rejection()
         elif not self._reading:
             if self._server.closing_idle:
-                self.close('router stops')
+                self.close_unless_read('router stops')
             else:
-                self._set_timer(self._server.limits.idle_timeout_s)
+                self._start_idle()
+
+    def _start_idle(self) -> None:
+        self._idle_timeout_s = self._server.limits.idle_timeout_s
+        self._set_timer(self._idle_timeout_s)
 
     def _reject(self) -> None:
         assert self._rejection is not None
@@ -516,17 +531,37 @@
         Responder(self).respond(status)
         self._set_timer(LINGER_S)
 
-    def _set_timer(self, delay_s: float | None) -> None:
+    def _set_timer(
+        self,
+        delay_s: float | None,
+        callback: Callable[[], None] | None = None,
+    ) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if delay_s is not None:
-            self._timer = self._loop.call_later(delay_s, self._on_timer)
+            self._timer = self._loop.call_later(
+                delay_s, callback or self._on_timer
+            )
 
     def _on_timer(self) -> None:
         self._timer = None
-        if self._lingering or not self._reading:
-            self.close('refused' if self._lingering else 'idle')
+        if self._lingering:
+            self.close('refused')
+            return
+        if not self._reading:
+            self._end_idle()
             return
         self._rejection = (408, 'request was not sent in time')
         self._reject()
+
+    def _end_idle(self) -> None:
+        # Callers go by the newest limit, so a longer one applies at once. A
+        # shorter one does not, as callers may not have it yet.
+        limit_s = self._server.limits.idle_timeout_s
+        remaining_s = limit_s - self._idle_timeout_s
+        if remaining_s > 0:
+            self._idle_timeout_s = limit_s
+            self._set_timer(remaining_s)
+        else:
+            self.close_unless_read('idle')
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -1,4 +1,6 @@
 import asyncio
+import socket
+import time
 
 import pytest
 
@@ -397,3 +399,67 @@
     await asyncio.sleep(1.5)
     assert caller.transport.sent.count(b'connection: close') == 1
     assert caller.transport.closed
+
+
+@on_paused_clock
+async def test_longer_idle_timeout_applies_to_idle_connections():
+    """Guards against a close that callers don't expect yet.
+
+    Callers go by the newest limit, timers went by the one in force when the
+    connection became idle.
+    """
+    caller = Caller(echo, idle_timeout_s=2.0)
+    await caller.send(GET)
+    await asyncio.sleep(1.0)
+    caller.server.limits = ConnectionLimits(idle_timeout_s=10.0)
+    await asyncio.sleep(8.9)
+    assert not caller.transport.closed
+    await asyncio.sleep(0.2)
+    assert caller.transport.closed
+
+
+@on_paused_clock
+async def test_shorter_idle_timeout_does_not_apply_to_idle_connections():
+    """Guards against a close while callers still go by the former limit."""
+    caller = Caller(echo, idle_timeout_s=10.0)
+    await caller.send(GET)
+    caller.server.limits = ConnectionLimits(idle_timeout_s=2.0)
+    await asyncio.sleep(9.9)
+    assert not caller.transport.closed
+    await asyncio.sleep(0.2)
+    assert caller.transport.closed
+
+
+@pytest.mark.parametrize('stopping', [False, True])
+async def test_request_in_the_kernel_is_read_before_an_idle_close(stopping):
+    """Guards against requests that a close drops unread.
+
+    Bytes that arrive while the event loop is busy are in the kernel when the
+    idle timer fires; a close then resets the connection.
+    """
+    server = CallerServer(
+        echo, ConnectionLimits(idle_timeout_s=0.2), lambda status, reason: None
+    )
+    await server.listen('127.0.0.1', 0)
+    address = server._server.sockets[0].getsockname()
+    caller = socket.create_connection(address)
+    loop = asyncio.get_running_loop()
+    while not server.connections:  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+    (connection,) = server.connections
+
+    def delay_the_loop():
+        # The timer of the connection is due in the same iteration.
+        time.sleep(0.05)
+        caller.sendall(GET)
+        time.sleep(0.05)
+        if stopping:
+            server.announce_stop()
+            server.close_idle()
+
+    loop.call_at(connection._timer.when() - 0.0001, delay_the_loop)
+    caller.settimeout(2.0)
+    data = await asyncio.to_thread(caller.recv, 65_536)
+    assert data.startswith(b'HTTP/1.1 200 ')
+    caller.close()
+    server.close()
