Begin a request with its first line and allow bodies that arrive steadily

An empty line after a request, which some callers send, counted as the first part of the next one: after the header timeout the caller got 408 on a connection without a request, where it fits the next request that the caller sends. A request now begins where the parser finds one.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -318,8 +318,6 @@
         """Feed the parser."""
         if self._lingering or not self._keep_alive:
             return
-        if not self._reading:
-            self._start_request()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -337,9 +335,10 @@
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
-        """Start a request."""
-        if not self._reading:
-            self._start_request()
+        """Start a request; empty lines before it are ignored."""
+        self._reading = True
+        self._started_s = self._loop.time()
+        self._set_timer(self._server.limits.header_timeout_s)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
@@ -378,6 +377,7 @@
             self._rejection = (413, 'body too large')
             return
         self._body.append(data)
+        self._set_timer(self._server.limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the current one."""
@@ -471,11 +471,6 @@
             )
         )
 
-    def _start_request(self) -> None:
-        self._reading = True
-        self._started_s = self._loop.time()
-        self._set_timer(self._server.limits.header_timeout_s)
-
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.header_bytes:
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -463,3 +463,35 @@
     assert data.startswith(b'HTTP/1.1 200 ')
     caller.close()
     server.close()
+
+
+@on_paused_clock
+async def test_empty_line_after_a_request_is_no_request():
+    """Guards against 408 on a connection without a request.
+
+    Callers may send an empty line after a body. It counted as the first part
+    of a request, which was then not sent in time.
+    """
+    caller = Caller(echo, header_timeout_s=2.0, idle_timeout_s=5.0)
+    await caller.send(GET, b'\r\n')
+    await asyncio.sleep(4.9)
+    assert b'408' not in caller.transport.sent
+    assert not caller.transport.closed
+    await asyncio.sleep(0.2)
+    assert caller.transport.closed
+
+
+@on_paused_clock
+async def test_body_may_take_longer_than_the_idle_timeout():
+    """Guards against 408 for bodies that arrive steadily.
+
+    The idle timeout was the time limit of a whole body, which a new
+    configuration could reduce to a second.
+    """
+    caller = Caller(echo, idle_timeout_s=1.0)
+    head = b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n'
+    await caller.send(head)
+    for _ in range(5):
+        await asyncio.sleep(0.6)
+        await caller.send(b'a')
+    assert caller.transport.sent.endswith(b'/b|aaaaa')
