Keep interim responses out of the response before them

A caller that sent a request with Expect: 100-continue behind another one got the interim response within the chunks of the current response, which it could not read any further. The interim response now follows the response in progress. The test failed before.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -281,6 +281,8 @@
         self._body_bytes = 0
         self._started_s = 0.0
         self._reading = False
+        # Whether the caller waits for an interim response before the body.
+        self._expects_interim = False
 
     # Transport callbacks.
 
@@ -368,7 +370,9 @@
         self._set_timer(self._server.limits.idle_timeout_s)
         expected = _fields.find(self._headers, b'expect')
         if self._rejection is None and expected is not None:
-            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self._expects_interim = True
+            if self._task is None:
+                self._send_interim()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
@@ -498,11 +502,17 @@
             self._handle(self._queued_requests.pop(0))
         elif self._rejection is not None:
             self._respond_rejection()
-        elif not self._reading:
-            if self._server.closing_idle:
-                self.close_unless_read('router stops')
-            else:
-                self._start_idle()
+        elif self._reading:
+            self._send_interim()
+        elif self._server.closing_idle:
+            self.close_unless_read('router stops')
+        else:
+            self._start_idle()
+
+    def _send_interim(self) -> None:
+        if self._expects_interim:
+            self._expects_interim = False
+            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _start_idle(self) -> None:
         self._idle_timeout_s = self._server.limits.idle_timeout_s
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -495,3 +495,27 @@
         await asyncio.sleep(0.6)
         await caller.send(b'a')
     assert caller.transport.sent.endswith(b'/b|aaaaa')
+
+
+@on_paused_clock
+async def test_interim_response_does_not_enter_another_response():
+    """Guards against bytes of an interim response within a stream."""
+
+    async def stream(request, responder):
+        responder.start_stream(200, [])
+        await asyncio.sleep(1.0)
+        responder.end_stream()
+
+    caller = Caller(stream)
+    expecting = (
+        b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+    await caller.send(GET, expecting)
+    await asyncio.sleep(0.5)
+    assert b' 100 ' not in caller.transport.sent
+    await asyncio.sleep(0.6)
+    assert caller.transport.sent.count(b'HTTP/1.1 100 ') == 1
+    await caller.send(b'b')
+    await asyncio.sleep(1.5)
+    assert caller.transport.sent.count(b'HTTP/1.1 200 ') == 2
