Cancel late responses only for a retry that is certain

When an endpoint fell silent, all its streams at a router became late in the same moment. Each asked whether the retry budget had room for one retry, all were cancelled, and those beyond the budget were then denied the retry: their callers' connections were closed in the middle of a response that a sound endpoint would have finished.

Cause: the check and the use of the budget were two steps. The retry is now reserved before the response is given up, with all rules of a retry, and only if an endpoint that was not tried is neither avoided nor over its limit; else the router goes on waiting and asks again later. Before, such a stream was sent to the same endpoint once more.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -271,7 +271,7 @@
                 self._respond_failure(context, outcome)
                 return
             outcome = await self._sender.send(
-                context, entry, choice, lambda: self._may_cancel(context)
+                context, entry, choice, lambda: self._reserve_retry(context)
             )
             self._metrics.count_send(
                 context.service,
@@ -408,14 +408,10 @@
                 context.failed_connects < MAX_CONNECTS
                 and now_s + next_s <= context.wait_until_s
             )
-        if not may_send_again(
-            context.route,
-            outcome.result,
-            sends=context.sends,
-            possible_runs=context.possible_runs,
-        ):
-            return False
-        if self._is_poison(context, now_s):
+        if context.retry_reserved:
+            context.retry_reserved = False
+            return True
+        if not self._permits_retry(context, outcome.result, now_s):
             return False
         retry_budget = self._retry_budget(context.service)
         allowed = retry_budget.try_retry(now_s, self._peers.live_routers())
@@ -428,14 +424,44 @@
             )
         return allowed
 
-    def _may_cancel(self, context: RequestContext) -> bool:
-        if context.possible_runs >= context.route.max_attempts:
-            return False
+    def _permits_retry(
+        self, context: RequestContext, result: SendResult, now_s: float
+    ) -> bool:
+        return may_send_again(
+            context.route,
+            result,
+            sends=context.sends,
+            possible_runs=context.possible_runs,
+        ) and not self._is_poison(context, now_s)
+
+    def _reserve_retry(self, context: RequestContext) -> bool:
+        # Called when a response is late. The endpoint may be sound and go on,
+        # so its response is given up only for a retry that is certain to be
+        # allowed and has another endpoint.
         now_s = asyncio.get_running_loop().time()
-        retry_budget = self._retry_budget(context.service)
-        others = len(self._directory.candidates(context.service)) > 1
-        return others and retry_budget.has_budget(
-            now_s, self._peers.live_routers()
+        routers = self._peers.live_routers()
+        context.retry_reserved = (
+            self._permits_retry(context, SendResult.UNKNOWN, now_s)
+            and self._has_other_endpoint(context, now_s)
+            and self._parts.find_quarantine(
+                context.part_keys, routers=routers, now_s=now_s
+            )
+            is None
+            and self._retry_budget(context.service).try_retry(now_s, routers)
+        )
+        return context.retry_reserved
+
+    def _has_other_endpoint(
+        self, context: RequestContext, now_s: float
+    ) -> bool:
+        return any(
+            entry.endpoint.id not in context.tried_endpoints
+            and not entry.load.is_avoided(now_s)
+            and not self._reachability.is_avoided(
+                entry.endpoint.data_centre, now_s
+            )
+            and not self._limits.wait_s(entry.incarnation_number, now_s)
+            for entry in self._directory.candidates(context.service)
         )
 
     def _is_poison(self, context: RequestContext, now_s: float) -> bool:
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -84,6 +84,7 @@
         'prompt_prefixes',
         'request',
         'responder',
+        'retry_reserved',
         'route',
         'send_by_s',
         'sends',
@@ -141,6 +142,8 @@
         self.failed_connects = 0
         # Sends after which an endpoint may have run the request.
         self.possible_runs = 0
+        # Whether the retry budget has recorded the next retry.
+        self.retry_reserved = False
         # Ids of endpoints, in the order of the attempts.
         self.tried_endpoints: list[str] = []
         self.events = EventSplitter()
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -77,7 +77,8 @@
     forecast_s : float
         Expected time to the first byte.
     may_cancel : callable
-        Returns whether the send may be cancelled to try another endpoint.
+        Returns whether the send may be cancelled to try another endpoint;
+        asked again after the same time if not.
     """
 
     __slots__ = (
@@ -126,8 +127,12 @@
         self._timer = loop.call_later(delay_s, self._expire, delay_s)
 
     def _expire(self, delay_s: float) -> None:
-        if self._connection is not None and self._may_cancel():
+        if self._connection is None:
+            return
+        if self._may_cancel():
             self._connection.cancel(f'no answer for {delay_s:.3f} s')
+        else:
+            self._start_timer(delay_s)
 
 
 class Sender:
@@ -190,7 +195,7 @@
         choice : Choice
         may_cancel : callable
             Called when the response is late; returns whether another endpoint
-            may be tried.
+            is tried instead.
         """
         loop = asyncio.get_running_loop()
         load = entry.load
--- /dev/null
+++ b/src/basilpond/node/tests/test_silent_streams.py
@@ -0,0 +1,90 @@
+"""Endpoints that fall silent for a while and go on, over loopback sockets."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from basilpond.node.tests.platform_world import world
+
+# Pause of the endpoints, which callers put up with: they leave after 2.4 s.
+SILENCE_S = 2.0
+
+
+def models(system):
+    return [s for s in system.servers.values() if s.service == 'llm']
+
+
+async def start_streams(system, count):
+    """Start streams at one endpoint and return their tasks."""
+    (first, second) = models(system)
+    for server in (first, second):
+        server.event_gap_s = 0.5
+    (node,) = system.nodes
+    system.log.put('keyed.servers', second.server_id, None)
+    await system.until(lambda: node.directory.find(second.server_id) is None)
+    streams = [
+        asyncio.create_task(system.prompt('/chat/x')) for _ in range(count)
+    ]
+    await system.until(lambda: len(first.requests) == count)
+    system.log.put('keyed.servers', second.server_id, second.entry())
+    await system.until(
+        lambda: node.directory.find(second.server_id) is not None
+    )
+    return first, second, streams
+
+
+async def test_late_streams_are_cancelled_only_if_all_may_be_retried():
+    """Guards against streams that are cut as the retry budget runs out.
+
+    Each late stream asked whether the budget had room for one retry, was
+    cancelled, and was then denied the retry that another one had taken.
+    """
+    async with world() as system:
+        silent, _, streams = await start_streams(system, 12)
+        (node,) = system.nodes
+        # Four retries.
+        settings = dataclasses.replace(
+            node._settings, retry_share=0.0, retry_slack=5.0
+        )
+        node.dispatcher.apply_settings(settings)
+        silent.event_gap_s = SILENCE_S
+        await asyncio.sleep(SILENCE_S)
+        silent.event_gap_s = 0.002
+        responses = await asyncio.gather(*streams)
+        assert [r.complete for r in responses] == [True] * 12
+        assert [r.events for r in responses] == [6] * 12
+        assert system.runs('llm') <= 16
+
+
+@pytest.mark.parametrize('mode', ['refuses', 'limited'])
+async def test_late_stream_is_not_cancelled_without_another_endpoint(mode):
+    """Guards against streams that are cancelled for no other endpoint.
+
+    The other endpoint counted as one although connections to it had just
+    failed, or its limit left no room. The streams were sent to the same
+    endpoint again.
+    """
+    async with world() as system:
+        silent, other, streams = await start_streams(system, 2)
+        (node,) = system.nodes
+        loop = asyncio.get_running_loop()
+        entry = node.directory.find(other.server_id)
+        if mode == 'refuses':
+            other.stop()
+            entry.load.eject(loop.time() + 60.0)
+        else:
+            node._limits.record_response(
+                entry.incarnation_number,
+                0.1,
+                sent_s=loop.time(),
+                now_s=loop.time(),
+            )
+            node._limits.record_sent(entry.incarnation_number, loop.time())
+        silent.event_gap_s = SILENCE_S
+        await asyncio.sleep(SILENCE_S)
+        silent.event_gap_s = 0.002
+        responses = await asyncio.gather(*streams)
+        assert [r.complete for r in responses] == [True] * 2
+        assert not other.requests
+        assert len(silent.requests) == 2
