Let sound endpoints go on after a silence of a second or so

Streams that may be resumed were taken from an endpoint after 1.0 s without an event, also where the endpoint went on right after it. In a network cut of 1.3 s between routers and most endpoints, whole sets of streams moved to endpoints that were silent too, or to the one that still responded, whose forecast of 1.9 s was longer than the 1.4 s after which the callers left. They got no end of their response; the streams that were not moved went on in time.

The timeout between two events is now 1.5 s; callers leave after 2 s or more. A late stream is moved only to an endpoint that has not been silent for 0.5 s itself and whose forecast is within the rest of its caller's patience.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -26,6 +26,7 @@
 from ..routing import choose_service
 from ..routing import guarantees_not_run
 from ..routing import may_send_again
+from ..routing import prefill_cost
 from ..routing import sample_loads
 from ..routing import tokens_retry_s
 from ._budgets import BudgetTask
@@ -290,6 +291,10 @@
         fresh = [
             e for e in entries if e.endpoint.id not in context.tried_endpoints
         ]
+        if context.retry_reserved:
+            context.retry_reserved = False
+            now_s = asyncio.get_running_loop().time()
+            fresh = self._alternatives(context, now_s) or fresh
         if self._limits.is_empty:
             entries = fresh or entries
         else:
@@ -409,7 +414,6 @@
                 and now_s + next_s <= context.wait_until_s
             )
         if context.retry_reserved:
-            context.retry_reserved = False
             return True
         if not self._permits_retry(context, outcome.result, now_s):
             return False
@@ -437,12 +441,12 @@
     def _reserve_retry(self, context: RequestContext) -> bool:
         # Called when a response is late. The endpoint may be sound and go on,
         # so its response is given up only for a retry that is certain to be
-        # allowed and has another endpoint.
+        # allowed, at an endpoint that is likely to respond in time.
         now_s = asyncio.get_running_loop().time()
         routers = self._peers.live_routers()
         context.retry_reserved = (
             self._permits_retry(context, SendResult.UNKNOWN, now_s)
-            and self._has_other_endpoint(context, now_s)
+            and bool(self._alternatives(context, now_s))
             and self._parts.find_quarantine(
                 context.part_keys, routers=routers, now_s=now_s
             )
@@ -451,18 +455,35 @@
         )
         return context.retry_reserved
 
-    def _has_other_endpoint(
+    def _alternatives(
         self, context: RequestContext, now_s: float
-    ) -> bool:
-        return any(
-            entry.endpoint.id not in context.tried_endpoints
+    ) -> list[EndpointEntry]:
+        # Endpoints that are likely to begin a late response before its caller
+        # leaves.
+        patience_s = context.patience_left_s(now_s)
+        return [
+            entry
+            for entry in self._directory.candidates(context.service)
+            if entry.endpoint.id not in context.tried_endpoints
             and not entry.load.is_avoided(now_s)
+            and not entry.load.is_silent(now_s)
             and not self._reachability.is_avoided(
                 entry.endpoint.data_centre, now_s
             )
             and not self._limits.wait_s(entry.incarnation_number, now_s)
-            for entry in self._directory.candidates(context.service)
+            and self._forecast_s(context, entry, now_s) < patience_s
+        ]
+
+    def _forecast_s(
+        self, context: RequestContext, entry: EndpointEntry, now_s: float
+    ) -> float:
+        tokens = context.metadata.prompt_tokens
+        if not tokens:
+            return entry.load.forecast_s(0.0)
+        cached_tokens = entry.load.cache.cached_tokens(
+            context.prompt_prefixes[:-1], now_s
         )
+        return entry.load.forecast_s(prefill_cost(tokens, cached_tokens))
 
     def _is_poison(self, context: RequestContext, now_s: float) -> bool:
         return self._crashes.is_stopped(context.digest, context.digest, now_s)
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -172,6 +172,13 @@
         """Prompt parts that other requests may contain, too."""
         return self.metadata.parts[:-1]
 
+    def patience_left_s(self, now_s: float) -> float:
+        """Return the time after which the caller leaves without an event."""
+        heard_s = self.started_s
+        if self.first_byte_s is not None:
+            heard_s = self.last_part_s
+        return min(self.deadline_s, heard_s + self.route.patience_s) - now_s
+
     def record_part(self, now_s: float) -> None:
         """Record the arrival of a part of a stream."""
         if self.first_byte_s is None:
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -221,6 +221,7 @@
             self._send_request(context, entry, connection)
             response_timer.start(connection)
             head = await connection.read_head()
+            load.record_heard(loop.time())
             self._record_response(entry, head, sent_s)
             if context.route.kind is not RouteKind.STREAM:
                 response_timer.stop()
@@ -370,6 +371,7 @@
         while part := await connection.read_part():
             now_s = loop.time()
             context.record_part(now_s)
+            entry.load.record_heard(now_s)
             entry.load.record_first_byte(in_flight, now_s)
             # Only complete events count; another endpoint may have to resume
             # the stream after the last one.
--- a/src/basilpond/node/tests/test_silent_streams.py
+++ b/src/basilpond/node/tests/test_silent_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from basilpond.node.tests.platform_world import world
+from basilpond.routing._placement import PREFILL_TOKENS_PER_S
 
 # Pause of the endpoints, which callers put up with: they leave after 2.4 s.
 SILENCE_S = 2.0
@@ -31,6 +32,7 @@
     await system.until(
         lambda: node.directory.find(second.server_id) is not None
     )
+    second.event_gap_s = 0.002
     return first, second, streams
 
 
@@ -88,3 +90,63 @@
         assert [r.complete for r in responses] == [True] * 2
         assert not other.requests
         assert len(silent.requests) == 2
+
+
+async def test_endpoint_that_is_silent_for_a_second_keeps_its_streams():
+    """Guards against streams that leave an endpoint which goes on at once.
+
+    Servers that fall silent for a second or so and go on are sound.
+    """
+    async with world() as system:
+        silent, _, streams = await start_streams(system, 4)
+        silent.event_gap_s = 1.3
+        await asyncio.sleep(1.4)
+        silent.event_gap_s = 0.002
+        responses = await asyncio.gather(*streams)
+        assert [r.complete for r in responses] == [True] * 4
+        assert system.runs('llm') == 4
+
+
+async def test_streams_stay_where_they_are_if_all_endpoints_are_silent():
+    """Replays a network cut of 1.3 s between a router and most endpoints.
+
+    Late streams were cancelled and sent to endpoints that were silent as
+    well, where they got nothing before their callers left; the endpoints that
+    they had been taken from went on in time.
+    """
+    async with world() as system:
+        servers = models(system)
+        for server in servers:
+            server.event_gap_s = 0.5
+        streams = [
+            asyncio.create_task(system.prompt('/chat/x')) for _ in range(6)
+        ]
+        await system.until(lambda: system.runs('llm') == 6)
+        assert all(server.requests for server in servers)
+        for server in servers:
+            server.event_gap_s = SILENCE_S
+        await asyncio.sleep(SILENCE_S)
+        for server in servers:
+            server.event_gap_s = 0.002
+        responses = await asyncio.gather(*streams)
+        assert [r.complete for r in responses] == [True] * 6
+        assert system.runs('llm') == 6
+
+
+async def test_late_stream_does_not_join_a_queue_beyond_its_callers_patience():
+    """Replays streams of many routers that moved to the same endpoint.
+
+    Its forecast was 1.9 s while callers would leave after 1.4 s.
+    """
+    async with world() as system:
+        silent, other, streams = await start_streams(system, 2)
+        (node,) = system.nodes
+        entry = node.directory.find(other.server_id)
+        # The prefills of others take two seconds.
+        entry.load.prefill_cost += 2.0 * PREFILL_TOKENS_PER_S
+        silent.event_gap_s = SILENCE_S
+        await asyncio.sleep(SILENCE_S)
+        silent.event_gap_s = 0.002
+        responses = await asyncio.gather(*streams)
+        assert [r.complete for r in responses] == [True] * 2
+        assert not other.requests
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/_placement.py
@@ -86,6 +86,11 @@
     return linear + PAIR_WEIGHT * pairs
 
 
+# Time without any part of a response after which an endpoint with requests
+# counts as silent; the events of its streams come every 50 ms or so.
+_SILENT_S = 0.5
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class InFlightRequest:
     """A request that was sent to an endpoint and has not ended.
@@ -145,6 +150,7 @@
         '_ejection_s',
         '_failure_share',
         '_failure_updated_s',
+        '_heard_s',
         '_peer_prefill_cost',
         '_peer_running',
         '_reports',
@@ -182,6 +188,7 @@
         self._failure_updated_s = 0.0
         self._ejected_until_s = 0.0
         self._ejection_s = _FIRST_EJECTION_S
+        self._heard_s = 0.0
 
     @property
     def running(self) -> int:
@@ -259,6 +266,17 @@
                 return max(0.0, late_s - allowed_s)
         return 0.0
 
+    def record_heard(self, now_s: float) -> None:
+        """Record that any part of a response arrived."""
+        self._heard_s = now_s
+
+    def is_silent(self, now_s: float) -> bool:
+        """Whether no request of this router has got anything for a while."""
+        for oldest in self.in_flight:
+            since_s = max(self._heard_s, oldest.started_s)
+            return now_s - since_s >= _SILENT_S
+        return False
+
     def is_ejected(self, now_s: float) -> bool:
         """Whether the endpoint is avoided after a failed connection."""
         return now_s < self._ejected_until_s
--- a/src/basilpond/routing/_retry_policy.py
+++ b/src/basilpond/routing/_retry_policy.py
@@ -22,9 +22,9 @@
 _FORECAST_MARGIN_S = 0.4
 # Timeout between two events of a stream, as a multiple of the maximum
 # interval that counts as on time. Callers disconnect after eight of these
-# intervals or two seconds.
+# intervals or two seconds. Sound endpoints may be silent for a second or so.
 _EVENT_GAP_TIMEOUT_FACTOR = 3.0
-_MIN_EVENT_GAP_TIMEOUT_S = 1.0
+_MIN_EVENT_GAP_TIMEOUT_S = 1.5
 
 
 # Callers take these as a guarantee that a request has not run and never will.
