Answer callers before their own time limit ends

A caller whose request got no response, for example from a mute endpoint of a route that may not be retried, was answered 504 when its own time limit (X-Deadline-Ms) ended at the router. The way to the caller made that answer late: the caller had left, and saw neither an answer nor a refusal.

A response that has not begun by 50 ms before the caller's time limit (a tenth of it at most) is now answered 504. A stream that has begun may use up the time limit, as a cut before it would lose events. The time limit of the route stays as it is: the callers' own one usually lies later.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -222,7 +222,7 @@
         self._check_parts(context, loop.time())
         await self._hold_tokens(context)
         try:
-            async with asyncio.timeout_at(context.deadline_s):
+            async with context.time_limit():
                 await self._send_until_answered(context)
         except TimeoutError:
             self._end_timed_out(context)
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import xxhash
 
 from ..http1 import CallerRequest
@@ -17,6 +19,12 @@
 from ..routing import prompt_prefixes
 from ._peer_records import endpoint_number
 
+# Time by which a response precedes the caller's own time limit, which began
+# with the send and ends at the caller: the way there and back, and delays of
+# the event loop. Not more than a share of short time limits.
+_RESPONSE_MARGIN_S = 0.05
+_MAX_MARGIN_SHARE = 0.1
+
 
 class RefusedError(Exception):
     """The router itself refuses a request.
@@ -65,6 +73,7 @@
     """
 
     __slots__ = (
+        '_time_limit',
         'charged_tokens',
         'complete',
         'deadline_s',
@@ -83,6 +92,7 @@
         'possible_runs',
         'prompt_prefixes',
         'request',
+        'respond_by_s',
         'responder',
         'retry_reserved',
         'route',
@@ -116,6 +126,17 @@
         if metadata.deadline_s is not None:
             allowed_s = min(allowed_s, metadata.deadline_s)
         self.deadline_s = request.started_s + allowed_s
+        # Time by which a response has to begin.
+        self.respond_by_s = self.deadline_s
+        if metadata.deadline_s is not None:
+            margin_s = min(
+                _RESPONSE_MARGIN_S, _MAX_MARGIN_SHARE * metadata.deadline_s
+            )
+            self.respond_by_s = min(
+                self.deadline_s,
+                request.started_s + metadata.deadline_s - margin_s,
+            )
+        self._time_limit: asyncio.Timeout | None = None
         # A request that has not been sent by then is refused.
         self.send_by_s = request.started_s + route.longest_wait_s(allowed_s)
         # Identifies repeated requests of a caller regardless of request id.
@@ -154,6 +175,16 @@
         # Whether the caller received a complete response of an endpoint.
         self.complete = False
 
+    def time_limit(self) -> asyncio.Timeout:
+        """Return the time limit of the request as a context manager."""
+        self._time_limit = asyncio.timeout_at(self.respond_by_s)
+        return self._time_limit
+
+    def record_begun(self) -> None:
+        """Record that the response has begun, which may use all the time."""
+        if self._time_limit is not None:
+            self._time_limit.reschedule(self.deadline_s)
+
     @property
     def wait_until_s(self) -> float:
         """Time until which the request may wait for an endpoint."""
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -392,6 +392,7 @@
             if not forwardable:
                 continue
             if not responder.started:
+                context.record_begun()
                 responder.start_stream(
                     head.status, self._codec.response_fields(head)
                 )
--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -144,10 +144,11 @@
         fields = [
             ('Host', 'h.example'),
             ('X-Request-Id', f'{self.ids:x}'),
-            ('X-Deadline-Ms', '4000'),
             ('Connection', 'close'),
             *headers,
         ]
+        if 'X-Deadline-Ms' not in dict(headers):
+            fields.append(('X-Deadline-Ms', '4000'))
         if key is not None:
             fields.append(('Authorization', f'Bearer {key}'))
         if body:
--- a/src/basilpond/node/tests/test_callers_patience.py
+++ b/src/basilpond/node/tests/test_callers_patience.py
@@ -5,6 +5,7 @@
 import pytest
 
 from basilpond.node._budgets import HoldRejection
+from basilpond.node.tests.platform_world import PROMPT
 from basilpond.node.tests.platform_world import configuration
 from basilpond.node.tests.platform_world import route
 from basilpond.node.tests.platform_world import world
@@ -13,6 +14,8 @@
 from basilpond.node.tests.test_budgets_in_a_cut import FakeLog
 from basilpond.node.tests.test_budgets_in_a_cut import make_fleet
 from basilpond.node.tests.test_budgets_in_a_cut import read
+from basilpond.node.tests.test_request_context import make_context
+from basilpond.routing import RouteKind
 from basilpond_testkit.paused_clock import on_paused_clock
 
 
@@ -76,3 +79,41 @@
             task.cancel()
 
     check()
+
+
+@pytest.mark.parametrize('path', ['/claim/x', '/look/x'])
+async def test_caller_is_answered_before_its_own_time_limit(path):
+    """Guards against callers that leave as the response is sent.
+
+    A request to a mute endpoint was answered when the caller's time limit
+    ended at the router, so the response arrived after it.
+    """
+    async with world(apps=1) as system:
+        (server,) = (s for s in system.servers.values() if s.service == 'app')
+        server.mode = 'hang'
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        reply = await system.call(path, headers=(('X-Deadline-Ms', '900'),))
+        took_s = loop.time() - started_s
+        assert reply.status == 504
+        # Time for the way to the caller.
+        assert 0.8 <= took_s <= 0.88
+
+
+def test_operators_time_limit_is_used_up():
+    """Guards against responses that are given up before the time limit."""
+    context = make_context(RouteKind.UNSAFE)
+    assert context.deadline_s == context.route.timeout_s
+
+
+async def test_stream_may_use_up_its_callers_time_limit():
+    """Guards against streams that are cut just before their time limit."""
+    async with world() as system:
+        for server in system.servers.values():
+            server.event_gap_s = 0.2
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        headers = (*PROMPT, ('X-Deadline-Ms', '900'))
+        reply = await system.prompt('/digest/x', headers=headers)
+        assert reply.events == 5
+        assert loop.time() - started_s >= 0.9
