Refuse prompts that reach no endpoint before their callers leave

Connections to several silent endpoints time out one after the other, for 0.4 s each, behind a wait for tokens. A prompt could be on its way to the next one when its caller left, after 2 s or more, with neither a response nor a refusal. A request that has not been sent is now refused with 503 50 ms before the caller's patience ends; the limit is lifted by the first send, as a silent endpoint may still go on. A further connection is tried as long as the request may be sent, whether or not it could time out: routes with a time limit of 0.6 s had no second try otherwise. The refusal of a request that was not sent in time names when to come back.

The test failed before: the caller was answered after 2.1 s of a patience of 2 s.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -32,7 +32,6 @@
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
 from ._decision_log import DecisionLog
-from ._directory import CONNECT_TIMEOUT_S
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
@@ -406,12 +405,10 @@
         assert outcome.result is not None
         now_s = asyncio.get_running_loop().time()
         if outcome.result is SendResult.NOT_SENT:
-            # The endpoint received nothing, so the service sees no retry. The
-            # next connection may time out as well.
-            next_s = CONNECT_TIMEOUT_S if outcome.timed_out else 0.0
+            # The endpoint received nothing, so the service sees no retry.
             return (
                 context.failed_connects < MAX_CONNECTS
-                and now_s + next_s <= context.wait_until_s
+                and now_s < context.wait_until_s
             )
         if context.retry_reserved:
             return True
@@ -534,7 +531,9 @@
         if context.responder.started:
             context.responder.abort()
         elif context.possible_runs == 0:
-            raise RefusedError(503, 'time limit reached before a send')
+            raise RefusedError(
+                503, 'time limit reached before a send', _BUSY_RETRY_S
+            )
         else:
             raise RefusedError(504, 'time limit reached')
 
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -129,12 +129,9 @@
         # Time by which a response has to begin.
         self.respond_by_s = self.deadline_s
         if metadata.deadline_s is not None:
-            margin_s = min(
-                _RESPONSE_MARGIN_S, _MAX_MARGIN_SHARE * metadata.deadline_s
-            )
             self.respond_by_s = min(
                 self.deadline_s,
-                request.started_s + metadata.deadline_s - margin_s,
+                request.started_s + _less_margin_s(metadata.deadline_s),
             )
         self._time_limit: asyncio.Timeout | None = None
         # A request that has not been sent by then is refused.
@@ -177,9 +174,25 @@
 
     def time_limit(self) -> asyncio.Timeout:
         """Return the time limit of the request as a context manager."""
-        self._time_limit = asyncio.timeout_at(self.respond_by_s)
+        patience_s = _less_margin_s(self.route.patience_s)
+        self._time_limit = asyncio.timeout_at(
+            min(self.respond_by_s, self.started_s + patience_s)
+        )
         return self._time_limit
 
+    def record_sent(self, now_s: float) -> None:
+        """Record that an endpoint may run the request from now on.
+
+        Only a request that has not been sent is refused before its caller
+        leaves: an endpoint that is silent may still go on.
+        """
+        self.sends += 1
+        self.possible_runs += 1
+        if self.first_sent_s is None:
+            self.first_sent_s = now_s
+            if self._time_limit is not None:
+                self._time_limit.reschedule(self.respond_by_s)
+
     def record_begun(self) -> None:
         """Record that the response has begun, which may use all the time."""
         if self._time_limit is not None:
@@ -241,3 +254,7 @@
             self.events.count * tokens_per_event,
         )
         return self.metadata.prompt_tokens + output
+
+
+def _less_margin_s(limit_s: float) -> float:
+    return limit_s - min(_RESPONSE_MARGIN_S, _MAX_MARGIN_SHARE * limit_s)
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -211,11 +211,8 @@
             if connection is None:
                 connection = await entry.pool.connect()
             started = True
-            context.sends += 1
-            context.possible_runs += 1
             sent_s = loop.time()
-            if context.first_sent_s is None:
-                context.first_sent_s = sent_s
+            context.record_sent(sent_s)
             if context.part_keys:
                 self._waiting[connection] = context, sent_s
             self._send_request(context, entry, connection)
--- a/src/basilpond/node/tests/test_callers_patience.py
+++ b/src/basilpond/node/tests/test_callers_patience.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from basilpond.http1 import ExchangeError
+from basilpond.http1 import ExchangeFailure
 from basilpond.node._budgets import HoldRejection
 from basilpond.node.tests.platform_world import PROMPT
 from basilpond.node.tests.platform_world import configuration
@@ -117,3 +119,24 @@
         reply = await system.prompt('/digest/x', headers=headers)
         assert reply.events == 5
         assert loop.time() - started_s >= 0.9
+
+
+async def test_prompt_that_reaches_no_endpoint_is_refused_in_time():
+    """Replays prompts whose connections timed out until their callers left."""
+    # Callers of this route leave after 2 s.
+    chat = route('chat', 'streaming', 'llm', sticky=True, gap_target_ms=100)
+    async with world(configuration(routes=[chat]), models=1) as system:
+        (node,) = system.nodes
+
+        async def connect():
+            await asyncio.sleep(0.7)
+            raise ExchangeError(ExchangeFailure.CONNECT, 'timed out')
+
+        for entry in node.directory:
+            entry.pool.connect = connect
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        reply = await system.prompt()
+        assert reply.status == 503
+        assert float(reply.headers['retry-after']) > 0
+        assert loop.time() - started_s < 2.0
