Keep connections to endpoints that are silent for two seconds

The kernel closed a connection to an endpoint after 2 s without an acknowledgement, or without room in the endpoint's buffer. A sound endpoint may be silent for a second or two; data that was lost meanwhile is sent again only 3.0 s after the first time, so that a silence of 1.5 s was enough. Requests that may not be repeated then ended with 502 or in the middle of their stream. The limit is now 3.5 s.

The test reads a long request after 2.6 s; it was reset before.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -38,9 +38,11 @@
 MAX_BUFFERED_BYTES = 262_144
 # Bytes passed to the parser at a time; the overhead is checked after each.
 _FEED_BYTES = 16_384
-# Time that sent data may stay unacknowledged before the kernel closes the
-# connection.
-USER_TIMEOUT_MS = 2_000
+# Time that sent data may stay unacknowledged, or unread by a peer whose buffer
+# is full, before the kernel closes the connection. A sound peer may be silent
+# for a second or two, and data lost meanwhile is sent again 0.2, 0.6, 1.4 and
+# 3.0 s after the first time.
+USER_TIMEOUT_MS = 3_500
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
--- a/src/basilpond/http1/tests/test_reset.py
+++ b/src/basilpond/http1/tests/test_reset.py
@@ -88,3 +88,30 @@
         connection.abort()
         pool.release(connection)
     assert pool.take_idle() is None
+
+
+async def test_request_survives_an_endpoint_that_is_silent_for_a_while():
+    """Guards against requests that end as a sound endpoint reads no further.
+
+    The kernel closed the connection after 2 s.
+    """
+    with stalled_endpoint() as listener:
+        loop = asyncio.get_running_loop()
+        listener.setblocking(False)
+        pool = ConnectionPool(*listener.getsockname(), 1.0)
+        connection = await pool.connect()
+        endpoint, _ = await loop.sock_accept(listener)
+        with endpoint:
+            # More than the buffers of the kernel hold.
+            request = b'x' * (8 * REQUEST_BYTES)
+            connection.send_request(request)
+            await asyncio.sleep(2.6)
+            missing = len(request)
+            while missing:
+                part = await loop.sock_recv(endpoint, REQUEST_BYTES)
+                assert part
+                missing -= len(part)
+            response = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+            await loop.sock_sendall(endpoint, response)
+            assert (await connection.read_head()).status == 200
+        connection.abort()
