Wait for responses that are being sent before the router stops

A stopping router ends once no request is in progress. A response that the kernel had not taken completely, as its caller read slowly, did not count and was truncated by the end of the process. The test failed before.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -218,8 +218,8 @@
 
     @property
     def active(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(c.busy for c in self.connections)
+        """Number of connections with a request or response in progress."""
+        return sum(c.busy or c.is_sending for c in self.connections)
 
     def announce_stop(self) -> None:
         """Close each connection after its next response."""
@@ -411,6 +411,14 @@
         """Whether a request is being read or handled."""
         return self._task is not None or self._reading
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether the kernel has not taken all of a response yet."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     def keeps_open(self) -> bool:
         """Whether the connection stays open after the current response."""
         return (
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -519,3 +519,14 @@
     await caller.send(b'b')
     await asyncio.sleep(1.5)
     assert caller.transport.sent.count(b'HTTP/1.1 200 ') == 2
+
+
+@on_paused_clock
+async def test_response_counts_as_active_until_it_is_sent():
+    """Guards against a stop that truncates responses to slow callers."""
+    caller = Caller(echo)
+    caller.transport.is_read = False
+    await caller.send(GET)
+    assert caller.server.active == 1
+    caller.transport.unread_bytes = 0
+    assert caller.server.active == 0
