Leave callers time to try again after a refusal

A request that waits in the router is refused after seven tenths of its time at the latest, instead of shortly before its end: a caller honours Retry-After for a third of the time that it has left. A request with a time limit of 0.965 s waited for tokens until that limit.

--- a/src/basilpond/routing/_types.py
+++ b/src/basilpond/routing/_types.py
@@ -14,6 +14,9 @@
 # Part of the objective that a request which has waited in the router leaves
 # its endpoint for the response to begin.
 _ENDPOINT_SHARE = 0.5
+# Part of its time that a request may wait; the rest is left to its caller to
+# try again elsewhere.
+_MAX_WAIT_SHARE = 0.7
 
 
 class RouteKind(enum.Enum):
@@ -97,8 +100,10 @@
         allowed_s : float
             Time that the request may take.
         """
-        limit_s = min(allowed_s, self.patience_s)
-        return max(limit_s / 2, limit_s - _ENDPOINT_SHARE * self.objective_s)
+        return min(
+            _MAX_WAIT_SHARE * allowed_s,
+            self.patience_s - _ENDPOINT_SHARE * self.objective_s,
+        )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/basilpond/routing/tests/test_decisions.py
+++ b/src/basilpond/routing/tests/test_decisions.py
@@ -206,3 +206,19 @@
     assert reported[0][:2] == ('bad', 2)
     # Then the newest, as the older ones were reported before.
     assert reported[1][0] == 'sound199'
+
+
+@pytest.mark.parametrize(
+    ('kind', 'allowed_s', 'wait_s'),
+    [
+        # Callers of the stream leave after 2.4 s.
+        (RouteKind.STREAM, 12.0, 2.2),
+        (RouteKind.STREAM, 1.0, 0.7),
+        (RouteKind.SAFE, 1.0, 0.7),
+        (RouteKind.UNSAFE, 12.0, 8.4),
+    ],
+)
+def test_waiting_requests_leave_time_for_a_response(kind, allowed_s, wait_s):
+    """Guards against requests that are held until their callers leave."""
+    route = make_route(kind=kind, objective_s=0.4, pause_s=0.3)
+    assert route.longest_wait_s(allowed_s) == pytest.approx(wait_s)
