Accept only responses that no earlier request can explain

Callers of requests that may not run twice got 503 ('not run') for a request that a server had run (REFUSED), or it ran a second time (TWICE): a faulty server wrote an earlier refusal again on a kept connection.

Cause: a response without X-Request-Id was taken as that of the current request, and so was one with its id when the router itself had sent the request on the connection before. Bytes that waited in the kernel before the request was sent counted as its response, too.

- A response without the id counts on the first exchange of a connection only, where no earlier request exists.
Otherwise its outcome is unknown.
- A request goes to an endpoint again over a new connection, and never over one on which a request with its id failed.
- A kept connection with unread bytes, a close or a reset is not used.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -6,6 +6,7 @@
 from collections import deque
 import dataclasses
 import enum
+import select
 import socket
 import struct
 
@@ -13,6 +14,8 @@
 
 from . import _fields
 
+# Failures of which a connection remembers the request; it is then closed.
+_MAX_FAILED_IDS = 64
 # Maximum number of responses to earlier requests that one exchange skips.
 _MAX_MISMATCHED_RESPONSES = 2
 # Largest body that is buffered or skipped. Responses of services are a few
@@ -116,6 +119,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._active = False
         self._echo: _fields.Header | None = None
+        self._exchanges = 0
+        # Ids of requests of this connection whose responses were failures.
+        self._failed_ids: set[bytes] = set()
         self._mismatched_responses = 0
         self._skipping = False
         self._until_close = False
@@ -236,6 +242,11 @@
         )
         if self._echo is not None:
             echoed = head.find(self._echo[0])
+            if echoed is None and self._exchanges > 1:
+                # It may repeat the response to an earlier request.
+                self._reusable = False
+                self._fail(ExchangeFailure.MISMATCHED, 'answer without id')
+                return
             if echoed not in (None, self._echo[1]):
                 self._skip_mismatched(until_close)
                 return
@@ -287,10 +298,12 @@
             Head and body.
         echo : (bytes, bytes) or None
             Field of the request that the response repeats. A response with
-            another value belongs to an earlier request and is skipped.
+            another value belongs to an earlier request and is skipped. One
+            without the field is accepted as the first of its connection only.
         """
         assert self._transport is not None
         self._active = True
+        self._exchanges += 1
         self._complete = False
         self._until_close = False
         self._skipping = False
@@ -379,6 +392,10 @@
         # that the peer closed it.
         self._drop_parts()
         self._idle_since_s = self._loop.time()
+        if self._echo is not None and self._head and self._head.status >= 400:
+            self._failed_ids.add(self._echo[1])
+            if len(self._failed_ids) > _MAX_FAILED_IDS:
+                self._reusable = False
         if not self._complete or not self.is_usable():
             self.abort()
             return False
@@ -401,6 +418,31 @@
             and self.idle_s < self._idle_limit_s
         )
 
+    def may_carry(self, echo: _fields.Header | None) -> bool:
+        """Whether only the response to a request can look like one to it.
+
+        A faulty peer may send an earlier response again: before the request,
+        where it waits to be read, or after it. Such a copy bears the id of its
+        own request.
+
+        Parameters
+        ----------
+        echo : (bytes, bytes) or None
+            Field of the request that the response repeats.
+        """
+        if echo is not None and echo[1] in self._failed_ids:
+            return False
+        return not self._has_unread_input()
+
+    def _has_unread_input(self) -> bool:
+        # Bytes, a close or a reset that the event loop has not processed yet.
+        sock = self._transport and self._transport.get_extra_info('socket')
+        if sock is None or sock.fileno() == -1:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def idle_s(self) -> float:
         """Time in seconds since the last exchange."""
@@ -497,12 +539,27 @@
         self._idle: list[PeerConnection] = []
 
     def take_idle(
-        self, max_idle_s: float = float('inf')
+        self,
+        max_idle_s: float = float('inf'),
+        *,
+        echo: _fields.Header | None = None,
     ) -> PeerConnection | None:
-        """Return the most recently used connection that is still usable."""
+        """Return the most recently used connection that is still usable.
+
+        Parameters
+        ----------
+        max_idle_s : float
+        echo : (bytes, bytes) or None
+            Field of the request that the response repeats. Connections on
+            which the same request failed before are closed.
+        """
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable() and connection.idle_s <= max_idle_s:
+            if (
+                connection.is_usable()
+                and connection.idle_s <= max_idle_s
+                and connection.may_carry(echo)
+            ):
                 return connection
             connection.close()
         return None
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -8,6 +8,7 @@
 
 from ..http1 import ExchangeError
 from ..http1 import ExchangeFailure
+from ..http1 import Header
 from ..http1 import PeerConnection
 from ..http1 import ResponseHead
 from ..routing import Choice
@@ -199,7 +200,12 @@
         """
         loop = asyncio.get_running_loop()
         load = entry.load
-        connection: PeerConnection | None = entry.pool.take_idle()
+        echo = self._codec.echo_field(context.metadata)
+        connection: PeerConnection | None = None
+        if entry.endpoint.id not in context.tried_endpoints:
+            # A kept connection may deliver an earlier response to the same
+            # request again.
+            connection = entry.pool.take_idle(echo=echo)
         in_flight = load.add_request(choice.prefill_cost, loop.time())
         self._reachability.record_send(entry.endpoint.data_centre, loop.time())
         context.tried_endpoints.append(entry.endpoint.id)
@@ -215,7 +221,7 @@
             context.record_sent(sent_s)
             if context.part_keys:
                 self._waiting[connection] = context, sent_s
-            self._send_request(context, entry, connection)
+            self._send_request(context, entry, connection, echo)
             response_timer.start(connection)
             head = await connection.read_head()
             load.record_heard(loop.time())
@@ -279,6 +285,7 @@
         context: RequestContext,
         entry: EndpointEntry,
         connection: PeerConnection,
+        echo: Header,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
         message = self._codec.encode_request(
@@ -291,9 +298,7 @@
             else None,
             last_event_id=context.events.last_id,
         )
-        connection.send_request(
-            message, self._codec.echo_field(context.metadata)
-        )
+        connection.send_request(message, echo)
         if context.prompt_prefixes:
             keys = [key for key, _ in context.prompt_prefixes]
             for key in keys:
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -274,12 +274,14 @@
     ) -> None:
         """Run a request."""
         self.arrived_s.append(asyncio.get_running_loop().time())
+        request_id = find(request.headers, b'x-request-id') or b''
+        fields = [(b'x-request-id', request_id)]
         if self.mode == 'shed':
-            fields = [(b'x-not-executed', b'1'), *self._limit_fields()]
+            fields += [(b'x-not-executed', b'1'), *self._limit_fields()]
             responder.respond(503, fields)
             return
         if self.mode == 'moved':
-            responder.respond(421, [(b'x-instance-id', b'other')])
+            responder.respond(421, [*fields, (b'x-instance-id', b'other')])
             return
         self.requests.append(request)
         try:
