Raise one error for any record or settings file of another writer

An entry with 2**70 slots attracted all requests. One whose id is no ASCII answered each request that was sent there with 500; a line break in the id or in a tenant's name would have added header fields. A configuration with version 2**70 does not fit into the reports to other routers. Odd YAML raised IndexError.

All decoders of the package now raise their one documented error for any input, and ranges are declared constraints: 64-bit integers, finite times, ports, ids and addresses that fit into header fields. Names of tenants are sent as UTF-8.

--- a/src/basilpond/platform/_messages.py
+++ b/src/basilpond/platform/_messages.py
@@ -133,7 +133,7 @@
     fields.append((b'x-deadline-ms', b'%d' % max(1, int(remaining_s * 1000))))
     fields.append((b'x-expect-instance', endpoint.id.encode('latin-1')))
     if organisation is not None:
-        fields.append((b'x-tenant', organisation.encode('latin-1')))
+        fields.append((b'x-tenant', organisation.encode()))
     if priority is not None:
         fields.append((b'x-request-priority', b'%d' % priority))
     if last_event_id is not None:
--- a/src/basilpond/platform/_records.py
+++ b/src/basilpond/platform/_records.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated
 from typing import Literal
+from typing import TypeVar
 
 import msgspec
 
@@ -18,6 +21,21 @@
 CONFIGURATION_KEY = 'config'
 ENDPOINTS_TOPIC = 'keyed.servers'
 
+_Struct = TypeVar('_Struct')
+# Bounds of what other writers may send. Reports between routers hold integers
+# of at most 64 bits; a float holds integers up to 2**53.
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+# A start takes seconds to minutes.
+_ColdMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
+# Sent in a header field.
+_TenantName = Annotated[
+    str, msgspec.Meta(max_length=255, pattern=r'^[^\x00-\x1f\x7f]*$(?!\n)')
+]
+_ENDPOINT_ID = re.compile(r'[!-~]{1,255}')
+
 
 class RecordError(ValueError):
     """A record is invalid; the message names the field."""
@@ -25,7 +43,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Weight
 
 
 class _Route(msgspec.Struct):
@@ -33,13 +51,13 @@
     host: str
     path_prefix: str
     kind: Literal['safe', 'unsafe', 'streaming']
-    timeout_ms: float
+    timeout_ms: _Milliseconds
     # Either a single service or a weighted split over several.
     service: str | None = None
     split: list[_Split] = []
     # Objective for the first event of a stream, or for a complete response.
-    latency_target_ms: float = 1000.0
-    gap_target_ms: float = 300.0
+    latency_target_ms: _Milliseconds = 1000.0
+    gap_target_ms: _Milliseconds = 300.0
     priority: int = 0
     max_attempts: int = 1
     public: bool = False
@@ -50,10 +68,10 @@
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    name: _TenantName
     api_keys: list[str]
     priority: int | None = None
-    prepaid: int | None = None
+    prepaid: _Whole | None = None
 
 
 class _Service(msgspec.Struct):
@@ -61,14 +79,14 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 65_536
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 10_000.0
-    idle_timeout_ms: float = 60_000.0
+    max_header_bytes: _Whole = 65_536
+    max_body_bytes: _Whole = 4_194_304
+    header_timeout_ms: _Milliseconds = 10_000.0
+    idle_timeout_ms: _Milliseconds = 60_000.0
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Whole
     routes: list[_Route]
     services: list[_Service] = []
     tenants: list[_Tenant] | None = None
@@ -79,15 +97,15 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Slots
     state: Literal['ready', 'draining']
     # Remaining time for which the server is slow after its start.
-    cold_left_ms: float
+    cold_left_ms: _ColdMilliseconds
     # Sequence number of the entry since the start of the server.
     seq: int
     version: str
     # Unix time in milliseconds of the server's start.
-    born: int | None = None
+    born: _Whole | None = None
 
 
 _KINDS = {
@@ -99,6 +117,15 @@
 _server_decoder = msgspec.json.Decoder(_Server)
 
 
+def _decode(decoder: msgspec.json.Decoder[_Struct], data: bytes) -> _Struct:
+    try:
+        return decoder.decode(data)
+    except (ValueError, RecursionError) as error:
+        # Deeply nested values, also in members that are ignored, raise
+        # RecursionError.
+        raise RecordError(str(error)) from error
+
+
 def decode_configuration(data: bytes) -> Configuration:
     """Decode a configuration record.
 
@@ -106,10 +133,7 @@
     ------
     RecordError
     """
-    try:
-        config = _config_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RecordError(str(error)) from error
+    config = _decode(_config_decoder, data)
     tenants = config.tenants
     limits = config.limits
     return Configuration(
@@ -167,10 +191,12 @@
     RecordError
         The record does not describe a usable server.
     """
+    if not _ENDPOINT_ID.fullmatch(endpoint_id):
+        raise RecordError(f'{endpoint_id!r} is no id')
+    server = _decode(_server_decoder, data)
     try:
-        server = _server_decoder.decode(data)
         host, port = split_address(server.address)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise RecordError(str(error)) from error
     return Endpoint(
         id=endpoint_id,
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from pathlib import Path
+import re
+from typing import Annotated
 
 import msgspec
 import yaml
@@ -12,6 +14,10 @@
 # Same as in the deployment file, where operators' tools look it up.
 METRICS_PORT = 9464
 _BYTES_PER_MBIT = 125_000
+# Numbers of the settings are finite and not negative.
+_Number = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+_ADDRESS = re.compile(r'([0-9A-Za-z._-]{1,253}):([0-9]{1,5})')
 
 
 class SettingsError(ValueError):
@@ -25,30 +31,30 @@
 
 class _Limits(msgspec.Struct):
     # Per process: memory, and number of open file descriptors.
-    memory_mb: float = 0.0
+    memory_mb: _Number = 0.0
     max_fds: int = 0
     # Bandwidth of the VM's link; 0 if unknown.
-    link_mbps: float = 0.0
+    link_mbps: _Number = 0.0
 
 
 class _Bounds(msgspec.Struct):
     # Time for the requests of a draining server to end.
-    drain_ms: float = 2000.0
+    drain_ms: _Number = 2000.0
     # Time between SIGTERM and SIGKILL.
-    grace_s: float = 8.0
+    grace_s: _Number = 8.0
     # Retry budget of the whole fleet: ratio and number of requests that may be
     # sent to a second server.
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
-    budget_slack: float = 56.0
+    retry_budget_ratio: _Number = 0.2
+    budget_window_s: _Number = 10.0
+    budget_slack: _Number = 56.0
     # Time for which a prompt part is worth finding again in a cache.
-    reuse_window_s: float = 10.0
+    reuse_window_s: _Number = 10.0
 
 
 class _Platform(msgspec.Struct):
     address: str
-    writes_per_s: float = 800.0
-    reads_per_s: float = 2000.0
+    writes_per_s: _Number = 800.0
+    reads_per_s: _Number = 2000.0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -56,7 +62,7 @@
     ip: str
     zone: str
     listen: _Listen
-    port_range: tuple[int, int]
+    port_range: tuple[_Port, _Port]
     platform: _Platform
     zones: dict[str, str] = {}
     # Whether the whole system starts for the first time.
@@ -72,10 +78,10 @@
     ------
     ValueError
     """
-    host, separator, port = address.rpartition(':')
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+    match = _ADDRESS.fullmatch(address)
+    if match is None or not 0 < int(match[2]) < 65536:
         raise ValueError(f'{address!r} is no HOST:PORT')
-    return host, int(port)
+    return match[1], int(match[2])
 
 
 def load_settings(path: Path) -> NodeSettings:
@@ -95,7 +101,7 @@
         The message has the name of the field, its value and what is allowed.
     """
     try:
-        raw = yaml.load(path.read_bytes(), _yaml_loader())
+        raw = _load_yaml(path.read_bytes())
         file = msgspec.convert(raw, _SettingsFile, strict=False)
         return NodeSettings(
             node_id=file.node_name,
@@ -118,9 +124,18 @@
             or float('inf'),
             is_first_start=file.bootstrap,
         )
-    except (OSError, ValueError, yaml.YAMLError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f'{path}: {error}') from error
 
 
+def _load_yaml(data: bytes) -> object:
+    try:
+        return yaml.load(data, _yaml_loader())
+    except Exception as error:
+        # The library reports malformed input through many built-in types
+        # (IndexError, KeyError, AttributeError, ...).
+        raise ValueError(f'{type(error).__name__}: {error}') from error
+
+
 def _yaml_loader() -> type:
     return getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
--- a/src/basilpond/platform/_store.py
+++ b/src/basilpond/platform/_store.py
@@ -98,7 +98,7 @@
     # An invalid response must not end the task of the caller.
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (ValueError, RecursionError) as error:
         raise LogUnavailableError(f'undecodable response: {error}') from error
 
 
