Continue a stream only with a response of the same form

Cause: any signed 2xx counted as the continuation of a resumable stream, and whatever in it looks like events was forwarded. Errors by status, and successes without signature, were never forwarded.

--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -100,6 +100,7 @@
         'sends',
         'service',
         'started_s',
+        'stream_form',
         'tried_endpoints',
         'version',
     )
@@ -165,6 +166,8 @@
         # Ids of endpoints, in the order of the attempts.
         self.tried_endpoints: list[str] = []
         self.events = EventSplitter()
+        # Status and media type of the stream that the caller receives.
+        self.stream_form: tuple[int, bytes] | None = None
         self.first_byte_s: float | None = None
         self.last_part_s = 0.0
         self.longest_pause_s = 0.0
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -136,6 +136,13 @@
             self._start_timer(delay_s)
 
 
+def _stream_form(head: ResponseHead) -> tuple[int, bytes]:
+    # Status and media type, in which a response that continues a stream is
+    # like the first one. A page or a document with an error is not.
+    media_type = (head.find(b'content-type') or b'').partition(b';')[0]
+    return head.status, media_type.strip().lower()
+
+
 class Sender:
     """Sends requests to endpoints.
 
@@ -369,6 +376,12 @@
         loop = asyncio.get_running_loop()
         responder = context.responder
         context.events.drop_partial()
+        form = _stream_form(head)
+        if responder.started and form != context.stream_form:
+            return SendOutcome(
+                SendResult.UNKNOWN, 'success that continues no stream'
+            )
+        context.stream_form = form
         begun = False
         while part := await connection.read_part():
             now_s = loop.time()
