Bound the work of any datagram, and refuse impossible addresses

One small datagram stopped a router for 10 s (2**31 list elements without bytes) or let it allocate 2 GB (announced length of a text), which ends a router on a VM of 200 MB. One record with a port out of range closed the socket of datagrams of every router (OverflowError in sendto), one with a superscript digit ended the reader of the fleet's topic and with it the router. A request to an endpoint with an impossible host got 500.

Cause: thriftpy2 does not bound its work by its input, and the addresses were not checked where they come from. decode_datagram checks all announced sizes before the library decodes, then the fields, and raises DatagramError only; addresses of routers are IPv4 with a port in range; a connection to an impossible address counts as refused. A log line that cannot be encoded is written as text and does not end the task that writes it.

node/tests/test_odd_datagrams.py: 7 cases on addresses and the log line failed before.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -579,7 +579,8 @@
                 _, connection = await loop.create_connection(
                     PeerConnection, self.host, self.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Impossible hosts and ports raise ValueError and OverflowError.
             raise ExchangeError(
                 ExchangeFailure.CONNECT,
                 str(error) or 'timed out',
--- a/src/basilpond/node/_decision_log.py
+++ b/src/basilpond/node/_decision_log.py
@@ -81,7 +81,14 @@
                 line[field] = value.decode('latin-1')
             elif value is not None:
                 line[field] = value
-        data = self._encoder.encode(line)
+        try:
+            data = self._encoder.encode(line)
+        except Exception:
+            # A line must not end the task that writes it. The encoder has no
+            # form for a lone surrogate, for example.
+            data = self._encoder.encode(
+                {name: ascii(value) for name, value in line.items()}
+            )
         with self._ready:
             if len(self._lines) >= _MAX_WAITING_LINES:
                 self._dropped += 1
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -6,16 +6,13 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import ipaddress
 import itertools
-from pathlib import Path
 import random
 import time
 import typing
 
-import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocolFactory
-from thriftpy2.thrift import TException
-from thriftpy2.utils import deserialize
 from thriftpy2.utils import serialize
 
 from ..routing import CrashCounter
@@ -31,6 +28,8 @@
 from ._crash_records import decode_crash_evidence
 from ._crash_records import encode_cleared
 from ._crash_records import encode_crash_evidence
+from ._datagrams import decode_datagram
+from ._datagrams import messages
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
 from ._limit_records import decode_limits
@@ -43,10 +42,6 @@
 from ._peer_records import encode_loads
 from ._peer_records import encode_prefixes
 
-messages = thriftpy2.load(
-    str(Path(__file__).with_name('peer.thrift')), module_name='peer_thrift'
-)
-
 # Shortest time between two reports; requests to an engine arrive about every
 # 100 ms and occupy it for as long.
 REPORT_INTERVAL_S = 0.05
@@ -103,6 +98,16 @@
     configuration_version: int = -1
 
 
+def _parse_address(value: bytes) -> tuple[str, int]:
+    # Only IP addresses: a name would be resolved with each datagram. Sending
+    # to a port out of range would close the socket of the task.
+    host, _, digits = value.decode('latin-1').rpartition(':')
+    port = int(digits)
+    if not 0 < port < 65_536:
+        raise ValueError(f'port {port}')
+    return str(ipaddress.IPv4Address(host)), port
+
+
 class PeerTask(asyncio.DatagramProtocol):
     """Exchanges datagrams with the other routers.
 
@@ -202,14 +207,18 @@
         if value is None:
             self._peers.pop(router_id, None)
             return
-        host, _, port = value.decode('latin-1').rpartition(':')
-        if not port.isdigit():
+        try:
+            address = _parse_address(value)
+        except ValueError as error:
+            self._decisions.event(
+                'router_row_unreadable', router=router_id, reason=str(error)
+            )
             return
         # What a live router's datagrams tell is newer than its record, which
         # is read again whenever the topic is.
         known = self._peers.get(router_id)
         if known is None or not self._is_live(known):
-            self._peers[router_id] = _Peer((host, int(port)))
+            self._peers[router_id] = _Peer(address)
 
     def record_prefixes(self, number: int, keys: list[int]) -> None:
         """Record prompt prefixes that were sent to an endpoint.
@@ -442,7 +451,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Process a datagram of another router."""
         try:
-            datagram = deserialize(messages.Datagram(), data, self._factory)
+            datagram = decode_datagram(data)
             report = datagram.report
             loads = decode_loads(report and report.loads or b'')
             prefixes = decode_prefixes(report and report.runs or b'')
@@ -453,12 +462,12 @@
             )
             cleared = decode_cleared(datagram.cleared_parts or b'', now_s)
             limits = decode_limits(datagram.endpoint_limits or b'', now_s)
-        except (TException, ValueError, EOFError, TypeError) as error:
+        except ValueError as error:
             self._decisions.event(
                 'peer_unreadable', routine=True, reason=str(error)
             )
             return
-        if not datagram.router or datagram.router == self._router_id:
+        if datagram.router == self._router_id:
             return
         peer = self._peers.get(datagram.router)
         if peer is None:
