Check the numbers in header fields where they are decoded

One endpoint that named Server-Limit 1e306 ended every router: round() of infinity raised OverflowError in the task that reports limits to the others. Callers got 500 for a prompt part of over 64 bits or below zero and for token counts of 2**70; X-Deadline-Ms nan was accepted. A Keep-Alive timeout with 400 digits lost the response that carried it. An event id with a lone CR became part of the Last-Event-Id field of the next request.

Numbers of callers are now from 0 to a stated maximum or the request gets 400 (a deadline that has passed leaves no time, a very large one is cut); a limit beyond 1e6 a second is none; long timeouts are cut; a lone CR ends a line of an event.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -485,8 +485,10 @@
         if not self._parser.should_keep_alive() or self._until_close:
             self._reusable = False
         for item in _fields.list_items(head.headers, b'keep-alive'):
-            if item.startswith(b'timeout=') and item[8:].isdigit():
-                limit_s = int(item[8:]) - _IDLE_MARGIN_S
+            seconds = item.removeprefix(b'timeout=')
+            if seconds != item and seconds.isdigit():
+                # Longer ones are cut, as int() does not take any length.
+                limit_s = int(seconds[:9]) - _IDLE_MARGIN_S
                 self._idle_limit_s = max(0.0, limit_s)
 
     def _fail(
--- a/src/basilpond/http1/_events.py
+++ b/src/basilpond/http1/_events.py
@@ -64,6 +64,8 @@
             if not event.strip():
                 continue
             self.count += 1
-            for line in event.split(b'\n'):
+            # A lone CR ends a line, too; within an identifier, it would split
+            # the header field that the identifier is sent in.
+            for line in event.replace(b'\r', b'\n').split(b'\n'):
                 if line.startswith(b'id:'):
                     self.last_id = line[3:].strip()
--- a/src/basilpond/http1/tests/test_client.py
+++ b/src/basilpond/http1/tests/test_client.py
@@ -167,3 +167,15 @@
     assert failure is ExchangeFailure.SLOW
     assert not connection.finish()
     assert transport.aborted
+
+
+@pytest.mark.parametrize('digits', [400, 5_000])
+@on_paused_clock
+async def test_endless_keep_alive_timeout_does_not_fail_the_response(digits):
+    """Guards against a success that is lost by an odd field."""
+    connection, _ = start_exchange()
+    field = b'Keep-Alive: timeout=%s\r\n' % (b'9' * digits)
+    connection.data_received(encode_response(extra=field))
+    assert (await connection.read_head()).status == 200
+    assert await connection.read_body() == b'abc'
+    assert connection.finish()
--- a/src/basilpond/node/_limit_records.py
+++ b/src/basilpond/node/_limit_records.py
@@ -21,7 +21,7 @@
     return b''.join(
         _LIMIT.pack(
             report.incarnation,
-            min(_MAX, round(1000 * (report.per_s or 0))),
+            round(1000 * min(_MAX // 1000, report.per_s or 0)),
             min(_MAX, max(0, round(1000 * (now_s - report.named_s)))),
         )
         for report in reports
--- a/src/basilpond/platform/_messages.py
+++ b/src/basilpond/platform/_messages.py
@@ -39,6 +39,12 @@
         b'x-tenant',
     )
 )
+# Bounds of what callers and servers name. Squares of token counts are added
+# up as floats; part ids are 64-bit integers in reports between routers.
+_MAX_TOKENS = 10**8
+_MAX_PART_ID = 2**64 - 1
+_MAX_DEADLINE_MS = 2.0**53
+_MAX_LIMIT_PER_S = 1e6
 _NOT_EXECUTED_STATUSES = frozenset((400, 421, 429, 503))
 
 
@@ -58,12 +64,14 @@
         prompt, output = _decode_token_count(find(headers, b'x-token-count'))
         return RequestMetadata(
             request_id=ids[0],
-            deadline_s=None if deadline is None else float(deadline) / 1000,
+            deadline_s=None if deadline is None else _decode_ms(deadline),
             key=_decode_api_key(find(headers, b'authorization')),
             prompt_tokens=prompt,
             max_output_tokens=output,
             parts=tuple(_decode_parts(find(headers, b'x-prompt-prefix'))),
-            expected_output_tokens=None if hint is None else int(hint),
+            expected_output_tokens=None
+            if hint is None
+            else _decode_whole(hint, _MAX_TOKENS),
             last_event_id=find(headers, b'last-event-id'),
         )
     except ValueError as error:
@@ -83,17 +91,35 @@
     if value is None:
         return 0, 0
     prompt, _, output = value.partition(b',')
-    counts = int(prompt), int(output)
-    if min(counts) < 0:
-        raise ValueError('token counts are negative')
-    return counts
+    return (
+        _decode_whole(prompt, _MAX_TOKENS),
+        _decode_whole(output, _MAX_TOKENS),
+    )
 
 
 def _decode_parts(value: bytes | None) -> Iterable[PromptPart]:
     for item in (value or b'').split(b','):
         part, separator, tokens = item.strip().partition(b':')
         if separator:
-            yield PromptPart(int(part, 16), int(tokens))
+            yield PromptPart(
+                _decode_whole(part, _MAX_PART_ID, base=16),
+                _decode_whole(tokens, _MAX_TOKENS),
+            )
+
+
+def _decode_whole(value: bytes, maximum: int, *, base: int = 10) -> int:
+    number = int(value, base)
+    if not 0 <= number <= maximum:
+        raise ValueError(f'{value[:20]!r} is not from 0 to {maximum}')
+    return number
+
+
+def _decode_ms(value: bytes) -> float:
+    # Returns seconds. A time that has passed leaves none.
+    number = float(value)
+    if math.isnan(number):
+        raise ValueError(f'{value!r} is no time')
+    return min(max(0.0, number), _MAX_DEADLINE_MS) / 1000
 
 
 def encode_request(
@@ -177,13 +203,13 @@
     Returns
     -------
     float or None
-        None if it names no limit, or one that is not a number.
+        None if it names no limit, or one that is no number or no limit.
     """
     try:
         per_s = float(head.find(b'server-limit') or b'nan')
     except ValueError:
         return None
-    return per_s if 0 <= per_s < math.inf else None
+    return per_s if 0 <= per_s <= _MAX_LIMIT_PER_S else None
 
 
 def response_fields(head: ResponseHead) -> list[Header]:
