Raise one error for any foreign input of the chat completions stack

A record of the log, or a response of the log, an endpoint or the VM list that was nested a thousand deep raised RecursionError, which no reader expects: it ended the router that read it, at each start again. A response of an engine that was nested 500 deep was a defect of the router instead of an invalid answer. A port out of range in a manifest or in the settings raised in the task that polls the endpoint, or closed the socket of the membership protocol; ids could end with a line break, as $ in a pattern allows it.

JsonDecoder raises msgspec.DecodeError for any invalid document, text_bytes does not recurse, addresses are checked by one pattern, and settings files raise InvalidFieldError for deep nesting and long numbers.

--- a/src/basilpond/core/__init__.py
+++ b/src/basilpond/core/__init__.py
@@ -97,7 +97,11 @@
 from ._terminal import build_terminal
 from ._terminal import failure_terminal
 from ._terminal import length_terminal
+from ._validation import IP_ADDRESS
+from ._validation import PATTERN_END
+from ._validation import SOCKET_ADDRESS
 from ._validation import InvalidFieldError
+from ._validation import JsonDecoder
 from ._validation import convert_fields
 
 __all__ = [
@@ -139,9 +143,11 @@
     'HOUR_MS',
     'Hold',
     'InvalidFieldError',
+    'IP_ADDRESS',
     'Journal',
     'JournalFullError',
     'JournalMessageError',
+    'JsonDecoder',
     'LeavingSource',
     'Ledger',
     'LedgerRecord',
@@ -174,6 +180,8 @@
     'Route',
     'RouteQuery',
     'Service',
+    'PATTERN_END',
+    'SOCKET_ADDRESS',
     'StreamCheck',
     'StreamSummary',
     'Transfer',
--- a/src/basilpond/core/_claims.py
+++ b/src/basilpond/core/_claims.py
@@ -20,6 +20,7 @@
 from ._records import Bill
 from ._records import Claim
 from ._records import ClaimAbandon
+from ._validation import JsonDecoder
 
 
 class KeyedIdRow(msgspec.Struct, array_like=True, frozen=True):
@@ -60,7 +61,7 @@
     answer: str | None
 
 
-_bill_decoder = msgspec.json.Decoder(_StoredBill)
+_bill_decoder = JsonDecoder(_StoredBill)
 _NO_BILL = msgspec.Raw(b'null')
 
 
--- a/src/basilpond/core/_journal.py
+++ b/src/basilpond/core/_journal.py
@@ -23,6 +23,7 @@
 from ._records import Grant
 from ._records import Return
 from ._records import Transfer
+from ._validation import JsonDecoder
 
 # Dict entry, key and bytes object around a copy, by sys.getsizeof on CPython
 # 3.11, rounded up.
@@ -33,8 +34,8 @@
 # using it.
 MAX_SEALED_IDS = 4096
 
-_decoder = msgspec.json.Decoder(Grant | Bill | Transfer | Return)
-_entry_decoder = msgspec.json.Decoder(AllotmentEntry)
+_decoder = JsonDecoder(Grant | Bill | Transfer | Return)
+_entry_decoder = JsonDecoder(AllotmentEntry)
 
 
 class JournalFullError(Exception):
--- a/src/basilpond/core/_ledger.py
+++ b/src/basilpond/core/_ledger.py
@@ -36,6 +36,7 @@
 from ._records import LedgerRecord
 from ._records import Return
 from ._records import Transfer
+from ._validation import JsonDecoder
 
 T = TypeVar('T')
 
@@ -75,7 +76,7 @@
 
 # Sorts sets and mappings, so that equal ledgers have equal snapshots.
 _state_encoder = msgspec.json.Encoder(order='deterministic')
-_state_decoder = msgspec.json.Decoder(_Chunk)
+_state_decoder = JsonDecoder(_Chunk)
 
 
 class Ledger:
--- a/src/basilpond/core/_manifest.py
+++ b/src/basilpond/core/_manifest.py
@@ -9,21 +9,27 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import msgspec
 
 from ._codes import ResultCode
+from ._validation import PATTERN_END
+from ._validation import SOCKET_ADDRESS
 from ._validation import InvalidFieldError
+from ._validation import JsonDecoder
 from ._validation import convert_fields
 
 Name = Annotated[
     str,
-    msgspec.Meta(min_length=1, max_length=64, pattern='^[A-Za-z0-9._-]+$'),
+    msgspec.Meta(
+        min_length=1, max_length=64, pattern='^[A-Za-z0-9._-]+' + PATTERN_END
+    ),
 ]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
 Price = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
-Sha256 = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+Sha256 = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}' + PATTERN_END)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=9)]
 
 
@@ -100,7 +106,9 @@
 
     id: Name
     data_centre: Name
-    url: Annotated[str, msgspec.Meta(pattern=r'^http://[0-9.]+:[0-9]+$')]
+    url: Annotated[
+        str, msgspec.Meta(pattern=f'^http://{SOCKET_ADDRESS}{PATTERN_END}')
+    ]
     models: list[Name] = []
     service: Name | None = None
     checks_fencing: bool = False
@@ -220,6 +228,9 @@
     return manifest
 
 
+_decoder: JsonDecoder[Any] = JsonDecoder(Any)
+
+
 def decode_manifest(document: bytes | str) -> Manifest:
     """Decode and check a manifest's JSON text.
 
@@ -229,7 +240,7 @@
         If the text is not JSON or a field is invalid.
     """
     try:
-        raw = msgspec.json.decode(document)
+        raw = _decoder.decode(document)
     except msgspec.DecodeError as error:
         raise _field_error('$', msgspec.UNSET, f'JSON; {error}') from None
     return check_manifest(raw)
--- a/src/basilpond/core/_records.py
+++ b/src/basilpond/core/_records.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from ._validation import JsonDecoder
+
 
 class BudgetSet(msgspec.Struct, tag='budget_set', frozen=True):
     """Total prepaid budget of an organisation, copied from a manifest.
@@ -175,8 +177,8 @@
 
 ConfigRecord = ManifestPublish | ManifestSnapshot
 
-_batch_decoder = msgspec.json.Decoder(Batch)
-_config_decoder = msgspec.json.Decoder(ConfigRecord)
+_batch_decoder = JsonDecoder(Batch)
+_config_decoder = JsonDecoder(ConfigRecord)
 
 
 def encode_record(record: msgspec.Struct) -> bytes:
--- a/src/basilpond/core/_response_parts.py
+++ b/src/basilpond/core/_response_parts.py
@@ -35,14 +35,22 @@
 
 
 def text_bytes(value: Any) -> int:
-    """Count the UTF-8 bytes of all strings but the role in a message."""
-    if isinstance(value, str):
-        return len(value.encode())
-    if isinstance(value, dict):
-        return sum(text_bytes(v) for k, v in value.items() if k != 'role')
-    if isinstance(value, list):
-        return sum(map(text_bytes, value))
-    return 0
+    """Count the UTF-8 bytes of all strings but the role in a message.
+
+    Without recursion, as the decoder accepts values that are nested deeper
+    than Python's calls may be.
+    """
+    size = 0
+    values = [value]
+    while values:
+        value = values.pop()
+        if isinstance(value, str):
+            size += len(value.encode())
+        elif isinstance(value, dict):
+            values += [v for k, v in value.items() if k != 'role']
+        elif isinstance(value, list):
+            values += value
+    return size
 
 
 def check_usage(
--- a/src/basilpond/core/_validation.py
+++ b/src/basilpond/core/_validation.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 import re
 from typing import Any
+from typing import Generic
 from typing import TypeVar
 
 import msgspec
@@ -16,6 +17,46 @@
 _LOCATION = re.compile(r'^(?P<expected>.*?)(?: - at `(?P<path>\$.*)`)?$', re.S)
 _PATH_STEP = re.compile(r'\.(?P<field>[^.\[\]]+)|\[(?P<index>\d+)\]')
 _SHOWN_VALUE_CHARS = 60
+_OCTET = '(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])'
+_PORT = (
+    '(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}'
+    '|[1-5][0-9]{4}|[1-9][0-9]{0,3})'
+)
+# End of a pattern: `$` alone also matches before a line break at the end.
+PATTERN_END = r'$(?!\n)'
+# Patterns of IPv4 addresses, alone and with a port from 1 to 65535: socket
+# calls raise OverflowError for other ports.
+IP_ADDRESS = rf'{_OCTET}(\.{_OCTET}){{3}}'
+SOCKET_ADDRESS = f'{IP_ADDRESS}:{_PORT}'
+
+
+class JsonDecoder(Generic[T]):
+    """JSON decoder that raises `msgspec.DecodeError` for any invalid input.
+
+    msgspec raises RecursionError for values that are nested too deep, also in
+    members that the type does not have.
+
+    Parameters
+    ----------
+    type_ : type
+    """
+
+    __slots__ = ('_decode',)
+
+    def __init__(self, type_: type[T]) -> None:
+        self._decode = msgspec.json.Decoder(type_).decode
+
+    def decode(self, data: bytes | str) -> T:
+        """Decode a JSON document.
+
+        Raises
+        ------
+        msgspec.DecodeError
+        """
+        try:
+            return self._decode(data)
+        except (RecursionError, UnicodeError) as error:
+            raise msgspec.DecodeError(str(error)) from error
 
 
 class InvalidFieldError(_codes.BasilpondError):
@@ -39,7 +80,7 @@
         value: object,
         expected: str,
     ) -> None:
-        shown = 'missing' if value is msgspec.UNSET else f'value {value!r}'
+        shown = 'missing' if value is msgspec.UNSET else _describe(value)
         if len(shown) > _SHOWN_VALUE_CHARS:
             shown = shown[:_SHOWN_VALUE_CHARS] + '...'
         super().__init__(code, f'{path}: {shown}; allowed: {expected}')
@@ -48,6 +89,13 @@
         self.expected = expected
 
 
+def _describe(value: object) -> str:
+    try:
+        return f'value {value!r}'
+    except RecursionError:
+        return 'a value that is nested too deep'
+
+
 def _path_steps(path: str) -> Iterator[str | int]:
     for match in _PATH_STEP.finditer(path):
         if match['index'] is not None:
--- a/src/basilpond/settings/_load.py
+++ b/src/basilpond/settings/_load.py
@@ -36,7 +36,7 @@
     """
     try:
         raw = tomllib.loads(path.read_text(encoding='utf-8'))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise InvalidFieldError(
             ResultCode.SETTINGS_INVALID,
             str(path),
--- a/src/basilpond/settings/_router.py
+++ b/src/basilpond/settings/_router.py
@@ -6,19 +6,25 @@
 
 import msgspec
 
+from ..core import IP_ADDRESS
+from ..core import PATTERN_END
+from ..core import SOCKET_ADDRESS
+
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[
     str,
-    msgspec.Meta(min_length=1, max_length=64, pattern='^[A-Za-z0-9._-]+$'),
-]
-IpAddress = Annotated[
-    str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}$')
+    msgspec.Meta(
+        min_length=1, max_length=64, pattern='^[A-Za-z0-9._-]+' + PATTERN_END
+    ),
 ]
+IpAddress = Annotated[str, msgspec.Meta(pattern=f'^{IP_ADDRESS}{PATTERN_END}')]
 SocketAddress = Annotated[
-    str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
+    str, msgspec.Meta(pattern=f'^{SOCKET_ADDRESS}{PATTERN_END}')
+]
+HttpUrl = Annotated[
+    str, msgspec.Meta(pattern=f'^http://{SOCKET_ADDRESS}{PATTERN_END}')
 ]
-HttpUrl = Annotated[str, msgspec.Meta(pattern=r'^http://[0-9.]+:[0-9]+$')]
-Sha256 = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+Sha256 = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}' + PATTERN_END)]
 
 
 class RouterSection(
--- a/src/basilpond/settings/tests/test_settings.py
+++ b/src/basilpond/settings/tests/test_settings.py
@@ -34,6 +34,11 @@
         ('[log]', '[logs]', 'logs: '),
         ('127.0.0.1"', 'example"', 'router.host: '),
         ('[log]', '[log', 'TOML'),
+        ('[log]', 'a = ' + '[' * 5_000, 'TOML'),
+        ('[log]', 'a = ' + '9' * 5_000, 'TOML'),
+        ('8002', '8002\nseeds = ["10.0.0.1:99999"]', 'router.seeds[0]: '),
+        ('127.0.0.1:7000', '127.0.0.1:70000', 'log.url: '),
+        ('"r1"', '"r1\\n"', 'router.id: '),
     ],
 )
 def test_invalid_field_exits_with_one_error_line(
--- a/src/basilpond/tasks/budgets/_allotment_exchange.py
+++ b/src/basilpond/tasks/budgets/_allotment_exchange.py
@@ -19,6 +19,7 @@
 from ... import protocol
 from ...core import Accounts
 from ...core import BasilpondError
+from ...core import JsonDecoder
 from ...core import Transfer
 from ._budget_interfaces import BudgetSettings
 from ._budget_interfaces import LedgerWriter
@@ -31,7 +32,7 @@
 # ledger, which would show which peers have tokens.
 MAX_PEERS_UNSYNCED = 6
 
-_transfer_decoder = msgspec.json.Decoder(Transfer)
+_transfer_decoder = JsonDecoder(Transfer)
 
 
 class AllotmentExchange:
--- a/src/basilpond/tasks/endpoints/_endpoint_task.py
+++ b/src/basilpond/tasks/endpoints/_endpoint_task.py
@@ -21,6 +21,7 @@
 from ...core import Endpoint
 from ...core import EndpointLoad
 from ...core import EndpointTable
+from ...core import JsonDecoder
 from ...core import LeavingSource
 from ...core import Manifest
 from ...core import StreamCheck
@@ -547,12 +548,11 @@
                     body += chunk
                     if len(body) > _MAX_BODY_BYTES:
                         return None
-            return msgspec.json.decode(body, type=kind)
+            return JsonDecoder(kind).decode(bytes(body))
         except (
             aiohttp.ClientError,
             TimeoutError,
             msgspec.MsgspecError,
-            UnicodeDecodeError,
         ) as error:
             logging.debug('poll of %s failed: %s', url, error)
             return None
--- a/src/basilpond/tasks/shared_log/_log_client.py
+++ b/src/basilpond/tasks/shared_log/_log_client.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ...core import BasilpondError
+from ...core import JsonDecoder
 from ...core import LogEntry
 from ...core import LogPage
 from ...core import LogRateLimitedError
@@ -26,8 +27,8 @@
     records: list[LogEntry]
 
 
-_appended_decoder = msgspec.json.Decoder(_Appended)
-_page_decoder = msgspec.json.Decoder(_Page)
+_appended_decoder = JsonDecoder(_Appended)
+_page_decoder = JsonDecoder(_Page)
 
 
 class LogClient:
@@ -160,7 +161,7 @@
             ) from error
 
 
-def _decode(decoder: msgspec.json.Decoder, body: bytes):
+def _decode(decoder: JsonDecoder, body: bytes):
     try:
         return decoder.decode(body)
     except msgspec.MsgspecError as error:
--- a/src/basilpond/tasks/shared_log/_snapshot_parts.py
+++ b/src/basilpond/tasks/shared_log/_snapshot_parts.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ...core import JsonDecoder
 from ...core import LedgerSnapshot
 
 # Base64 in JSON makes this a third larger, which stays below the 256 KiB of a
@@ -48,6 +49,10 @@
     return bytes(packed)
 
 
+_number_decoder = JsonDecoder(_PartNumber)
+_part_decoder = JsonDecoder(_Part)
+
+
 async def unpack_snapshot(packed: bytes) -> AsyncIterator[bytes]:
     """Yield the chunks of a packed snapshot.
 
@@ -89,7 +94,7 @@
 def is_last_part(record: LedgerSnapshot) -> bool:
     """Return whether a record is the last part of its snapshot."""
     try:
-        number = msgspec.json.decode(record.state, type=_PartNumber)
+        number = _number_decoder.decode(record.state)
     except msgspec.MsgspecError:
         return False
     return number.part == number.parts
@@ -117,7 +122,7 @@
             decoded.
         """
         try:
-            part = msgspec.json.decode(record.state, type=_Part)
+            part = _part_decoder.decode(record.state)
             found = self._parts.setdefault((writer, record.offset), {})
             found[part.part] = part.data
             if len(found) < part.parts:
--- a/src/basilpond_testkit/reference.py
+++ b/src/basilpond_testkit/reference.py
@@ -12,6 +12,9 @@
 
 import msgspec
 
+from basilpond.core import IP_ADDRESS
+from basilpond.core import PATTERN_END
+from basilpond.core import SOCKET_ADDRESS
 from basilpond.core import Manifest
 from basilpond.settings import RouterSettings
 
@@ -30,6 +33,17 @@
 }
 
 
+def _readable(limit: object) -> object:
+    # Names the parts of patterns that are too long for a table.
+    if not isinstance(limit, str):
+        return limit
+    return (
+        limit.replace(SOCKET_ADDRESS, 'IP:PORT')
+        .replace(IP_ADDRESS, 'IP')
+        .replace(PATTERN_END, '$')
+    )
+
+
 def _range(schema: dict[str, Any]) -> str:
     if 'anyOf' in schema:
         return ' or '.join(_range(part) for part in schema['anyOf'])
@@ -37,7 +51,7 @@
         return 'one of ' + ', '.join(map(str, schema['enum']))
     parts = [schema.get('type', '')]
     parts += [
-        text.format(schema[name])
+        text.format(_readable(schema[name]))
         for name, text in _LIMITS.items()
         if name in schema
     ]
