Do not use a kept connection on which something has arrived

In the chat completions stack, callers of idempotent services received the response to another caller's earlier request, or were told that a request had not started, and an append to the log counted as written that was not: aiohttp takes a response that arrives on an idle connection as that of the next request, and services and log send no id by which it could be told.

--- a/src/basilpond/tasks/endpoints/_endpoint_task.py
+++ b/src/basilpond/tasks/endpoints/_endpoint_task.py
@@ -25,6 +25,7 @@
 from ...core import LeavingSource
 from ...core import Manifest
 from ...core import StreamCheck
+from .._quiet_connector import QuietConnector
 
 T = TypeVar('T')
 
@@ -287,7 +288,7 @@
     async def run(self) -> None:
         """Poll and probe endpoints until cancelled."""
         async with aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=QuietConnector(
                 limit=self._parameters.concurrency, limit_per_host=2
             )
         ) as session:
--- a/src/basilpond/tasks/endpoints/_relay.py
+++ b/src/basilpond/tasks/endpoints/_relay.py
@@ -17,6 +17,7 @@
 from ...core import StreamSummary
 from ...core import length_terminal
 from ...settings import LimitsSection
+from .._quiet_connector import QuietConnector
 from ..requests import ResponseSink
 from ._body_reader import BodyReader
 from ._body_reader import DataCallback
@@ -83,7 +84,7 @@
             sock_connect=self.limits.connect_timeout_ms / 1000,
         )
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            connector=QuietConnector(limit=0, keepalive_timeout=30),
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/basilpond/tasks/shared_log/_log_client.py
+++ b/src/basilpond/tasks/shared_log/_log_client.py
@@ -15,6 +15,7 @@
 from ...core import LogUnavailableError
 from ...telemetry import Metrics
 from ...telemetry import NullMetrics
+from .._quiet_connector import QuietConnector
 
 
 class _Appended(msgspec.Struct):
@@ -144,7 +145,7 @@
         if self._session is None:
             # Created here, because it needs the running event loop.
             self._session = aiohttp.ClientSession(
-                headers={'X-Client': self.client}
+                connector=QuietConnector(), headers={'X-Client': self.client}
             )
         url = f'{self.base_url}/v1/streams/{stream}/records'
         timeout = aiohttp.ClientTimeout(
