End a connection to an engine or service with its refusal

A caller of the chat completions stack was told 'not started' for a request that an endpoint was running: the endpoint sent its refusal of an earlier request once more, right after it had received the next one on the kept connection, and neither bears an id.

A connection on which an endpoint refused a request is now closed, unless another request has taken it meanwhile, so no copy of the refusal can follow. test_no_refusal_follows_on_the_connection_of_a_refusal failed before.

--- a/src/basilpond/tasks/_quiet_connector.py
+++ b/src/basilpond/tasks/_quiet_connector.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+REQUEST_ID_HEADER = 'X-Request-Id'
+
 
 class QuietConnector(aiohttp.TCPConnector):
     """Connector whose kept connections are silent until they are used again.
@@ -15,13 +17,45 @@
     connection. aiohttp takes it as the response to the next request.
     """
 
-    async def connect(self, *args: Any, **kwargs: Any) -> Any:
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # Protocols of the connections by the id of their request, and the
+        # request that used each of them last.
+        self._protocols: dict[str, Any] = {}
+        self._request_ids: dict[Any, str] = {}
+
+    async def connect(
+        self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
+    ) -> Any:
         """Return a connection on which nothing has arrived."""
         while True:
-            connection = await super().connect(*args, **kwargs)
+            connection = await super().connect(req, *args, **kwargs)
             if not _has_input(connection):
-                return connection
+                break
             connection.close()
+        request_id = req.headers.get(REQUEST_ID_HEADER)
+        if request_id is not None:
+            self.end_request(request_id, close=False)
+            self._protocols[request_id] = connection.protocol
+            self._request_ids[connection.protocol] = request_id
+        return connection
+
+    def end_request(self, request_id: str, *, close: bool) -> None:
+        """Forget the connection of a request, which ended.
+
+        Parameters
+        ----------
+        request_id : str
+        close : bool
+            Whether to close it, also if it was kept for other requests. One
+            that another request uses already stays open.
+        """
+        protocol = self._protocols.pop(request_id, None)
+        if self._request_ids.get(protocol) != request_id:
+            return
+        del self._request_ids[protocol]
+        if close:
+            protocol.close()
 
 
 def _has_input(connection: Any) -> bool:
--- a/src/basilpond/tasks/endpoints/_relay.py
+++ b/src/basilpond/tasks/endpoints/_relay.py
@@ -74,6 +74,7 @@
 
     def __init__(self, limits: LimitsSection) -> None:
         self.limits = limits
+        self._connector: QuietConnector | None = None
         self._session: aiohttp.ClientSession | None = None
         self._fresh_session: aiohttp.ClientSession | None = None
 
@@ -83,8 +84,9 @@
             total=None,
             sock_connect=self.limits.connect_timeout_ms / 1000,
         )
+        self._connector = QuietConnector(limit=0, keepalive_timeout=30)
         self._session = aiohttp.ClientSession(
-            connector=QuietConnector(limit=0, keepalive_timeout=30),
+            connector=self._connector,
             timeout=timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -161,6 +163,12 @@
             # or late bytes would be read as the next response.
             if response is not None:
                 response.close()
+            # A refusal that the endpoint sends again on the connection would
+            # be taken as that of the next request, which runs.
+            self._connector.end_request(
+                upstream.headers.get(ATTEMPT_ID_HEADER, ''),
+                close=result.kind is AttemptKind.NOT_STARTED,
+            )
 
 
 def _set_timeout_result(result: Attempt, exchange: Exchange) -> None:
--- a/src/basilpond/tasks/tests/test_repeated_responses.py
+++ b/src/basilpond/tasks/tests/test_repeated_responses.py
@@ -8,6 +8,7 @@
 from basilpond.core import Attempt
 from basilpond.core import AttemptKind
 from basilpond.settings import LimitsSection
+from basilpond.tasks.endpoints import ATTEMPT_ID_HEADER
 from basilpond.tasks.endpoints import EndpointClient
 from basilpond.tasks.endpoints import ServiceExchange
 from basilpond.tasks.endpoints import UpstreamRequest
@@ -26,9 +27,13 @@
 
 
 class Server:
-    """Sends the first response of each connection again while it is idle."""
+    """Sends the first response of a connection again.
 
-    def __init__(self, first, second):
+    It does so while the connection is idle, or before the second response.
+    """
+
+    def __init__(self, first, second, *, idle=True):
+        self._idle = idle
         self._first = first
         self._second = second
         self._server = None
@@ -61,8 +66,11 @@
             writer.write(self._first)
             await writer.drain()
             await asyncio.sleep(0.05)
-            writer.write(self._first)
+            if self._idle:
+                writer.write(self._first)
             await self._receive(reader)
+            if not self._idle:
+                writer.write(self._first)
             writer.write(self._second)
             await reader.read()
 
@@ -75,8 +83,8 @@
 
 
 @contextlib.asynccontextmanager
-async def running_server(first, second):
-    server = Server(first, second)
+async def running_server(first, second, **options):
+    server = Server(first, second, **options)
     await server.start()
     try:
         yield server
@@ -84,28 +92,55 @@
         await server.stop()
 
 
-@pytest.mark.parametrize('first', [REFUSAL, success(b'first')])
-async def test_unrequested_response_is_not_that_of_the_next_request(first):
-    """Guards against the response to another caller, or its refusal."""
+async def run_two_requests(port):
+    """Return the result of the second of two requests."""
     limits = LimitsSection()
     client = EndpointClient(limits)
     await client.open()
     try:
-        async with running_server(first, success(b'own')) as server:
+        for attempt_id in ('1', '2'):
             request = UpstreamRequest(
-                f'http://{HOST}:{server.port}/', 'GET', b'', {}
+                f'http://{HOST}:{port}/',
+                'GET',
+                b'',
+                {ATTEMPT_ID_HEADER: attempt_id},
             )
-            for _ in range(2):
-                result = Attempt(AttemptKind.FAILED, 'e')
-                await client.run(request, ServiceExchange(limits), result)
-                await asyncio.sleep(0.2)
+            result = Attempt(AttemptKind.FAILED, 'e')
+            await client.run(request, ServiceExchange(limits), result)
+            await asyncio.sleep(0.2)
     finally:
         await client.close()
+    assert not client._connector._protocols
+    assert not client._connector._request_ids
+    return result
+
+
+@pytest.mark.parametrize('first', [REFUSAL, success(b'first')])
+async def test_unrequested_response_is_not_that_of_the_next_request(first):
+    """Guards against the response to another caller, or its refusal."""
+    async with running_server(first, success(b'own')) as server:
+        result = await run_two_requests(server.port)
     assert result.kind is AttemptKind.COMPLETE
     assert result.terminal == b'own'
     assert server.connections == 2
 
 
+async def test_no_refusal_follows_on_the_connection_of_a_refusal():
+    """Guards against 'not started' for a request that was run."""
+    second = success(b'own')
+    async with running_server(REFUSAL, second, idle=False) as server:
+        result = await run_two_requests(server.port)
+    assert result.kind is AttemptKind.COMPLETE
+    assert result.terminal == b'own'
+
+
+async def test_connection_is_kept_after_a_success():
+    """Guards against a new connection for each request."""
+    async with running_server(success(b'a'), b'', idle=False) as server:
+        await run_two_requests(server.port)
+    assert server.connections == 1
+
+
 async def test_unrequested_response_of_the_log_confirms_no_append():
     """Guards against an append that counts as written but is not."""
     first = success(b'{"offset": 1}', b'201 Created')
