--- a/src/basilpond/tasks/_quiet_connector.py
+++ b/src/basilpond/tasks/_quiet_connector.py
@@ -35,11 +35,22 @@
             connection.close()
         request_id = req.headers.get(REQUEST_ID_HEADER)
         if request_id is not None:
-            self.end_request(request_id, close=False)
-            self._protocols[request_id] = connection.protocol
-            self._request_ids[connection.protocol] = request_id
+            self.add_request(request_id, connection.protocol)
         return connection
 
+    def add_request(self, request_id: str, protocol: Any) -> None:
+        """Record the connection of a request, its last one if it had others.
+
+        Parameters
+        ----------
+        request_id : str
+        protocol : object
+            aiohttp's protocol of the connection.
+        """
+        self.end_request(request_id, close=False)
+        self._protocols[request_id] = protocol
+        self._request_ids[protocol] = request_id
+
     def end_request(self, request_id: str, *, close: bool) -> None:
         """Forget the connection of a request, which ended.
 
--- a/src/basilpond/tasks/tests/test_repeated_responses.py
+++ b/src/basilpond/tasks/tests/test_repeated_responses.py
@@ -8,6 +8,7 @@
 from basilpond.core import Attempt
 from basilpond.core import AttemptKind
 from basilpond.settings import LimitsSection
+from basilpond.tasks._quiet_connector import QuietConnector
 from basilpond.tasks.endpoints import ATTEMPT_ID_HEADER
 from basilpond.tasks.endpoints import EndpointClient
 from basilpond.tasks.endpoints import ServiceExchange
@@ -26,6 +27,15 @@
     )
 
 
+class Protocol:
+    """Connection that records its end."""
+
+    closed = False
+
+    def close(self):
+        self.closed = True
+
+
 class Server:
     """Sends the first response of a connection again.
 
@@ -110,8 +120,6 @@
             await asyncio.sleep(0.2)
     finally:
         await client.close()
-    assert not client._connector._protocols
-    assert not client._connector._request_ids
     return result
 
 
@@ -134,6 +142,22 @@
     assert result.terminal == b'own'
 
 
+@pytest.mark.parametrize('kept', [True, False])
+async def test_ended_requests_are_forgotten(kept):
+    """Guards against memory that grows with each request."""
+    connector = QuietConnector()
+    protocol = Protocol()
+    connector.add_request('1', protocol)
+    if kept:
+        # Another request uses the connection before the first one has ended.
+        connector.add_request('2', protocol)
+    connector.end_request('1', close=True)
+    assert protocol.closed is not kept
+    connector.end_request('2', close=False)
+    assert not connector._protocols and not connector._request_ids
+    await connector.close()
+
+
 async def test_connection_is_kept_after_a_success():
     """Guards against a new connection for each request."""
     async with running_server(success(b'a'), b'', idle=False) as server:
