Keep no record of the connections of probes

RequestConnector records the connections of requests, which are ended; probes of endpoints are not, so each left an entry. They use QuietConnector.

--- a/src/basilpond/tasks/_quiet_connector.py
+++ b/src/basilpond/tasks/_quiet_connector.py
@@ -17,6 +17,23 @@
     connection. aiohttp takes it as the response to the next request.
     """
 
+    async def connect(
+        self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
+    ) -> Any:
+        """Return a connection on which nothing has arrived."""
+        while True:
+            connection = await super().connect(req, *args, **kwargs)
+            if not _has_input(connection):
+                return connection
+            connection.close()
+
+
+class RequestConnector(QuietConnector):
+    """Connector that knows the connection of each request with an id.
+
+    Each request has to be ended by `end_request`.
+    """
+
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
         # Protocols of the connections by the id of their request, and the
@@ -27,12 +44,8 @@
     async def connect(
         self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
     ) -> Any:
-        """Return a connection on which nothing has arrived."""
-        while True:
-            connection = await super().connect(req, *args, **kwargs)
-            if not _has_input(connection):
-                break
-            connection.close()
+        """Return a connection on which nothing has arrived, and record it."""
+        connection = await super().connect(req, *args, **kwargs)
         request_id = req.headers.get(REQUEST_ID_HEADER)
         if request_id is not None:
             self.add_request(request_id, connection.protocol)
--- a/src/basilpond/tasks/endpoints/_relay.py
+++ b/src/basilpond/tasks/endpoints/_relay.py
@@ -17,7 +17,7 @@
 from ...core import StreamSummary
 from ...core import length_terminal
 from ...settings import LimitsSection
-from .._quiet_connector import QuietConnector
+from .._quiet_connector import RequestConnector
 from ..requests import ResponseSink
 from ._body_reader import BodyReader
 from ._body_reader import DataCallback
@@ -74,7 +74,7 @@
 
     def __init__(self, limits: LimitsSection) -> None:
         self.limits = limits
-        self._connector: QuietConnector | None = None
+        self._connector: RequestConnector | None = None
         self._session: aiohttp.ClientSession | None = None
         self._fresh_session: aiohttp.ClientSession | None = None
 
@@ -84,7 +84,7 @@
             total=None,
             sock_connect=self.limits.connect_timeout_ms / 1000,
         )
-        self._connector = QuietConnector(limit=0, keepalive_timeout=30)
+        self._connector = RequestConnector(limit=0, keepalive_timeout=30)
         self._session = aiohttp.ClientSession(
             connector=self._connector,
             timeout=timeout,
--- a/src/basilpond/tasks/tests/test_repeated_responses.py
+++ b/src/basilpond/tasks/tests/test_repeated_responses.py
@@ -8,7 +8,7 @@
 from basilpond.core import Attempt
 from basilpond.core import AttemptKind
 from basilpond.settings import LimitsSection
-from basilpond.tasks._quiet_connector import QuietConnector
+from basilpond.tasks._quiet_connector import RequestConnector
 from basilpond.tasks.endpoints import ATTEMPT_ID_HEADER
 from basilpond.tasks.endpoints import EndpointClient
 from basilpond.tasks.endpoints import ServiceExchange
@@ -145,7 +145,7 @@
 @pytest.mark.parametrize('kept', [True, False])
 async def test_ended_requests_are_forgotten(kept):
     """Guards against memory that grows with each request."""
-    connector = QuietConnector()
+    connector = RequestConnector()
     protocol = Protocol()
     connector.add_request('1', protocol)
     if kept:
