--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -232,7 +232,9 @@
     A request with one of `crashing_parts` in its prompt, not counting the last
     part, ends the server as its answer begins; `on_crash` is called then.
     With `limit_per_s`, its answers name the requests a second that it takes
-    from all callers.
+    from all callers. With `leaving`, all of them say that it leaves, and with
+    `retry_after`, those of status 503 say for how many seconds, or until when,
+    it wants no requests. `extra_fields` are added to all answers.
     """
 
     def __init__(self, server_id: str, service: str, *, events: int = 6):
@@ -246,6 +248,9 @@
         # Time from the arrival of a prompt to its first event.
         self.prefill_s = 0.0
         self.limit_per_s: float | None = None
+        self.leaving = False
+        self.retry_after: str | None = None
+        self.extra_fields: list[tuple[bytes, bytes]] = []
         # Times of the event loop at which requests arrived.
         self.arrived_s: list[float] = []
         self.crashing_parts: set[int] = set()
@@ -277,11 +282,12 @@
         request_id = find(request.headers, b'x-request-id') or b''
         fields = [(b'x-request-id', request_id)]
         if self.mode == 'shed':
-            fields += [(b'x-not-executed', b'1'), *self._limit_fields()]
+            fields += [(b'x-not-executed', b'1'), *self._own_fields(503)]
             responder.respond(503, fields)
             return
         if self.mode == 'moved':
-            responder.respond(421, [*fields, (b'x-instance-id', b'other')])
+            fields += [(b'x-instance-id', b'other'), *self._own_fields(421)]
+            responder.respond(421, fields)
             return
         self.requests.append(request)
         try:
@@ -291,20 +297,25 @@
             self.ended.append('cancelled')
             raise
 
-    def _limit_fields(self) -> list[tuple[bytes, bytes]]:
-        if self.limit_per_s is None:
-            return []
-        return [(b'server-limit', b'%.1f' % self.limit_per_s)]
+    def _own_fields(self, status: int) -> list[tuple[bytes, bytes]]:
+        fields = list(self.extra_fields)
+        if self.limit_per_s is not None:
+            fields.append((b'server-limit', b'%.1f' % self.limit_per_s))
+        if self.leaving:
+            fields.append((b'server-leaving', b'1'))
+        if status == 503 and self.retry_after is not None:
+            fields.append((b'retry-after', self.retry_after.encode()))
+        return fields
 
     async def _run(self, request: CallerRequest, responder: Responder) -> None:
         request_id = find(request.headers, b'x-request-id') or b''
-        fields = [(b'x-request-id', request_id), *self._limit_fields()]
+        status = {'fail': 500, 'busy': 503}.get(self.mode, 200)
+        fields = [(b'x-request-id', request_id), *self._own_fields(status)]
         if self.mode != 'unsigned':
             fields.append((b'x-response-stamp', b'stamp-%s' % request_id))
         if self.mode == 'hang':
             await asyncio.sleep(3600)
-        if self.mode in ('fail', 'busy'):
-            status = 500 if self.mode == 'fail' else 503
+        if status != 200:
             responder.respond(status, fields, b'failed')
             return
         if find(request.headers, b'x-token-count') is None:
