Send nothing to endpoints that turn requests away and ask for quiet

Callers saw their requests rejected one after another by endpoints that had asked for quiet (503 with Retry-After), or waited for refusals that were known before, and came back together.

Cause: the field was not read; an endpoint that rejects requests only became a worse choice, and none at all where it is the last one.

Change: QuietEndpoints keeps the quiet times of each endpoint process towards this router, which reports them to nobody. The endpoint gets no request of any kind meanwhile, one that was connecting included, and one request goes first afterwards. A time counts as 30 s at most. While all endpoints of a service are quiet, requests that the first return serves within their objective wait by priority and time left (ReturnQueue), as many as this router's part of the slots; all others are refused at once, before tokens are held for them, with retry times spread over the time in which callers gathered. Numbers with fractions and dates are understood; other values are ignored with one log line for each process, and of several values the longest counts.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -18,6 +18,7 @@
 from ..routing import EventTokens
 from ..routing import FleetRetryBudget
 from ..routing import Organisation
+from ..routing import QuietEndpoints
 from ..routing import Reachability
 from ..routing import RequestMetadata
 from ..routing import Route
@@ -35,6 +36,8 @@
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
+from ._endpoint_returns import EndpointReturns
+from ._endpoint_signals import SignalRecorder
 from ._interfaces import NodeSettings
 from ._interfaces import PlatformCodec
 from ._interfaces import RequestMetadataError
@@ -109,6 +112,13 @@
         self._decisions = decisions
         self._rng = rng
         self._reachability = Reachability()
+        self._quiet = QuietEndpoints()
+        self._returns = EndpointReturns(
+            self._quiet, directory, decisions, peers.live_routers, rng
+        )
+        signals = SignalRecorder(
+            codec, directory, self._quiet, decisions, self._returns.wake_up
+        )
         self._sender = Sender(
             codec,
             directory,
@@ -116,6 +126,8 @@
             crashes,
             parts,
             limits,
+            self._quiet,
+            signals,
             self._reachability,
             decisions,
         )
@@ -133,6 +145,16 @@
                 settings.retry_window_s,
             )
 
+    @property
+    def quiet_endpoints(self) -> int:
+        """Number of endpoints that asked this router for quiet."""
+        return self._quiet.count(asyncio.get_running_loop().time())
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for the end of a quiet time."""
+        return self._returns.waiting
+
     def refuse_new(self) -> None:
         """Refuse new requests while the router stops."""
         self._refusing = True
@@ -219,6 +241,7 @@
                 503, 'crashed several endpoints', _POISON_RETRY_S
             )
         self._check_parts(context, loop.time())
+        self._check_endpoints(context)
         await self._hold_tokens(context)
         try:
             async with context.time_limit():
@@ -286,7 +309,7 @@
     async def _choose(
         self, context: RequestContext
     ) -> tuple[EndpointEntry, Choice]:
-        entries = self._directory.candidates(context.service)
+        entries = await self._returns.wait(context)
         fresh = [
             e for e in entries if e.endpoint.id not in context.tried_endpoints
         ]
@@ -313,16 +336,13 @@
             rng=self._rng,
         )
         if choice is None:
-            raise RefusedError(
-                503,
-                'no endpoint',
-                _NO_ENDPOINT_RETRY_S,
-                service=context.service,
-                store_age_s=round(self._budgets.outage_s, 2),
-            )
+            # Those that there were may have become quiet during a wait.
+            self._check_endpoints(context)
+            raise self._no_endpoint(context)
         entry = self._directory.find(choice.load.endpoint.id)
         assert entry is not None
         self._limits.record_sent(entry.incarnation_number, now_s)
+        self._quiet.record_sent(entry.incarnation_number, now_s)
         self._decisions.event(
             'sent',
             routine=True,
@@ -337,6 +357,20 @@
         )
         return entry, choice
 
+    def _check_endpoints(self, context: RequestContext) -> None:
+        if not self._directory.candidates(context.service):
+            raise self._no_endpoint(context)
+        self._returns.check(context)
+
+    def _no_endpoint(self, context: RequestContext) -> RefusedError:
+        return RefusedError(
+            503,
+            'no endpoint',
+            _NO_ENDPOINT_RETRY_S,
+            service=context.service,
+            store_age_s=round(self._budgets.outage_s, 2),
+        )
+
     async def _choose_within_limits(
         self,
         context: RequestContext,
@@ -379,7 +413,7 @@
             _LIMIT_WAIT_SHARE * context.route.objective_s,
             context.wait_until_s - loop.time(),
         )
-        while entries := self._directory.candidates(context.service):
+        while entries := self._returns.open_entries(context.service):
             now_s = loop.time()
             wait_s = min(
                 self._limits.wait_s(entry.incarnation_number, now_s)
@@ -460,7 +494,7 @@
         patience_s = context.patience_left_s(now_s)
         return [
             entry
-            for entry in self._directory.candidates(context.service)
+            for entry in self._returns.open_entries(context.service)
             if entry.endpoint.id not in context.tried_endpoints
             and not entry.load.is_avoided(now_s)
             and not entry.load.is_silent(now_s)
@@ -523,7 +557,8 @@
                 outcome.body,
             )
         elif context.possible_runs == 0:
-            raise RefusedError(503, outcome.reason, _BUSY_RETRY_S)
+            retry_s = self._returns.retry_s(context) or _BUSY_RETRY_S
+            raise RefusedError(503, outcome.reason, retry_s)
         else:
             raise RefusedError(502, outcome.reason)
 
--- a/src/basilpond/node/_endpoint_signals.py
+++ b/src/basilpond/node/_endpoint_signals.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+import time
+
 from ..http1 import ResponseHead
+from ..routing import MAX_QUIET_S
+from ..routing import QuietEndpoints
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
@@ -20,21 +26,30 @@
     ----------
     codec : PlatformCodec
     directory : EndpointDirectory
+    quiet : QuietEndpoints
     decisions : DecisionLog
+    on_return : callable
+        Called with the service of an endpoint that may get requests again.
     """
 
     def __init__(
         self,
         codec: PlatformCodec,
         directory: EndpointDirectory,
+        quiet: QuietEndpoints,
         decisions: DecisionLog,
+        on_return: Callable[[str], None],
     ) -> None:
         self._codec = codec
         self._directory = directory
+        self._quiet = quiet
+        self._on_return = on_return
         self._decisions = decisions
         self._logged: set[tuple[int, str]] = set()
 
-    def record(self, entry: EndpointEntry, head: ResponseHead) -> None:
+    def record(
+        self, entry: EndpointEntry, head: ResponseHead, sent_s: float
+    ) -> None:
         """Record what a response of an endpoint says.
 
         Parameters
@@ -42,12 +57,39 @@
         entry : EndpointEntry
         head : ResponseHead
             Of a response that belongs to the endpoint.
+        sent_s : float
+            When the request was sent.
         """
-        signals = self._codec.endpoint_signals(head)
+        signals = self._codec.endpoint_signals(head, time.time())
         for problem in signals.problems:
             self._log_problem(entry, problem)
         if signals.leaving:
             self._directory.mark_told_leaving(entry)
+        if signals.quiet_s:
+            self._record_refusal(entry, signals.quiet_s)
+        elif self._quiet.record_response(
+            entry.incarnation_number, sent_s=sent_s
+        ):
+            self._decisions.event(
+                'endpoint_quiet_ended', endpoint=entry.endpoint.id
+            )
+            self._on_return(entry.endpoint.service)
+
+    def _record_refusal(self, entry: EndpointEntry, asked_s: float) -> None:
+        notable = self._quiet.record_refusal(
+            entry.incarnation_number,
+            asked_s,
+            now_s=asyncio.get_running_loop().time(),
+        )
+        if notable:
+            self._decisions.event(
+                'endpoint_quiet',
+                endpoint=entry.endpoint.id,
+                service=entry.endpoint.service,
+                asked_s=asked_s,
+                bound_s=MAX_QUIET_S,
+                in_flight=len(entry.load.in_flight),
+            )
 
     def _log_problem(self, entry: EndpointEntry, problem: str) -> None:
         key = entry.incarnation_number, problem.partition(':')[0]
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -228,11 +228,15 @@
     ----------
     leaving : bool
         Whether it is about to end.
+    quiet_s : float or None
+        Time for which it wants no requests from this router, in a response
+        that turns one away. None if it names none.
     problems : tuple of str
         Fields without a defined value, with their values; they say nothing.
     """
 
     leaving: bool
+    quiet_s: float | None = None
     problems: tuple[str, ...] = ()
 
 
@@ -276,8 +280,13 @@
     def request_limit_per_s(self, head: ResponseHead) -> float | None:
         """Return the requests a second that the endpoint takes, if limited."""
 
-    def endpoint_signals(self, head: ResponseHead) -> EndpointSignals:
-        """Return what the endpoint says of itself in a response."""
+    def endpoint_signals(
+        self, head: ResponseHead, wall_s: float
+    ) -> EndpointSignals:
+        """Return what the endpoint says of itself in a response.
+
+        `wall_s` is the time of day of the response, in Unix seconds.
+        """
 
     def response_fields(self, head: ResponseHead) -> list[Header]:
         """Return the fields of a response to forward to the caller."""
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -91,6 +91,14 @@
                 ('configuration_version', 'Version in force'),
                 ('endpoints', 'Endpoints that the platform lists'),
                 ('leaving_endpoints', 'Listed endpoints that are leaving'),
+                (
+                    'quiet_endpoints',
+                    'Endpoints that want no requests from this router now',
+                ),
+                (
+                    'waiting_requests',
+                    'Requests that wait for the end of a quiet time',
+                ),
                 ('store_read_age_seconds', 'Age of the last read'),
                 ('store_era', 'Rises when the store comes back from a copy'),
                 (
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -349,6 +349,8 @@
             ('configuration_version', self._configuration_version()),
             ('endpoints', len(self.directory)),
             ('leaving_endpoints', len(self.directory.leaving())),
+            ('quiet_endpoints', self.dispatcher.quiet_endpoints),
+            ('waiting_requests', self.dispatcher.waiting),
             ('store_read_age_seconds', self.budgets.outage_s),
             ('store_era', self._writer.era),
             ('accounts_complete', int(self.budgets.knows_accounts)),
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -16,6 +16,7 @@
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ..routing import InFlightRequest
+from ..routing import QuietEndpoints
 from ..routing import Reachability
 from ..routing import RouteKind
 from ..routing import SendResult
@@ -163,6 +164,8 @@
     crashes : CrashCounter
     parts : CrashingParts
     limits : EndpointLimits
+    quiet : QuietEndpoints
+    signals : SignalRecorder
     reachability : Reachability
     decisions : DecisionLog
     """
@@ -175,12 +178,15 @@
         crashes: CrashCounter,
         parts: CrashingParts,
         limits: EndpointLimits,
+        quiet: QuietEndpoints,
+        signals: SignalRecorder,
         reachability: Reachability,
         decisions: DecisionLog,
     ) -> None:
         self._parts = parts
         self._limits = limits
-        self._signals = SignalRecorder(codec, directory, decisions)
+        self._quiet = quiet
+        self._signals = signals
         self._crash_watch = CrashWatch(parts, decisions, peers.announce_news)
         self._codec = codec
         self._directory = directory
@@ -293,6 +299,9 @@
         # Connecting takes up to 0.4 s, in which another response may tell.
         if entry.endpoint.leaving:
             raise _WithdrawnError('endpoint leaves')
+        now_s = asyncio.get_running_loop().time()
+        if self._quiet.is_quiet(entry.incarnation_number, now_s):
+            raise _WithdrawnError('endpoint asks for quiet')
 
     def _cancel_quarantined(self) -> None:
         # A request that has not begun still can crash its endpoint. A trial
@@ -486,7 +495,7 @@
         result = self._codec.classify_response(head)
         if result is not ResponseResult.MISDIRECTED:
             self._record_limit(entry, head, sent_s)
-            self._signals.record(entry, head)
+            self._signals.record(entry, head, sent_s)
         data_centre = entry.endpoint.data_centre
         if self._reachability.record_response(data_centre):
             self._decisions.event(
--- a/src/basilpond/platform/_endpoint_signals.py
+++ b/src/basilpond/platform/_endpoint_signals.py
@@ -2,31 +2,94 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+import datetime
+import email.utils
+import re
+
 from ..http1 import ResponseHead
 from ..http1 import find_all
 from ..node import EndpointSignals
 
 _LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
+_UNAVAILABLE = 503
+# Whole seconds in HTTP; on the platform they may include fractions.
+_SECONDS = re.compile(r'[0-9]+(\.[0-9]*)?')
+# Bytes of a value without meaning that are logged.
+_MAX_LOGGED_BYTES = 40
 
 
-def endpoint_signals(head: ResponseHead) -> EndpointSignals:
+def endpoint_signals(head: ResponseHead, wall_s: float) -> EndpointSignals:
     """Return what the server says of itself.
 
-    A field that has no defined value, or is given more than once with
-    different ones, says nothing and is named in `problems`.
+    A value that is not defined says nothing. Of different values, the longest
+    time counts, and nothing else. Both are named in `problems`.
+
+    Parameters
+    ----------
+    head : ResponseHead
+    wall_s : float
+        Unix time to which a date refers if the response has no date itself.
     """
     problems: list[str] = []
-    return EndpointSignals(_leaving(head, problems), tuple(problems))
+    return EndpointSignals(
+        _leaving(head, problems),
+        _quiet_s(head, wall_s, problems),
+        tuple(problems),
+    )
 
 
 def _leaving(head: ResponseHead, problems: list[str]) -> bool:
-    values = {value.strip() for value in find_all(head.headers, _LEAVING)}
-    if values <= {b'1'} or values == {b'0'}:
-        return values == {b'1'}
+    values = _values(head, _LEAVING)
+    if values <= {'1'} or values == {'0'}:
+        return values == {'1'}
     problems.append(_problem(_LEAVING, values))
     return False
 
 
-def _problem(name: bytes, values: set[bytes]) -> str:
-    text = ', '.join(sorted(value[:40].decode('latin-1') for value in values))
+def _quiet_s(
+    head: ResponseHead, wall_s: float, problems: list[str]
+) -> float | None:
+    if head.status != _UNAVAILABLE:
+        return None
+    values = _values(head, _RETRY_AFTER)
+    times_s = list(_decode_times(values, _sent_s(head, wall_s)))
+    if len(values) > 1 or len(times_s) < len(values):
+        problems.append(_problem(_RETRY_AFTER, values))
+    return max(times_s, default=None)
+
+
+def _decode_times(values: set[str], sent_s: float) -> Iterator[float]:
+    for value in values:
+        if _SECONDS.fullmatch(value):
+            yield float(value)
+        elif (date_s := _decode_date(value)) is not None:
+            yield max(0.0, date_s - sent_s)
+
+
+def _sent_s(head: ResponseHead, wall_s: float) -> float:
+    # The clocks of the server and the router may differ.
+    date = head.find(b'date')
+    date_s = None if date is None else _decode_date(date.decode('latin-1'))
+    return wall_s if date_s is None else date_s
+
+
+def _decode_date(value: str) -> float | None:
+    try:
+        date = email.utils.parsedate_to_datetime(value)
+        return date.replace(tzinfo=date.tzinfo or datetime.UTC).timestamp()
+    except (ValueError, TypeError, OverflowError, IndexError):
+        return None
+
+
+def _values(head: ResponseHead, name: bytes) -> set[str]:
+    return {
+        value.strip().decode('latin-1')
+        for value in find_all(head.headers, name)
+    }
+
+
+def _problem(name: bytes, values: set[str]) -> str:
+    text = ', '.join(sorted(values))[:_MAX_LOGGED_BYTES]
     return f'{name.decode()}: {text}'
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -36,6 +36,9 @@
 from ._prepaid import tokens_retry_s
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prompt_prefixes
+from ._quiet_endpoints import MAX_QUIET_S
+from ._quiet_endpoints import QuietEndpoints
+from ._quiet_endpoints import return_retry_s
 from ._reachability import Reachability
 from ._retry_policy import MAX_CONNECTS
 from ._retry_policy import SendResult
@@ -43,6 +46,8 @@
 from ._retry_policy import first_byte_timeout_s
 from ._retry_policy import guarantees_not_run
 from ._retry_policy import may_send_again
+from ._return_queue import ReturnQueue
+from ._return_queue import WaitingRequest
 from ._types import CallerLimits
 from ._types import Configuration
 from ._types import Endpoint
@@ -84,18 +89,22 @@
     'LeavingIncarnations',
     'LimitReport',
     'MAX_CONNECTS',
+    'MAX_QUIET_S',
     'Organisation',
     'PeerReport',
     'PromptCache',
     'PromptPart',
     'Quarantine',
+    'QuietEndpoints',
     'Reachability',
     'RequestMetadata',
+    'ReturnQueue',
     'Route',
     'RouteKind',
     'SendEvidence',
     'SendResult',
     'VersionCheck',
+    'WaitingRequest',
     'choose_endpoint',
     'choose_service',
     'event_gap_timeout_s',
@@ -106,6 +115,7 @@
     'part_key',
     'prefill_cost',
     'prompt_prefixes',
+    'return_retry_s',
     'sample_loads',
     'tokens_retry_s',
 ]
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -26,6 +26,7 @@
 from .log_contents import SequenceError
 
 HOST = '127.0.0.1'
+SLOW_S = 0.1
 
 
 class _Listener:
@@ -227,7 +228,8 @@
     with its connection, within the event after `break_after` if there is
     one), `hang`, `fail` (500), `busy` (503 that does not say whether
     it was run), `shed` (refuses unread), `moved` (421), `unsigned`, `twice`
-    (sends its answer again) or `truncate` (resets within its answer).
+    (sends its answer again), `truncate` (resets within its answer) or `slow`
+    (answers after SLOW_S).
 
     A request with one of `crashing_parts` in its prompt, not counting the last
     part, ends the server as its answer begins; `on_crash` is called then.
@@ -322,6 +324,8 @@
             if self.mode == 'break':
                 responder.abort()
                 return
+            if self.mode == 'slow':
+                await asyncio.sleep(SLOW_S)
             if self.mode == 'truncate':
                 responder.start_stream(200, fields)
                 responder.send(b'answer')
