Spend no retry budget on requests that no endpoint accepts

Callers of a service whose only endpoints had become quiet, or had left, were refused with a retry counted although nothing was sent, so fewer retries were left to others. A request that waited for the limit of the last open endpoint was refused with 'no endpoint' when that one became quiet.

Cause: the retry budget was asked before it was known whether any endpoint accepts a request, and the wait for a limit was not followed by the wait for the end of a quiet time.

Change: _may_retry asks first whether an endpoint returns in time, and logs retry_refused if none does; the two waits follow each other until an endpoint admits the request or one of them refuses it.

Evidence: three rejections of a quiet endpoint recorded three retries, now none (test_rejections_that_cannot_be_retried_use_no_retry_budget, fails before). New tests for leaving endpoints with limits and ejections, and for quiet ones with limits, passed before, too.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -309,18 +309,7 @@
     async def _choose(
         self, context: RequestContext
     ) -> tuple[EndpointEntry, Choice]:
-        entries = await self._returns.wait(context)
-        fresh = [
-            e for e in entries if e.endpoint.id not in context.tried_endpoints
-        ]
-        if context.retry_reserved:
-            context.retry_reserved = False
-            now_s = asyncio.get_running_loop().time()
-            fresh = self._alternatives(context, now_s) or fresh
-        if self._limits.is_empty:
-            entries = fresh or entries
-        else:
-            entries = await self._choose_within_limits(context, fresh, entries)
+        entries = await self._usable_entries(context)
         now_s = asyncio.get_running_loop().time()
         choice = choose_endpoint(
             sample_loads(
@@ -336,8 +325,6 @@
             rng=self._rng,
         )
         if choice is None:
-            # Those that there were may have become quiet during a wait.
-            self._check_endpoints(context)
             raise self._no_endpoint(context)
         entry = self._directory.find(choice.load.endpoint.id)
         assert entry is not None
@@ -371,6 +358,29 @@
             store_age_s=round(self._budgets.outage_s, 2),
         )
 
+    async def _usable_entries(
+        self, context: RequestContext
+    ) -> list[EndpointEntry]:
+        # Endpoints that are neither quiet nor beyond their limits; none if
+        # there are no endpoints.
+        while entries := await self._returns.wait(context):
+            fresh = [
+                entry
+                for entry in entries
+                if entry.endpoint.id not in context.tried_endpoints
+            ]
+            if context.retry_reserved:
+                context.retry_reserved = False
+                now_s = asyncio.get_running_loop().time()
+                fresh = self._alternatives(context, now_s) or fresh
+            if self._limits.is_empty:
+                return fresh or entries
+            entries = await self._choose_within_limits(context, fresh, entries)
+            if entries:
+                return entries
+            # All have become quiet during the wait for a limit.
+        return []
+
     async def _choose_within_limits(
         self,
         context: RequestContext,
@@ -407,7 +417,8 @@
         self, context: RequestContext
     ) -> list[EndpointEntry]:
         # Returns an endpoint whose limit admits the request after a wait
-        # within which it is still on time; none if there are no endpoints.
+        # within which it is still on time; none if there are no endpoints
+        # that are not quiet.
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(
             _LIMIT_WAIT_SHARE * context.route.objective_s,
@@ -448,6 +459,15 @@
             return True
         if not self._permits_retry(context, outcome.result, now_s):
             return False
+        if not self._returns.can_send(context):
+            self._decisions.event(
+                'retry_refused',
+                request=context.metadata.request_id,
+                reason='no endpoint accepts requests',
+                service=context.service,
+                endpoints=len(self._directory.candidates(context.service)),
+            )
+            return False
         retry_budget = self._retry_budget(context.service)
         allowed = retry_budget.try_retry(now_s, self._peers.live_routers())
         if not allowed:
--- a/src/basilpond/node/_endpoint_returns.py
+++ b/src/basilpond/node/_endpoint_returns.py
@@ -89,6 +89,11 @@
         if queue is not None:
             queue.wake_up()
 
+    def can_send(self, context: RequestContext) -> bool:
+        """Whether an endpoint accepts a request while it can wait."""
+        entries = self._directory.candidates(context.service)
+        return bool(self._returning(entries, _latest_s(context)))
+
     def check(self, context: RequestContext) -> None:
         """Check that a request can be sent in time.
 
@@ -98,7 +103,7 @@
             All endpoints are quiet for longer than it can wait.
         """
         entries = self._directory.candidates(context.service)
-        if entries and not self._returning(entries, _latest_s(context)):
+        if entries and not self.can_send(context):
             raise self._refusal(context, entries)
 
     def retry_s(self, context: RequestContext) -> float | None:
--- a/src/basilpond/node/tests/test_leaving_endpoints.py
+++ b/src/basilpond/node/tests/test_leaving_endpoints.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from basilpond.node.tests.platform_world import configuration
 from basilpond.node.tests.platform_world import world
 
 # Time after which other routers know what one of them was told.
@@ -191,3 +192,43 @@
         server.mode = 'truncate'
         await send(system, 'look', 3)
         assert len(server.arrived_s) == 1
+
+
+async def test_requests_that_wait_for_a_limit_do_not_reach_a_leaving_one():
+    """Guards against requests that were admitted before the answer."""
+    config = configuration()
+    for item in config['routes']:
+        item['latency_target_ms'] = 3000
+    async with world(config, apps=1) as system:
+        server = system.servers['app-0']
+        server.limit_per_s = 4.0
+        assert (await send(system, 'look', 1))[0].status == 200
+        server.leaving = True
+        replies = await asyncio.gather(
+            *(system.call(f'/look/{i}') for i in range(4))
+        )
+        assert sorted(reply.status for reply in replies) == [
+            200,
+            503,
+            503,
+            503,
+        ]
+        assert len(server.arrived_s) == 2
+        # Nor does one that would tell whether the limit still holds.
+        await asyncio.sleep(1.2)
+        assert (await send(system, 'look', 1))[0].status == 503
+        assert len(server.arrived_s) == 2
+
+
+async def test_leaving_endpoint_is_not_tried_after_an_ejection():
+    """Guards against a trial because all other endpoints are worse."""
+    async with world(apps=2) as system:
+        server, other = system.servers['app-0'], system.servers['app-1']
+        directory = system.nodes[0].directory
+        directory.mark_told_leaving(directory.find('app-0'))
+        now_s = asyncio.get_running_loop().time()
+        directory.find('app-1').load.eject(now_s)
+        other.stop()
+        replies = await send(system, 'look', 3)
+        assert {reply.status for reply in replies} == {503}
+        assert server.arrived_s == []
--- a/src/basilpond/node/tests/test_quiet_endpoints.py
+++ b/src/basilpond/node/tests/test_quiet_endpoints.py
@@ -235,3 +235,31 @@
         assert names.count('endpoint_field_ignored') == (
             value not in ('0', '99999999')
         )
+
+
+async def test_quiet_endpoint_that_names_a_limit_is_not_probed():
+    """Guards against a probe of the limit within the quiet time."""
+    async with world(apps=2) as system:
+        server = system.servers['app-0']
+        server.limit_per_s = 3.0
+        server.mode = 'shed'
+        server.retry_after = '2.5'
+        replies = await send(system, 'look', per_s=40, for_s=2.2)
+        assert len(server.arrived_s) == 1
+        assert {reply.status for reply in replies} == {200}
+
+
+async def test_rejections_that_cannot_be_retried_use_no_retry_budget():
+    """Guards against a budget that is spent on retries that are not sent."""
+    async with world(apps=1) as system:
+        server = system.servers['app-0']
+        server.mode = 'shed'
+        server.retry_after = '0.3'
+        budget = system.nodes[0].dispatcher._retry_budget('app')
+        for i in range(3):
+            reply = await system.call(f'/look/{i}')
+            assert reply.status == 503
+            assert 0 < float(reply.headers['retry-after']) < 2.0
+            await asyncio.sleep(0.4)
+        assert len(server.arrived_s) == 3
+        assert not budget._retries
