--- a/src/basilpond/node/tests/test_quiet_endpoints.py
+++ b/src/basilpond/node/tests/test_quiet_endpoints.py
@@ -263,3 +263,23 @@
             await asyncio.sleep(0.4)
         assert len(server.arrived_s) == 3
         assert not budget._retries
+
+
+async def test_request_of_a_caller_who_left_waits_no_longer():
+    """Guards against a queue that is full of callers who left."""
+    config = configuration()
+    for item in config['routes']:
+        item['latency_target_ms'] = 3000
+    async with world(config, apps=1) as system:
+        node = system.nodes[0]
+        server = system.servers['app-0']
+        server.mode = 'shed'
+        server.retry_after = '2'
+        _, writer = await system.open('/look/1')
+        await system.until(lambda: node.dispatcher.waiting == 1)
+        _, _, text = node._respond_metrics(b'/')
+        assert b'basilpond_quiet_endpoints 1.0' in text
+        assert b'basilpond_waiting_requests 1.0' in text
+        writer.transport.abort()
+        await system.until(lambda: node.dispatcher.waiting == 0, 1.0)
+        assert len(server.arrived_s) == 1
