Keep names of leaving endpoints short that other routers report

A router that reports a start of over 4300 digits made the others raise a ValueError for its datagram, and could fill their memory with long names.

Cause: the time of the start was converted to a number without a check. Change: names are compared as routers exchange them; longer ones than 256 characters are not remembered.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -290,7 +290,7 @@
                     record.key, f'unreadable entry: {error}'
                 )
                 continue
-            if self._told_leaving.has(endpoint.id, endpoint.boot_ms):
+            if self._told_leaving.has(_incarnation_text(endpoint)):
                 endpoint = dataclasses.replace(endpoint, leaving=True)
             self._add_or_update(endpoint)
 
@@ -314,9 +314,8 @@
 
     def mark_leaving(self, incarnation: str, source: str) -> None:
         """Mark an endpoint as leaving, as reported by another router."""
-        endpoint_id, _, boot_text = incarnation.rpartition('@')
-        if boot_text.isdecimal():
-            self._told_leaving.add(endpoint_id, int(boot_text))
+        self._told_leaving.add(incarnation)
+        endpoint_id = incarnation.rpartition('@')[0]
         if self._history.record_leaving(incarnation):
             self._release_withheld(endpoint_id)
         entry = self._entries.get(endpoint_id)
@@ -334,7 +333,7 @@
         Holds for its present start, whatever the platform lists.
         """
         endpoint = entry.endpoint
-        self._told_leaving.add(endpoint.id, endpoint.boot_ms)
+        self._told_leaving.add(_incarnation_text(endpoint))
         # The entry may have lapsed and come back during the request.
         listed = self._entries.get(endpoint.id)
         if listed is None or listed.endpoint.incarnation != (
--- a/src/basilpond/routing/_leaving_incarnations.py
+++ b/src/basilpond/routing/_leaving_incarnations.py
@@ -10,12 +10,15 @@
 # Oldest ones are dropped beyond this; a process ends within about a minute
 # after it said that it leaves.
 _MAX_INCARNATIONS = 4096
+# Longer names, from a faulty router, are not remembered.
+_MAX_LENGTH = 256
 
 
 class LeavingIncarnations:
     """Incarnations of endpoints that are known to leave.
 
-    An incarnation is an endpoint's id and the time of its start.
+    An incarnation is named by an endpoint's id and the time of its start, as
+    routers report it to each other.
 
     Parameters
     ----------
@@ -25,11 +28,10 @@
     Examples
     --------
     >>> leaving = LeavingIncarnations()
-    >>> leaving.add('e-1', 1_781_071_529_128)
+    >>> leaving.add('e-1@1781071529128')
+    >>> leaving.has('e-1@1781071529128')
     True
-    >>> leaving.has('e-1', 1_781_071_529_128)
-    True
-    >>> leaving.has('e-1', 1_781_071_533_000)
+    >>> leaving.has('e-1@1781071533000')
     False
     """
 
@@ -38,26 +40,24 @@
     def __init__(self, *, max_incarnations: int = _MAX_INCARNATIONS) -> None:
         self._max_incarnations = max_incarnations
         # In the order in which they were added.
-        self._incarnations: dict[tuple[str, int], None] = {}
+        self._incarnations: dict[str, None] = {}
 
-    def add(self, endpoint_id: str, boot_ms: int | None) -> bool:
-        """Add an incarnation.
+    def __len__(self) -> int:
+        return len(self._incarnations)
 
-        Without the time of its start, an incarnation is not told from a later
-        one of the same id, and is not added.
+    def add(self, incarnation: str) -> None:
+        """Add an incarnation.
 
-        Returns
-        -------
-        bool
-            Whether it is new.
+        Without the time of its start, it is not told from a later one of the
+        same id, and is not added.
         """
-        if boot_ms is None or self.has(endpoint_id, boot_ms):
-            return False
-        self._incarnations[endpoint_id, boot_ms] = None
+        start = incarnation.rpartition('@')[2]
+        if not start.isdecimal() or len(incarnation) > _MAX_LENGTH:
+            return
+        self._incarnations[incarnation] = None
         if len(self._incarnations) > self._max_incarnations:
             del self._incarnations[next(iter(self._incarnations))]
-        return True
 
-    def has(self, endpoint_id: str, boot_ms: int | None) -> bool:
+    def has(self, incarnation: str) -> bool:
         """Whether an incarnation is known to leave."""
-        return (endpoint_id, boot_ms) in self._incarnations
+        return incarnation in self._incarnations
