Write the marker of a first start in its own era only

Budgets would be overspent (BUDGET) if a router that starts with the fleet gets no response to its first append until the log comes back from a copy: the append was collected anew with the marker of the new era, ahead of the accounts that the other routers had to write again.

The marker of a first start is now due only while the era in which the empty log was read is the writer's era. The new test failed before.

--- a/src/basilpond/node/_account_recovery.py
+++ b/src/basilpond/node/_account_recovery.py
@@ -97,6 +97,7 @@
     def begin_era(self, era: int) -> None:
         """Apply the records of another era from now on."""
         self._state.begin(era, asyncio.get_running_loop().time())
+        self._marker_due = False
         self._accounts.forget_offsets()
         self._allotments.revoke_unconfirmed_raises()
 
@@ -142,7 +143,11 @@
 
     def first_records(self) -> list[Record]:
         """Return the records that precede all accounts."""
-        return [era_record(self._writer.era)] if self._marker_due else []
+        # The writer may know of a new era before its records are read. A
+        # first start proves nothing about the accounts of that era.
+        if self._marker_due and self.known_era is not None:
+            return [era_record(self.known_era)]
+        return []
 
     def confirm_written(self, statement: EraStatement) -> None:
         """Record that the log has acknowledged the own records."""
