Show that a router that hears no other completes an era at once

Failing test. The router was cut off the log and the others for 3 s before the restore, reaches the restored log 0.3 s before them and writes the marker 0.9 to 1.1 s after the return, without the accounts of the raises that it missed.

--- a/src/basilpond/node/tests/test_restored_log_schedules.py
+++ b/src/basilpond/node/tests/test_restored_log_schedules.py
@@ -1,11 +1,19 @@
 """Schedules around a restore of the log that random faults rarely reach."""
 
+import asyncio
+
+import pytest
+
 from basilpond.node._account_recovery import AccountRecovery
 from basilpond.node._fleet_records import era_record
 from basilpond.routing import Allotments
 from basilpond.routing import EraStatement
 from basilpond.routing import EscrowAccounts
 from basilpond_testkit.paused_clock import on_paused_clock
+from basilpond_testkit.paused_clock import run
+
+from .test_restored_log import restore
+from .test_restored_log import simulate
 
 
 class Events:
@@ -43,3 +51,52 @@
     assert recovery.first_records() == []
     recovery.confirm_written(EraStatement(2))
     assert not recovery.is_complete
+
+
+async def cut_log_and_peers(fleet, name, *, log_s, peers_s):
+    """Cut a router off the log and off the others, for different times."""
+    router = fleet.routers[name]
+    router.log.is_cut = router.is_cut_off = True
+    await asyncio.sleep(min(log_s, peers_s))
+    if log_s < peers_s:
+        router.log.is_cut = False
+        await asyncio.sleep(peers_s - log_s)
+    router.log.is_cut = router.is_cut_off = False
+
+
+async def return_before_others(fleet):
+    """Let a router reach the restored log while it hears no other one."""
+    await asyncio.sleep(3.0)
+    cut = asyncio.create_task(
+        cut_log_and_peers(fleet, 'e', log_s=4.0, peers_s=7.5)
+    )
+    await asyncio.sleep(3.0)
+    others = [fleet.routers[name].log for name in 'abcd']
+    for log in others:
+        log.is_cut = True
+    await restore(fleet, age_s=4.0, outage_s=1.0)
+    await asyncio.sleep(0.3)
+    for log in others:
+        log.is_cut = False
+    await cut
+    completed = [
+        (at_s, holder)
+        for at_s, holder, event, _ in fleet.events
+        if event == 'accounts_completed'
+    ]
+    returned_s = 2.0 + 3.0 + 3.0 + 1.0
+    assert all(
+        at_s >= returned_s + 1.9
+        for at_s, holder in completed
+        if holder.startswith('e~')
+    ), completed
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_router_that_hears_no_other_does_not_complete_an_era_at_once(seed):
+    """Guards against a marker of a router that missed the last raises.
+
+    It was cut off the log and the other routers before the restore, and
+    reaches the log again before them. Their accounts were not written yet.
+    """
+    run(simulate(seed, return_before_others))
