Let a router that hears few others wait before it completes an era

Budgets were overspent (BUDGET) if a router that had been cut off the log and the others reached the restored log first: without live routers to wait for, it wrote the marker at once, ahead of accounts that only the others knew.

A router that hears no majority of the registered ones now waits for 2 s, the time after which it completes an era without the statements of others. Raises wait as long where half of the routers are down at the restore.

--- a/src/basilpond/node/_account_recovery.py
+++ b/src/basilpond/node/_account_recovery.py
@@ -69,6 +69,8 @@
         self.heard_routers: Callable[[float], dict[str, str]] = (
             lambda within_s: {}
         )
+        # Returns the number of other routers whose addresses are known.
+        self.registered_routers: Callable[[], int] = lambda: 0
         self.wake_reader: Callable[[], None] = lambda: None
 
     @property
@@ -177,6 +179,7 @@
             self._statement,
             heard.values(),
             asyncio.get_running_loop().time(),
+            registered_routers=self.registered_routers(),
         )
         if completion is not None:
             await self._write_marker(completion, routers=len(heard) + 1)
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -112,6 +112,9 @@
         self.budgets.live_holders = self.peers.live_holders
         self.budgets.fleet_boot_offset_ms = self.peers.fleet_boot_offset_ms
         self.budgets.recovery.heard_routers = self.peers.heard_routers
+        self.budgets.recovery.registered_routers = (
+            self.peers.registered_routers
+        )
         self.budgets.raise_statements.send = self.peers.state_accounts
         address = f'{settings.host}:{settings.peer_port}'
         self.budgets.announcement = router_record(settings.node_id, address)
--- a/src/basilpond/routing/_era_recovery.py
+++ b/src/basilpond/routing/_era_recovery.py
@@ -225,6 +225,8 @@
         own: EraStatement,
         live_holders: Iterable[str],
         now_s: float,
+        *,
+        registered_routers: int = 0,
     ) -> Completion | None:
         """Return how to complete the era now, or None to wait.
 
@@ -235,6 +237,8 @@
         live_holders : iterable of str
             Holders of the other live routers.
         now_s : float
+        registered_routers : int
+            Number of other routers whose addresses are known, live or not.
         """
         if self.era is None or self.is_complete:
             return None
@@ -242,9 +246,15 @@
             return None
         holders = list(live_holders)
         elapsed_s = now_s - self._began_s
-        if elapsed_s < _STATEMENTS_S and not all(
-            self._statement_of(holder).known_era >= self.era
-            for holder in holders
+        # A router that hears few others may have been cut off from them, and
+        # may lack the raises of its last seconds in the era before.
+        hears_most = 2 * (len(holders) + 1) > registered_routers + 1
+        if elapsed_s < _STATEMENTS_S and not (
+            hears_most
+            and all(
+                self._statement_of(holder).known_era >= self.era
+                for holder in holders
+            )
         ):
             return None
         if self._complete_era is not None:
--- a/src/basilpond/routing/tests/test_era_recovery.py
+++ b/src/basilpond/routing/tests/test_era_recovery.py
@@ -112,3 +112,15 @@
     recovery.apply_statement('b~1', EraStatement(2, 2, remembers=True))
     own = EraStatement(2, 2)
     assert recovery.completion(own, ('b~1',), 30.0) is None
+
+
+def test_router_that_hears_few_others_waits():
+    """Guards against a marker of a router that was cut off from the others."""
+    recovery = make_recovery(remembers=True)
+    recovery.apply_statement('b~1', OWN)
+
+    def completion(now_s):
+        return recovery.completion(OWN, ['b~1'], now_s, registered_routers=4)
+
+    assert completion(11.9) is None
+    assert completion(12.0) is Completion.REMEMBERED
--- a/src/basilpond_testkit/budget_fleet.py
+++ b/src/basilpond_testkit/budget_fleet.py
@@ -242,6 +242,9 @@
         self.budgets.request_from_peers = self.peers.request_tokens
         self.budgets.live_holders = self.peers.live_holders
         self.budgets.recovery.heard_routers = self.peers.heard_routers
+        self.budgets.recovery.registered_routers = (
+            self.peers.registered_routers
+        )
         self.budgets.raise_statements.send = self.peers.state_accounts
         self.budgets.announcement = router_record(name, f'{name}:1')
         self.follower = TopicFollower(
