Show that a survivor that missed raises grants tokens twice

Failing test. All routers but one are killed while the log is down; the one that is left was cut off for 1 to 5 s before and states that it remembers the era.

--- a/src/basilpond/node/tests/test_restored_log_schedules.py
+++ b/src/basilpond/node/tests/test_restored_log_schedules.py
@@ -12,6 +12,7 @@
 from basilpond_testkit.paused_clock import on_paused_clock
 from basilpond_testkit.paused_clock import run
 
+from .test_restored_log import ROUTERS
 from .test_restored_log import restore
 from .test_restored_log import simulate
 
@@ -100,3 +101,34 @@
     reaches the log again before them. Their accounts were not written yet.
     """
     run(simulate(seed, return_before_others))
+
+
+async def keep_one_that_missed_raises(fleet):
+    """Kill all routers but one that was cut off before the restore."""
+    rng = fleet.rng
+    await asyncio.sleep(rng.uniform(1.0, 5.0))
+    cut_s, outage_s = rng.uniform(1.0, 5.0), rng.uniform(1.0, 2.0)
+    cut = asyncio.create_task(
+        cut_log_and_peers(
+            fleet, 'a', log_s=cut_s + outage_s, peers_s=cut_s + outage_s
+        )
+    )
+    await asyncio.sleep(cut_s)
+    restarts = [
+        asyncio.create_task(fleet.restart(name))
+        for name in ROUTERS
+        if name != 'a'
+    ]
+    await restore(fleet, age_s=rng.uniform(2.0, 15.0), outage_s=outage_s)
+    await asyncio.gather(cut, *restarts)
+    await asyncio.sleep(10.0)
+
+
+def test_survivor_that_missed_raises_does_not_complete_an_era():
+    """Guards against tokens granted twice when one router is left.
+
+    It was cut off while the others were granted raises, and remembers the
+    accounts of the era before, but not those raises.
+    """
+    for seed in range(12):
+        run(simulate(seed, keep_one_that_missed_raises))
