Show that a late marker of an older era stops raises of new routers

Failing test. An ended router's append with the marker of an earlier era is executed after the marker of the present one. Routers that start afterwards read an older marker, and those that know the era is complete never write its marker again, so the new ones get no raise for the rest of the era.

--- a/src/basilpond/node/tests/test_restored_log_schedules.py
+++ b/src/basilpond/node/tests/test_restored_log_schedules.py
@@ -5,6 +5,7 @@
 import pytest
 
 from basilpond.node._account_recovery import AccountRecovery
+from basilpond.node._fleet_records import FLEET_TOPIC
 from basilpond.node._fleet_records import era_record
 from basilpond.routing import Allotments
 from basilpond.routing import EraStatement
@@ -132,3 +133,28 @@
     """
     for seed in range(12):
         run(simulate(seed, keep_one_that_missed_raises))
+
+
+async def overwrite_marker(fleet):
+    """Execute a late append of an ended router: the marker of an older era."""
+    await asyncio.sleep(1.0)
+    await restore(fleet, age_s=2.0, outage_s=0.5)
+    await asyncio.sleep(3.0)
+    fleet.store.contents.append(
+        FLEET_TOPIC,
+        [era_record(1)],
+        producer='ended~0',
+        epoch=2,
+        sequence=0,
+        now_s=asyncio.get_running_loop().time(),
+    )
+    fleet.kill('a')
+    await asyncio.sleep(1.0)
+    router = fleet.start_router('a')
+    await asyncio.sleep(8.0)
+    assert router.budgets.knows_accounts
+
+
+def test_late_marker_of_an_older_era_does_not_stop_raises():
+    """Guards against routers that are never granted a raise again."""
+    run(simulate(1, overwrite_marker))
