Trust no single survivor of a restore, and write a lost marker again

Two faults that the review of the recovery showed with failing tests, which pass now.

A late append with the marker of an earlier era replaced the newest one, and routers that started afterwards were never granted a raise. Routers that know the era to be complete write its marker again when they read another.

--- a/src/basilpond/node/_account_recovery.py
+++ b/src/basilpond/node/_account_recovery.py
@@ -60,8 +60,10 @@
         self._state = EraRecovery(
             router_of(holder), is_first_start=is_first_start
         )
-        # Whether the marker of the era has to be written before any account.
+        # Whether the marker of the era has to be written with the next
+        # accounts, and whether the last records contained it.
         self._marker_due = False
+        self._marker_collected = False
         # Last statement of this router that the log has acknowledged.
         self._statement = EraStatement()
         # Returns the ids and holders of the other routers that were heard of
@@ -111,9 +113,15 @@
         """Apply the record that names the era whose accounts are complete."""
         was_complete = self._state.is_complete
         try:
-            self._state.apply_marker(parse_era(value))
+            marker = parse_era(value)
         except ValueError as error:
             self._decisions.event('era_unreadable', reason=str(error))
+            return
+        self._state.apply_marker(marker)
+        if was_complete and marker != self.era:
+            # A late append of an earlier era has replaced the marker, for
+            # which routers that start from now on would wait.
+            self._marker_due = True
         if self._state.is_complete and not was_complete:
             self._decisions.event(
                 'accounts_complete',
@@ -147,14 +155,16 @@
         """Return the records that precede all accounts."""
         # The writer may know of a new era before its records are read. A
         # first start proves nothing about the accounts of that era.
-        if self._marker_due and self.known_era is not None:
-            return [era_record(self.known_era)]
-        return []
+        self._marker_collected = (
+            self._marker_due and self.known_era is not None
+        )
+        return [era_record(self._writer.era)] if self._marker_collected else []
 
     def confirm_written(self, statement: EraStatement) -> None:
         """Record that the log has acknowledged the own records."""
         self._statement = statement
-        self._marker_due = False
+        if self._marker_collected:
+            self._marker_due = False
 
     # Recovery.
 
@@ -180,6 +190,7 @@
             heard.values(),
             asyncio.get_running_loop().time(),
             registered_routers=self.registered_routers(),
+            account_holders=self._accounts.holders(),
         )
         if completion is not None:
             await self._write_marker(completion, routers=len(heard) + 1)
--- a/src/basilpond/routing/_era_recovery.py
+++ b/src/basilpond/routing/_era_recovery.py
@@ -13,12 +13,14 @@
 
 The accounts are complete once the marker has been read. A router that started
 after the restore remembers nothing, and waits for the marker of another one.
-If no router is left that remembers, nobody knows what was granted in the lost
-seconds: the tokens that no account in the log owns are then reserved for good.
+If fewer than two routers are left that remember, nobody knows what was granted
+in the lost seconds: a single one may have been cut off from the others before.
+The tokens that no account in the log owns are then reserved for good.
 """
 
 from __future__ import annotations
 
+from collections.abc import Container
 from collections.abc import Iterable
 import dataclasses
 import enum
@@ -34,6 +36,8 @@
 _STATEMENTS_S = 2.0
 # Time after which no router that remembers the accounts is expected any more.
 _SURVIVORS_S = 5.0
+# Longest wait for a router that remembers them and cannot reach the log.
+_MAX_WAIT_S = 20.0
 # An account is written by one router, or by the next one after this time.
 _TURN_S = 0.15
 _MAX_TURN = 4
@@ -46,7 +50,7 @@
 
     # Live routers wrote what they remembered, or there is nothing to remember.
     REMEMBERED = 'remembered'
-    # No router remembers the accounts of the era before.
+    # At most one router remembers the accounts of the era before.
     RESERVED = 'reserved'
 
 
@@ -227,6 +231,7 @@
         now_s: float,
         *,
         registered_routers: int = 0,
+        account_holders: Container[str] = (),
     ) -> Completion | None:
         """Return how to complete the era now, or None to wait.
 
@@ -239,6 +244,8 @@
         now_s : float
         registered_routers : int
             Number of other routers whose addresses are known, live or not.
+        account_holders : container of str
+            Holders that have any account.
         """
         if self.era is None or self.is_complete:
             return None
@@ -257,13 +264,21 @@
             )
         ):
             return None
-        if self._complete_era is not None:
-            return Completion.REMEMBERED
-        if elapsed_s < _SURVIVORS_S or any(
-            self._statement_of(holder).remembers for holder in holders
+        # A live holder of accounts that has not written in this era remembers
+        # the one before, too, but cannot reach the log.
+        others_remember = any(
+            self._statement_of(holder).remembers
+            or (holder in account_holders and not self.has_written(holder))
+            for holder in holders
+        )
+        # The only router that remembers may have been cut off while others
+        # were granted raises, and cannot tell that from an outage.
+        if self._complete_era is not None and (
+            others_remember or not registered_routers
         ):
-            return None
-        return Completion.RESERVED
+            return Completion.REMEMBERED
+        limit_s = _MAX_WAIT_S if others_remember else _SURVIVORS_S
+        return Completion.RESERVED if elapsed_s >= limit_s else None
 
     def has_written(self, holder: str) -> bool:
         """Whether a holder has written its accounts in the present era."""
--- a/src/basilpond/routing/_escrow_accounts.py
+++ b/src/basilpond/routing/_escrow_accounts.py
@@ -271,6 +271,14 @@
             holder, (EMPTY_ACCOUNT, -1)
         )
 
+    def holders(self) -> set[str]:
+        """Return the holders that have any account."""
+        return {
+            holder
+            for accounts in self._accounts.values()
+            for holder in accounts
+        }
+
     def accounts_of(self, holder: str) -> dict[str, EscrowAccount]:
         """Return the accounts of a holder by organisation."""
         return {
--- a/src/basilpond/routing/tests/test_era_recovery.py
+++ b/src/basilpond/routing/tests/test_era_recovery.py
@@ -65,8 +65,18 @@
 def test_router_that_cannot_reach_the_log_stops_raises_for_2_s_only():
     """Guards against a fleet that waits for a router that is cut off."""
     recovery = make_recovery(remembers=True)
-    assert recovery.completion(OWN, OTHERS, 11.9) is None
-    assert recovery.completion(OWN, OTHERS, 12.0) is Completion.REMEMBERED
+
+    def completion(now_s):
+        return recovery.completion(
+            OWN,
+            OTHERS,
+            now_s,
+            registered_routers=2,
+            account_holders={'b~1'},
+        )
+
+    assert completion(11.9) is None
+    assert completion(12.0) is Completion.REMEMBERED
 
 
 def test_unwritten_accounts_delay_the_statement():
@@ -111,7 +121,35 @@
     recovery = make_recovery(remembers=False)
     recovery.apply_statement('b~1', EraStatement(2, 2, remembers=True))
     own = EraStatement(2, 2)
-    assert recovery.completion(own, ('b~1',), 30.0) is None
+    assert recovery.completion(own, ('b~1',), 29.9) is None
+
+
+def test_only_router_that_remembers_reserves_tokens():
+    """Guards against a survivor that was cut off from the others before."""
+    recovery = make_recovery(remembers=True)
+    recovery.apply_statement('b~2', EraStatement(2, 2))
+
+    def completion(now_s):
+        return recovery.completion(
+            OWN, ('b~2',), now_s, registered_routers=1, account_holders=()
+        )
+
+    assert completion(14.9) is None
+    assert completion(15.0) is Completion.RESERVED
+
+
+def test_survivor_that_cannot_reach_the_log_is_waited_for_20_s():
+    """Guards against raises that stop for good, or go on too soon."""
+    recovery = make_recovery(remembers=False)
+    own = EraStatement(2, 2)
+
+    def completion(now_s):
+        return recovery.completion(
+            own, ('b~1',), now_s, registered_routers=1, account_holders={'b~1'}
+        )
+
+    assert completion(29.9) is None
+    assert completion(30.0) is Completion.RESERVED
 
 
 def test_router_that_hears_few_others_waits():
