Bound the wait for a quiet endpoint by the caller's patience

A request could wait for an endpoint that asked for quiet until its own time limit, after its caller had left.

--- a/src/basilpond/node/_endpoint_returns.py
+++ b/src/basilpond/node/_endpoint_returns.py
@@ -261,4 +261,4 @@
         due_s = context.last_part_s + event_gap_timeout_s(context.route)
     else:
         due_s = context.started_s + context.route.objective_s
-    return min(due_s, context.deadline_s)
+    return min(due_s, context.wait_until_s)
--- a/src/basilpond/node/tests/test_quiet_replay.py
+++ b/src/basilpond/node/tests/test_quiet_replay.py
@@ -99,6 +99,7 @@
             effective_priority=priority,
             started_s=loop.time(),
             deadline_s=deadline_s,
+            wait_until_s=deadline_s,
             responder=types.SimpleNamespace(started=False),
             metadata=types.SimpleNamespace(request_id='r'),
         )
