Check the accounts that other routers state

A statement with a missing or huge number raised TypeError where it was applied, which reaches the event loop. It is checked with the other fields of a datagram now. The five new cases failed before.

--- a/src/basilpond/node/_datagrams.py
+++ b/src/basilpond/node/_datagrams.py
@@ -113,6 +113,21 @@
         _check_texts(datagram.transfer, 'organisation')
         _check_wholes(datagram.transfer, 'number', 'tokens')
         _check_wholes(datagram.transfer, 'left', optional=True)
+    _check_wholes(datagram, 'known_statement', optional=True)
+    if datagram.account_statement is not None:
+        _check_statement(datagram.account_statement)
+
+
+def _check_statement(statement: object) -> None:
+    _check_wholes(statement, 'number', 'era')
+    for account in statement.accounts or ():
+        _check_texts(account, 'organisation')
+        _check_wholes(account, 'revision')
+        # Tokens are negative at a router that returned what it had received.
+        for name in ('owned', 'ceiling'):
+            value = getattr(account, name)
+            if value is None or abs(value) > _MAX_WHOLE:
+                raise DatagramError(f'{name} is out of range')
 
 
 def _check_texts(message: object, *names: str) -> None:
--- a/src/basilpond/node/tests/test_odd_datagrams.py
+++ b/src/basilpond/node/tests/test_odd_datagrams.py
@@ -40,6 +40,11 @@
 }
 
 
+def account(**changes):
+    fields = {'organisation': 'org', 'owned': -1, 'ceiling': -1, 'revision': 1}
+    return messages.Account(**(fields | changes))
+
+
 def full_datagram(**changes):
     fields = {
         'holder': 'a~1',
@@ -60,6 +65,10 @@
         'transfer': messages.AllotmentTransfer(
             number=1, organisation='org', tokens=1, left=1
         ),
+        'account_statement': messages.AccountStatement(
+            number=1, era=1, accounts=[account()]
+        ),
+        'known_statement': 1,
         **changes,
     }
     return serialize(messages.Datagram(**fields), TCyBinaryProtocolFactory())
@@ -100,6 +109,23 @@
                 number=1, organisation='org', tokens=2**62
             )
         },
+        {'known_statement': -1},
+        {'account_statement': messages.AccountStatement(era=1)},
+        {
+            'account_statement': messages.AccountStatement(
+                number=1, era=1, accounts=[account(owned=None)]
+            )
+        },
+        {
+            'account_statement': messages.AccountStatement(
+                number=1, era=1, accounts=[account(revision=2**62)]
+            )
+        },
+        {
+            'account_statement': messages.AccountStatement(
+                number=1, era=1, accounts=[account(ceiling=-(2**62))]
+            )
+        },
     ],
 )
 def test_datagram_with_an_odd_value_is_unreadable(changes):
