--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -79,6 +79,16 @@
     """A request must not be sent to the endpoint that was chosen."""
 
 
+def _continues(
+    form: tuple[int, bytes], first: tuple[int, bytes] | None
+) -> bool:
+    # A first response without a media type was forwarded as a stream.
+    return first is not None and form in (
+        first,
+        (first[0], first[1] or b'text/event-stream'),
+    )
+
+
 class ResponseTimer:
     """Time limit on a response that another endpoint could provide.
 
@@ -407,7 +417,7 @@
         responder = context.responder
         context.events.drop_partial()
         form = _stream_form(head)
-        if responder.started and form != context.stream_form:
+        if responder.started and not _continues(form, context.stream_form):
             return SendOutcome(
                 SendResult.UNKNOWN, 'success that continues no stream'
             )
