Give the routers of a cut real addresses in their test

The test named addresses ':0' to ':79', which are no addresses of routers since they are checked, so its routers did not find each other. Its bounds are unchanged.

--- a/src/basilpond/node/tests/test_budgets_in_a_cut.py
+++ b/src/basilpond/node/tests/test_budgets_in_a_cut.py
@@ -119,7 +119,7 @@
 
     def sendto(self, data, address):
         loop = asyncio.get_running_loop()
-        receiver = self._fleet[address[1]][1]
+        receiver = self._fleet[address[1] - 1][1]
         loop.call_later(
             _NETWORK_S, receiver.datagram_received, data, self._address
         )
@@ -154,9 +154,9 @@
             NullStub(),
             lambda: 1,
         )
-        peers.connection_made(FakeTransport(fleet, ('', i)))
+        peers.connection_made(FakeTransport(fleet, ('10.0.0.1', i + 1)))
         for other in range(number):
-            peers.update_address(f'r{other}', b':%d' % other)
+            peers.update_address(f'r{other}', b'10.0.0.1:%d' % (other + 1))
         budgets.request_from_peers = peers.request_tokens
         budgets.live_holders = peers.live_holders
         budgets.allotments.routers = number
