Bound the numbers in the fleet's records, and go on after odd ones

A record of another writer with a number beyond 64 bits broke totals and the datagrams that carry them, and any unexpected exception while records were applied ended the task that reads them and with it the router.

--- a/src/basilpond/node/_fleet_records.py
+++ b/src/basilpond/node/_fleet_records.py
@@ -16,6 +16,11 @@
 # Holder of the tokens that nobody can account for after a restore of the log.
 _RESERVE = 'reserve'
 
+# Tokens and milliseconds are far below; larger numbers come from another
+# writer, and would not fit into datagrams.
+_MAX_NUMBER = 2**53
+_MAX_VALUE_BYTES = 200
+
 Record = tuple[str, bytes]
 
 
@@ -70,8 +75,8 @@
     ------
     ValueError
     """
-    owned, ceiling, revision = (value or b'0 0 0').split()
-    return EscrowAccount(int(owned), int(ceiling), int(revision))
+    owned, ceiling, revision = _parse_numbers(value or b'0 0 0', (3,))
+    return EscrowAccount(owned, ceiling, revision)
 
 
 def parse_heartbeat(value: bytes | None) -> Heartbeat:
@@ -81,9 +86,7 @@
     ------
     ValueError
     """
-    numbers = [int(item) for item in (value or b'').split()]
-    if len(numbers) not in (5, 6):
-        raise ValueError(f'{value!r} is not a heartbeat')
+    numbers = _parse_numbers(value or b'', (5, 6))
     boot_ms, wall_ms, written_era, known_era, remembers, *fleet_ms = numbers
     return Heartbeat(
         ClockReading(boot_ms, wall_ms, *fleet_ms),
@@ -98,7 +101,18 @@
     ------
     ValueError
     """
-    return int(value or b'-1')
+    (era,) = _parse_numbers(value or b'-1', (1,))
+    return era
+
+
+def _parse_numbers(value: bytes, counts: tuple[int, ...]) -> list[int]:
+    items = value.split()
+    if len(items) not in counts or len(value) > _MAX_VALUE_BYTES:
+        raise ValueError(f'{value[:_MAX_VALUE_BYTES]!r}: {len(items)} numbers')
+    numbers = [int(item) for item in items]
+    if not all(abs(number) <= _MAX_NUMBER for number in numbers):
+        raise ValueError(f'{value!r}: number out of range')
+    return numbers
 
 
 def reserve_holder(era: int) -> str:
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from typing import Protocol
 
 from ._decision_log import DecisionLog
@@ -183,6 +184,18 @@
                 )
                 self._offset = None
                 continue
+            except Exception as error:
+                # Records of another writer must end neither this task nor,
+                # with it, the router.
+                self._decisions.event(
+                    'read_defect',
+                    topic=self._topic,
+                    offset=self._offset,
+                    reason=repr(error),
+                    trace=traceback.format_exc(limit=-4),
+                )
+                await asyncio.sleep(_MAX_BACKOFF_S)
+                continue
             self._restarted = False
             self._update_reachability(True, '')
             self._metrics.count_read(
@@ -206,6 +219,7 @@
         if page.era != era:
             raise LogEraChangedError(f'{self._topic}: era {page.era}')
         if page.records:
+            # A record that cannot be applied is not read again.
             self._offset = page.records[-1].offset + 1
             self._state.apply(page.records, self._offset)
 
--- a/src/basilpond/node/tests/test_log_eras.py
+++ b/src/basilpond/node/tests/test_log_eras.py
@@ -39,6 +39,29 @@
         pass
 
 
+@on_paused_clock
+async def test_reader_goes_on_after_a_record_that_cannot_be_applied():
+    """Guards against a router that ends at a record of another writer."""
+    store, log, put = make_store()
+    put('a', b'1')
+    state, task = make_follower(log)
+
+    def apply(records, end):
+        if any(record.value == b'odd' for record in records):
+            raise RecursionError
+        state.applied += [(r.key, r.value) for r in records]
+
+    state.apply = apply
+    await asyncio.sleep(1.0)
+    put('a', b'odd')
+    await asyncio.sleep(1.0)
+    put('a', b'2')
+    await asyncio.sleep(1.0)
+    assert not task.done()
+    task.cancel()
+    assert state.applied[-1] == ('a', b'2')
+
+
 def make_store():
     """Return a store, a client of it, and a function that writes to it."""
     store = SimulatedStore(random.Random(1))
