Number the statements of raises differently in each process

An acknowledgement of a predecessor's statement, delayed by a frozen router, could confirm a raise of its successor, as both counted from 0. Found by review of the code; no play shows it.

--- a/src/basilpond/node/_raise_statements.py
+++ b/src/basilpond/node/_raise_statements.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from ..routing import Allotments
 from ..routing import EscrowAccount
@@ -15,6 +16,7 @@
 # Without an acknowledgement, time in which all routers that reach the log have
 # read a record: they read every 0.2 s.
 _READ_BY_ALL_S = 0.4
+_NUMBER_BITS = 48
 
 
 class RaiseStatements:
@@ -50,7 +52,8 @@
         self.send: Callable[[int, int, dict[str, EscrowAccount]], bool] = (
             lambda number, era, accounts: False
         )
-        self._last_number = 0
+        # Late acknowledgements of an earlier process must not fit.
+        self._last_number = random.getrandbits(_NUMBER_BITS)
         self._timer: asyncio.TimerHandle | None = None
         # Era, and revisions by organisation, of the open statements.
         self._stated: dict[int, tuple[int, dict[str, int]]] = {}
