Write all accounts when a router stops after a restore

release_all left out unchanged accounts and those with a pending raise, though the heartbeat beside it states that all accounts are written in the era; a successor takes that as proof. Found by review.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -508,7 +508,7 @@
     async def release_allotments(self) -> None:
         """Return all free tokens to the budgets, when the router stops."""
         self._stopping = True
-        await self._append(self.allotments.release_all, heartbeat=False)
+        await self._append(self._release_all, heartbeat=False)
 
     async def _append(
         self,
@@ -555,6 +555,11 @@
             self.notify_waiters()
         return appended
 
+    def _release_all(self, reading: ClockReading) -> dict[str, EscrowAccount]:
+        return self.allotments.release_all(
+            reading, rewrite_all=self.recovery.must_rewrite
+        )
+
     def _collect_changes(
         self, reading: ClockReading
     ) -> dict[str, EscrowAccount]:
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -213,6 +213,11 @@
         """Set the budget of an organisation; None is unlimited."""
         self._allotment(organisation).limit = tokens
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether the budgets of a configuration have been set."""
+        return bool(self._allotments)
+
     def in_outage(self, boot_ms: int) -> bool:
         """Whether ceilings no longer apply, after `OUTAGE_S`."""
         return self._heartbeat_age_s(boot_ms) >= OUTAGE_S
@@ -609,15 +614,20 @@
         for allotment in self._allotments.values():
             allotment.granted_by_log = False
 
-    def release_all(self, reading: ClockReading) -> dict[str, EscrowAccount]:
+    def release_all(
+        self, reading: ClockReading, *, rewrite_all: bool = False
+    ) -> dict[str, EscrowAccount]:
         """Return all free tokens to the budgets when the router stops.
 
-        Allotments with a pending raise are left out.
+        Allotments with a pending raise keep their tokens.
 
         Parameters
         ----------
         reading : ClockReading
             Present time; appended with the accounts as the heartbeat.
+        rewrite_all : bool
+            Whether to return unchanged accounts, too, as the log may have lost
+            them.
 
         Returns
         -------
@@ -627,11 +637,13 @@
         self._heartbeat_ms = reading.boot_ms
         accounts = {}
         for organisation, allotment in self._allotments.items():
-            if allotment.raise_pending:
-                continue
             owned = allotment.local_use
             last = allotment.last_appended
-            if (last.owned, last.ceiling) != (owned, owned):
+            unchanged = (last.owned, last.ceiling) == (owned, owned)
+            if allotment.raise_pending or unchanged:
+                if rewrite_all and last.revision:
+                    accounts[organisation] = last
+            else:
                 account = EscrowAccount(owned, owned, last.revision + 1)
                 allotment.granted = allotment.ceiling = owned
                 allotment.short_outage_limit = owned
--- a/src/basilpond/routing/tests/test_prepaid.py
+++ b/src/basilpond/routing/tests/test_prepaid.py
@@ -147,6 +147,18 @@
     assert released == EscrowAccount(-300, -300, 1)
 
 
+def test_stop_after_a_restore_writes_all_accounts():
+    """Guards against accounts that the log lost and a stop leaves out.
+
+    The heartbeat of the stop states that all of them are written.
+    """
+    allotments, accounts = make_allotments(limit=1000)
+    write(allotments, accounts, 'a', 0)
+    released = allotments.release_all(HEARTBEAT)
+    assert allotments.release_all(HEARTBEAT) == {}
+    assert allotments.release_all(HEARTBEAT, rewrite_all=True) == released
+
+
 def test_donor_owns_less_than_before():
     """Guards against tokens that two routers own after a transfer."""
     allotments, accounts = make_allotments(limit=1000)
