Reserve tokens only when the budgets are known

A router without a configuration wrote the marker of an era that nobody remembers without reserving any tokens. It waits for the budgets now. Found by review; the test failed before.

--- a/src/basilpond/node/_account_recovery.py
+++ b/src/basilpond/node/_account_recovery.py
@@ -192,6 +192,12 @@
             registered_routers=self.registered_routers(),
             account_holders=self._accounts.holders(),
         )
+        if (
+            completion is Completion.RESERVED
+            and not self._allotments.has_limits
+        ):
+            # No configuration yet, so it is not known what to reserve.
+            return
         if completion is not None:
             await self._write_marker(completion, routers=len(heard) + 1)
 
--- a/src/basilpond/node/tests/test_restored_log_schedules.py
+++ b/src/basilpond/node/tests/test_restored_log_schedules.py
@@ -158,3 +158,33 @@
 def test_late_marker_of_an_older_era_does_not_stop_raises():
     """Guards against routers that are never granted a raise again."""
     run(simulate(1, overwrite_marker))
+
+
+@on_paused_clock
+async def test_nothing_is_reserved_before_a_configuration_is_known():
+    """Guards against a marker that reserves no tokens of any budget."""
+    accounts = EscrowAccounts()
+    writer = Writer()
+    writer.appended = []
+    allotments = Allotments('a~1', accounts)
+
+    async def append(collect):
+        writer.appended += collect()
+        return True
+
+    writer.append = append
+    writer.era = 1
+    recovery = AccountRecovery(
+        'a~1', writer, accounts, allotments, Events(), is_first_start=False
+    )
+    recovery.begin_era(1)
+    recovery.confirm_written(EraStatement(1, 1))
+    await asyncio.sleep(10.0)
+    await recovery.complete(reachable=True)
+    assert not writer.appended
+    allotments.set_limit('large', 1_000)
+    await recovery.complete(reachable=True)
+    assert [key for key, _ in writer.appended] == [
+        'budget/large/reserve~1',
+        'era/complete',
+    ]
