--- a/src/basilpond_testkit/budget_fleet.py
+++ b/src/basilpond_testkit/budget_fleet.py
@@ -216,6 +216,7 @@
         self.name = name
         self.fleet = fleet
         self.is_cut_off = False
+        self.is_ended = False
         self.holder = f'{name}~{fleet.next_start()}'
         self.log = SimulatedLog(fleet.store)
         events = Events(self.holder, fleet.events)
@@ -238,6 +239,8 @@
             events,
             lambda: 1,
         )
+        # One seed gives one schedule.
+        self.peers._rng.seed(fleet.rng.random())
         self.peers.connection_made(self)
         self.budgets.request_from_peers = self.peers.request_tokens
         self.budgets.live_holders = self.peers.live_holders
@@ -274,6 +277,7 @@
 
     def kill(self) -> None:
         """End the process."""
+        self.is_ended = True
         for task in self._tasks:
             task.cancel()
 
@@ -362,6 +366,9 @@
         """Deliver a datagram, unless it is lost."""
         if self.rng.random() < _LOST_DATAGRAMS or sender.is_cut_off:
             return
+        if sender.is_ended:
+            # Timers of the process that the test still runs.
+            return
 
         def deliver() -> None:
             receiver = self.routers.get(name)
@@ -374,10 +381,10 @@
         """Simulate a request that consumes all tokens of its hold."""
         router = self.rng.choice(list(self.routers.values()))
         hold = await router.budgets.hold(organisation, tokens, 2.0)
-        if isinstance(hold, HoldRejection):
+        if isinstance(hold, HoldRejection) or router.is_ended:
             self.refused += 1
             return
-        # A killed process sends nothing more; its callers may already have
+        # If the process is killed from now on, its caller may already have
         # got the tokens.
         self.spent_tokens[organisation] += tokens
         self.served += 1
