Take an empty log of the first era for new

A fleet whose settings do not say that it starts for the first time took an empty topic for one that had lost its accounts, and reserved all budgets after 5 s. Nothing can be lost before the era has risen. The tests failed before.

--- a/src/basilpond/routing/_era_recovery.py
+++ b/src/basilpond/routing/_era_recovery.py
@@ -27,6 +27,8 @@
 
 import xxhash
 
+# Era of a store that never came back from a copy; 0 if it names none.
+_FIRST_ERA = 1
 # Time in which live routers write their own accounts; they notice an era
 # within one read of 0.8 s, and most within 0.1 s.
 _OWN_ACCOUNTS_S = 0.4
@@ -143,8 +145,9 @@
             Whether this is the first start of the fleet, so that the marker
             has to be written before any account.
         """
+        nothing_lost = self.era is not None and self.era <= _FIRST_ERA
         if (
-            self._is_first_start
+            (self._is_first_start or nothing_lost)
             and self._complete_era is None
             and self._marker < 0
             and not has_accounts
--- a/src/basilpond/routing/tests/test_era_recovery.py
+++ b/src/basilpond/routing/tests/test_era_recovery.py
@@ -38,6 +38,18 @@
     assert recovery.is_complete
 
 
+@pytest.mark.parametrize('era', [0, 1])
+def test_empty_log_of_the_first_era_is_new(era):
+    """Guards against budgets that are reserved where nothing was lost.
+
+    Settings written by hand may not say that the whole fleet starts.
+    """
+    recovery = EraRecovery('a', is_first_start=False)
+    recovery.begin(era, 0.0)
+    assert recovery.finish_snapshot(has_accounts=False)
+    assert recovery.is_complete
+
+
 def test_empty_log_after_a_restore_is_not_a_first_start():
     """Guards against a copy without any account taken as a new log."""
     recovery = EraRecovery('a', is_first_start=False)
