Give the sessions of the fault matrix a connector

The matrix replaces the sessions of EndpointClient, which ends the connection of a refused request at its connector since; 30 tests of the matrix failed with AttributeError in the whole suite, and pass now.

--- a/src/basilpond_testkit/matrix/_endpoints.py
+++ b/src/basilpond_testkit/matrix/_endpoints.py
@@ -29,6 +29,13 @@
 MID_STREAM_FRAME = 3
 
 
+class NoConnections:
+    """Connector of a session without connections."""
+
+    def end_request(self, request_id: str, *, close: bool) -> None:
+        """End a request, which has no connection to close."""
+
+
 class Connection:
     """One request on its way; a fault can cut or silence it."""
 
--- a/src/basilpond_testkit/matrix/_router.py
+++ b/src/basilpond_testkit/matrix/_router.py
@@ -34,6 +34,7 @@
 from ..fake_log import FakeLog
 from ..fake_peers import PausableLink
 from ._endpoints import Endpoint
+from ._endpoints import NoConnections
 from ._endpoints import Session
 from ._network import LogAccess
 from ._network import Network
@@ -195,6 +196,7 @@
         self.dispatcher.crash_keys.subscribe(self.view.announce_crash)
         client = _relay.EndpointClient(limits)
         client._session = client._fresh_session = self.session
+        client._connector = NoConnections()
         request_log = _request_log.RequestLog(DecisionHistory(), now_s)
         self.history = request_log.history
         self.keyed = _keyed_calls.KeyedCalls(
