Show that routers that are killed spend the retry budget twice

Cause: each process counts its own retries only, and a router that has heard of no other yet takes the whole slack.

Change: review/5, a script.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/run.py"
