--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -137,6 +137,9 @@
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        except asyncio.CancelledError:
+            # The case ends.
+            return
         finally:
             self._writers.discard(writer)
             writer.close()
