Limit what kills of routers lose of a prepaid budget

Cause: ceilings led the use by up to 0.25 x (unused share)^2 of the budget, and a successor cannot free what is below its predecessor's ceiling.

Change: all leads together are at most 0.75 of what earlier kills left of 0.028 of the budget; successors record estimates of what was lost, and a planned stop removes its heartbeat so that it counts as none. Tokens above the ceiling become usable gradually, from 1.2 to 5.45 s after the last heartbeat, and a successor reduces the account to the limit at the proved age. Idle allotments shrink as tokens are lost. Requests that wait for such tokens are served in order and ask other routers meanwhile.

Why it works: leads sum up to a geometric series below 0.028 for any number of kills; each freed token is above the limit that the holder obeyed until then.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -16,13 +16,17 @@
 from ..routing import EscrowAccount
 from ..routing import EscrowAccounts
 from ..routing import Hold
+from ..routing import Reservation
 from ._account_recovery import AccountRecovery
 from ._decision_log import DecisionLog
 from ._fleet_records import Heartbeat
 from ._fleet_records import budget_record
+from ._fleet_records import ended_heartbeat_record
 from ._fleet_records import heartbeat_record
+from ._fleet_records import lost_record
 from ._fleet_records import parse_account
 from ._fleet_records import parse_heartbeat
+from ._fleet_records import parse_lost
 from ._fleet_records import router_of
 from ._log_writer import LogWriter
 from ._raise_statements import RaiseStatements
@@ -38,6 +42,13 @@
 # After a rejection, no tokens are requested from other routers for this time,
 # as each request of an exhausted budget would request them from all routers.
 _REJECTION_TTL_S = 0.25
+# Interval at which tokens are requested for a request that waits for those
+# above the ceiling.
+_PEER_INTERVAL_S = 0.3
+# Longest wait for tokens that only other routers own.
+_MAX_PEER_WAIT_S = 1.0
+# Shortest pause before reserved tokens are tried again.
+_MIN_CEILING_WAIT_S = 0.02
 # The log is suspect while an append takes longer than this; an append usually
 # takes 4 ms. Where the store or the link is slow, the limit is a multiple of
 # the usual time, up to a maximum.
@@ -169,6 +180,10 @@
         is_predecessor = router_of(holder) == router_of(self._holder)
         if self.recovery.is_complete and not is_predecessor:
             return
+        if not value:
+            # The holder stopped and returned its tokens.
+            self._heartbeats.pop(holder, None)
+            return
         try:
             heartbeat = parse_heartbeat(value)
         except ValueError as error:
@@ -180,6 +195,18 @@
         if is_predecessor:
             self._heartbeats[holder] = heartbeat
 
+    def apply_lost(self, key: str, value: bytes | None) -> None:
+        """Apply the record of the tokens that a killed router left unused."""
+        organisation, _, holder = key.rpartition('/')
+        try:
+            tokens = parse_lost(value)
+        except ValueError as error:
+            self._decisions.event(
+                'lost_tokens_unreadable', key=key, reason=str(error)
+            )
+            return
+        self.allotments.lost.record(organisation, holder, tokens)
+
     def begin_era(self, era: int) -> None:
         """Apply the records of another era of the log from now on."""
         self.recovery.begin_era(era)
@@ -337,52 +364,96 @@
         # The allotment has the tokens, but beyond its ceiling, which cannot
         # be raised while the log is unavailable. The wait is short, and its
         # end is known.
-        boot_ms = self._clock().boot_ms
-        wait_s = self.allotments.reserve_above_ceiling(
-            organisation, tokens, boot_ms
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        reservation = self.allotments.reserve_above_ceiling(
+            organisation, tokens, self._clock().boot_ms
         )
-        if wait_s is None:
-            return HoldRejection.UNAVAILABLE
+        if reservation is None:
+            hold = await self._wait_for_peers(organisation, tokens, timeout_s)
+            return hold or HoldRejection.UNAVAILABLE
         hold = None
+        end_s = started_s + timeout_s
         try:
-            if wait_s < timeout_s:
-                until_s = asyncio.get_running_loop().time() + wait_s
-                hold = await self._wait_hold(
-                    organisation, tokens, until_s, require_log=True
+            while hold is None and loop.time() + reservation.wait_s < end_s:
+                # Other routers may transfer further tokens meanwhile.
+                pause_s = min(reservation.wait_s, _PEER_INTERVAL_S)
+                hold = await self._wait_reserved(
+                    reservation,
+                    loop.time() + max(pause_s, _MIN_CEILING_WAIT_S),
                 )
+                if hold is None and reservation.wait_s > 0:
+                    missing_tokens = self.allotments.shortage(
+                        organisation, tokens
+                    )
+                    self.request_from_peers(
+                        organisation, missing_tokens, _PEER_ROUNDS[-1]
+                    )
         finally:
-            self.allotments.release_reservation(organisation, tokens)
-        hold = hold or self._try_hold(organisation, tokens)
+            self.allotments.release_reservation(reservation)
         self._decisions.event(
             'ceiling_waited',
             organisation=organisation,
             tokens=tokens,
-            wait_s=round(wait_s, 3),
+            wait_s=round(loop.time() - started_s, 3),
             held=hold is not None,
         )
         return hold or HoldRejection.UNAVAILABLE
 
+    async def _wait_for_peers(
+        self, organisation: str, tokens: int, timeout_s: float
+    ) -> Hold | None:
+        # Further tokens become usable at other routers while this outage
+        # lasts, but not after that.
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + min(timeout_s, _MAX_PEER_WAIT_S)
+        while (
+            loop.time() < end_s
+            and self.allotments.releases_tokens(self.boot_ms())
+            and any(self.live_holders())
+        ):
+            missing_tokens = self.allotments.shortage(organisation, tokens)
+            self.request_from_peers(
+                organisation, missing_tokens, _PEER_ROUNDS[-1]
+            )
+            hold = await self._wait_hold(
+                organisation, tokens, loop.time() + _PEER_INTERVAL_S
+            )
+            if hold is not None:
+                return hold
+        return None
+
     async def _wait_hold(
-        self,
-        organisation: str,
-        tokens: int,
-        until_s: float,
-        *,
-        require_log: bool = False,
+        self, organisation: str, tokens: int, until_s: float
     ) -> Hold | None:
-        # With `require_log`, retries only once the log is no longer suspect.
         try:
             async with asyncio.timeout_at(until_s):
                 while True:
                     await self._tokens_changed.wait()
-                    if require_log and self.is_log_suspect():
-                        continue
                     hold = self._try_hold(organisation, tokens)
                     if hold is not None:
                         return hold
         except TimeoutError:
             return None
 
+    async def _wait_reserved(
+        self, reservation: Reservation, until_s: float
+    ) -> Hold | None:
+        try:
+            async with asyncio.timeout_at(until_s):
+                while True:
+                    await self._tokens_changed.wait()
+                    hold = self._try_hold_reserved(reservation)
+                    if hold is not None:
+                        return hold
+        except TimeoutError:
+            return self._try_hold_reserved(reservation)
+
+    def _try_hold_reserved(self, reservation: Reservation) -> Hold | None:
+        return self.allotments.hold_reserved(
+            reservation, self._clock().boot_ms
+        )
+
     def is_log_suspect(self) -> bool:
         """Whether the store is unreachable or slow to respond."""
         suspect_after_s = max(
@@ -509,13 +580,14 @@
     async def release_allotments(self) -> None:
         """Return all free tokens to the budgets, when the router stops."""
         self._stopping = True
-        await self._append(self._release_all, heartbeat=False)
+        await self._append(self._release_all, heartbeat=True, is_last=True)
 
     async def _append(
         self,
         changes: Callable[[ClockReading], dict[str, EscrowAccount]],
         *,
         heartbeat: bool,
+        is_last: bool = False,
     ) -> bool:
         accounts: dict[str, EscrowAccount] = {}
         statement = EraStatement()
@@ -538,6 +610,14 @@
             ]
             if must_rewrite:
                 records += self.announcements()
+            if (
+                is_last
+                and not must_rewrite
+                and not self.allotments.has_pending_raises
+            ):
+                # Nothing is left to free: the next process on this machine
+                # must not take this one for a killed one.
+                return [*records, ended_heartbeat_record(self._holder)]
             own = Heartbeat(now, statement)
             return [*records, heartbeat_record(self._holder, own)]
 
@@ -588,6 +668,7 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
         started = self._with_fleet_time(self._started)
         records = []
+        ended = []
         for holder, heartbeat in self._predecessors().items():
             reading = heartbeat.reading
             # The log may have lost later heartbeats and accounts of a holder
@@ -596,9 +677,13 @@
             freed = 0
             for name, account in self._accounts.accounts_of(holder).items():
                 reduced = account.reduced(reading, started)
+                owned = account.owned
                 if proves and reduced is not None:
                     freed += account.owned - reduced.owned
+                    owned = reduced.owned
                     records.append(budget_record(name, holder, reduced))
+                ended.append((name, holder, account, owned))
+            age_s = reading.proved_age_s(started)
             self._decisions.event(
                 'predecessor_found',
                 holder=holder,
@@ -607,11 +692,51 @@
                 written_era=heartbeat.statement.written_era,
                 era=self.recovery.era,
                 stamp_age_ms=started.boot_ms - reading.boot_ms,
+                wall_age_ms=started.wall_ms - reading.wall_ms,
                 fleet_age_ms=started.fleet_ms - reading.fleet_ms
                 if started.fleet_ms and reading.fleet_ms
                 else None,
+                proved_age_s=age_s and round(age_s, 3),
             )
         await self._writer.append(lambda: records)
+        await self._record_lost_tokens(ended)
+
+    async def _record_lost_tokens(
+        self, ended: list[tuple[str, str, EscrowAccount, int]]
+    ) -> None:
+        """Record what killed predecessors may have left unused.
+
+        Parameters
+        ----------
+        ended : list of (str, str, EscrowAccount, int)
+            Organisation, holder, its last account, and the tokens that the
+            account keeps.
+        """
+        while not self.allotments.has_limits:  # noqa: ASYNC110
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        lost = {
+            (name, holder): self.allotments.tokens_left_by(
+                name, account, owned
+            )
+            for name, holder, account, owned in ended
+            if not self.allotments.lost.knows(name, holder)
+        }
+        for (name, holder), tokens in lost.items():
+            self.allotments.lost.record(name, holder, tokens)
+        if lost:
+            self._decisions.event(
+                'tokens_lost',
+                tokens_by_account={
+                    '/'.join(account): tokens
+                    for account, tokens in lost.items()
+                },
+            )
+        await self._writer.append(
+            lambda: [
+                lost_record(name, holder, tokens)
+                for (name, holder), tokens in lost.items()
+            ]
+        )
 
     def _predecessors(self) -> dict[str, Heartbeat]:
         return {
--- a/src/basilpond/node/_fleet_records.py
+++ b/src/basilpond/node/_fleet_records.py
@@ -16,6 +16,7 @@
 ROUTER_KIND = 'router'
 BUDGET_KIND = 'budget'
 HEARTBEAT_KIND = 'alive'
+LOST_KIND = 'lost'
 ERA_KIND = 'era'
 VERSION_KIND = 'version'
 # Holder of the tokens that nobody can account for after a restore of the log.
@@ -60,6 +61,11 @@
     return f'{HEARTBEAT_KIND}/{holder}', value
 
 
+def ended_heartbeat_record(holder: str) -> Record:
+    """Return the record that removes the heartbeat of a stopped holder."""
+    return f'{HEARTBEAT_KIND}/{holder}', b''
+
+
 def era_record(era: int) -> Record:
     """Return the record of an era in which all accounts are in the log."""
     return f'{ERA_KIND}/complete', b'%d' % era
@@ -75,6 +81,24 @@
     )
 
 
+def lost_record(organisation: str, holder: str, tokens: int) -> Record:
+    """Return the record of the tokens that a killed holder left unused."""
+    return f'{LOST_KIND}/{organisation}/{holder}', b'%d' % tokens
+
+
+def parse_lost(value: bytes | None) -> int:
+    """Return the tokens of a record of `lost_record`.
+
+    Raises
+    ------
+    ValueError
+    """
+    (tokens,) = _parse_numbers(value or b'0', (1,))
+    if tokens < 0:
+        raise ValueError(f'{tokens}: negative number of tokens')
+    return tokens
+
+
 def parse_account(value: bytes | None) -> EscrowAccount:
     """Return the escrow account of a record.
 
--- a/src/basilpond/node/_fleet_topic.py
+++ b/src/basilpond/node/_fleet_topic.py
@@ -6,6 +6,7 @@
 from ._fleet_records import BUDGET_KIND
 from ._fleet_records import ERA_KIND
 from ._fleet_records import HEARTBEAT_KIND
+from ._fleet_records import LOST_KIND
 from ._fleet_records import ROUTER_KIND
 from ._fleet_records import VERSION_KIND
 from ._interfaces import Record
@@ -81,6 +82,8 @@
                 self._budgets.apply_account(name, record.value, record.offset)
             elif kind == HEARTBEAT_KIND:
                 self._budgets.apply_heartbeat(name, record.value)
+            elif kind == LOST_KIND:
+                self._budgets.apply_lost(name, record.value)
             elif kind == ERA_KIND:
                 self._budgets.apply_era(record.value)
             elif kind == ROUTER_KIND:
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -34,6 +34,7 @@
 from ._placement import sample_loads
 from ._prepaid import Allotments
 from ._prepaid import Hold
+from ._prepaid import Reservation
 from ._prepaid import tokens_retry_s
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prompt_prefixes
@@ -103,6 +104,7 @@
     'QuietEndpoints',
     'Reachability',
     'RequestMetadata',
+    'Reservation',
     'ReturnQueue',
     'Route',
     'RouteKind',
--- a/src/basilpond/routing/_allotment_sizes.py
+++ b/src/basilpond/routing/_allotment_sizes.py
@@ -14,9 +14,8 @@
 # Largest parts of the budget that one router, and all together, may own
 # without use. Tokens of a killed router are lost to all callers unless they
 # are proved unused: when four of eight routers were killed in an outage, 0.4
-# of the budgets were lost, and too few requests were served afterwards. With
-# the limit for short outages the same kill loses 0.1; later in an outage it
-# loses half of the tokens that are idle then.
+# of the budgets were lost, and too few requests were served afterwards. The
+# gradual release of these tokens in an outage limits what such a kill loses.
 _MAX_IDLE_SHARE = 0.04
 _MAX_FLEET_IDLE_SHARE = 0.4
 # Part of the pool that routers together own at any consumption, so that tokens
@@ -34,20 +33,24 @@
 # all routers as owners, 84 of them held 240 tokens each of a small budget, too
 # few for any prompt, and rewrote their accounts whenever the pool changed.
 _MIN_OWNERS = 8
-# Time by which a ceiling is ahead of the use at the present rate, so that most
-# requests do not wait for a higher ceiling.
+# Time by which a ceiling is ahead of the use at the present rate, if the loss
+# that a kill may cause allows it, so that few requests wait for a record.
 _CEILING_S = 5.0
 # Part of the free tokens that is below the ceiling at any rate, for the first
 # request of an organisation at a router whose log is slow.
 _CEILING_SHARE = 0.4
-# Ceilings of all routers together are ahead of the use by at most the larger
-# of two parts of the budget, as the successor of a killed router cannot free
-# the tokens below its ceiling. The first part may be lost, as only 0.97 of a
-# budget has to be usable. The second part is `_CEILING_POOL_FACTOR` times the
-# square of the unused share of the budget: while most of a budget is unused,
-# no request is refused for lack of the tokens that a kill loses.
-_CEILING_LIMIT_SHARE = 0.01
-_CEILING_POOL_FACTOR = 0.25
+# The next kill loses a part of what routers own without use. The largest part
+# that all of them may own so therefore shrinks by this multiple of the part
+# that killed routers have left unused, down to `_MIN_FLEET_IDLE_SHARE`.
+_IDLE_SHARE_PER_LOSS = 6.0
+_MIN_FLEET_IDLE_SHARE = 0.06
+# Part of the budget that all kills of routers together may leave unused below
+# the ceilings: only 0.97 of a budget has to be usable, and a successor cannot
+# free these tokens. Ceilings of all routers together are ahead of the use by
+# `_LEAD_SHARE` of what earlier kills have left of it, so that no number of
+# kills loses more.
+_LEAD_SHARE = 0.75
+_LOSS_SHARE = 0.028
 # Allotments and ceilings are raised below this fraction of their targets.
 _REFILL_BELOW = 0.6
 # Ceilings are lowered above this multiple of their target.
@@ -81,6 +84,8 @@
         This router's part of the sum of all ceilings, from 0 to 1.
     routers : int
         Number of live routers, including this one.
+    lost : int
+        Tokens that killed routers may have left unused.
     """
 
     limit: int
@@ -92,6 +97,7 @@
     fleet_rate_per_s: float
     ceiling_share: float
     routers: int
+    lost: int = 0
 
     @property
     def pool(self) -> int:
@@ -112,6 +118,24 @@
         """
         return (1 / max(1, self.routers) + self.ceiling_share) / 2
 
+    @property
+    def fleet_idle_share(self) -> float:
+        """Largest part of the budget that routers together own unused."""
+        lost_share = self.lost / max(1, self.limit)
+        return max(
+            _MIN_FLEET_IDLE_SHARE,
+            _MAX_FLEET_IDLE_SHARE - _IDLE_SHARE_PER_LOSS * lost_share,
+        )
+
+    @property
+    def max_lead(self) -> float:
+        """Largest number of tokens by which the ceiling exceeds the use."""
+        return (
+            max(0.0, _LOSS_SHARE * self.limit - self.lost)
+            * _LEAD_SHARE
+            * self.pool_share
+        )
+
 
 def owned_change(state: BudgetState, key: str) -> int:
     """Return by how many tokens the allotment should change.
@@ -132,7 +156,10 @@
     maximum = min(
         state.pool * IDLE_SHARE * state.pool_share,
         state.limit
-        * max(_MAX_IDLE_SHARE, _MAX_FLEET_IDLE_SHARE / max(1, state.routers)),
+        * state.fleet_idle_share
+        * max(
+            _MAX_IDLE_SHARE / _MAX_FLEET_IDLE_SHARE, 1 / max(1, state.routers)
+        ),
     )
     minimum = _min_allotment(state, key)
     target = int(max(min(ALLOTMENT_S * state.rate_per_s, maximum), minimum))
@@ -154,7 +181,7 @@
             state.pool * _MIN_POOL_SHARE, state.fleet_rate_per_s * _FLEET_USE_S
         ),
         state.pool * IDLE_SHARE,
-        state.limit * _MAX_FLEET_IDLE_SHARE,
+        state.limit * state.fleet_idle_share,
     )
     routers = max(1, state.routers)
     owners = min(
@@ -183,15 +210,11 @@
     ceiling : int
         Ceiling in the last record.
     """
-    unused_share = state.pool / max(1, state.limit)
-    maximum = state.limit * max(
-        _CEILING_LIMIT_SHARE, _CEILING_POOL_FACTOR * unused_share**2
-    )
     headroom = max(
         _CEILING_S * state.rate_per_s,
         _CEILING_SHARE * max(0, owned - local_use),
     )
-    headroom = int(min(headroom, maximum * state.pool_share))
+    headroom = int(min(headroom, state.max_lead))
     minimum = local_use + state.demand
     ceiling = min(ceiling, owned)
     if ceiling < min(owned, minimum + _REFILL_BELOW * headroom):
--- a/src/basilpond/routing/_donors.py
+++ b/src/basilpond/routing/_donors.py
@@ -31,8 +31,8 @@
     def __init__(self, allotments: Allotments) -> None:
         self._allotments = allotments
         # By organisation and holder: remaining tokens, and at the time of the
-        # report the offset of the account and the number of limits that no
-        # longer applied.
+        # report the offset of the account and the step of the outage at which
+        # further tokens became usable.
         self._remaining: dict[str, dict[str, tuple[float, int, int]]] = {}
         self._rotation = 0
 
@@ -52,13 +52,11 @@
         self._remaining.setdefault(organisation, {})[holder] = (
             tokens,
             self._allotments.account_offset(organisation, holder),
-            self._limits_ended(boot_ms),
+            self._released_steps(boot_ms),
         )
 
-    def _limits_ended(self, boot_ms: int) -> int:
-        return self._allotments.in_outage(
-            boot_ms
-        ) + self._allotments.in_long_outage(boot_ms)
+    def _released_steps(self, boot_ms: int) -> int:
+        return self._allotments.released_steps(boot_ms)
 
     def expected_tokens(
         self, organisation: str, holder: str, boot_ms: int
@@ -78,9 +76,9 @@
         recorded = self._remaining.get(organisation, {}).get(holder)
         if recorded is None:
             return None
-        tokens, offset, ended = recorded
+        tokens, offset, step = recorded
         account_offset = self._allotments.account_offset(organisation, holder)
-        if account_offset != offset or ended != self._limits_ended(boot_ms):
+        if account_offset != offset or step != self._released_steps(boot_ms):
             return None
         return tokens
 
--- a/src/basilpond/routing/_escrow_accounts.py
+++ b/src/basilpond/routing/_escrow_accounts.py
@@ -7,19 +7,19 @@
 
 # Time after its last heartbeat at which a router may exceed its ceiling, by a
 # clock that counts suspended time. Processes write a heartbeat every 0.3 s and
-# restart 0.8 s after a kill, or 1.7 s after a power failure of the machine.
-OUTAGE_S = 2.6
-# Time after its last heartbeat at which a router may exceed its limit for
-# short outages. Half of a fleet that was killed 2.2 s into an outage was back
-# 3.2 s after its last heartbeats: tokens above the limit are then proved
-# unused, so routers may own more of them.
-LONG_OUTAGE_S = 4.0
-# Part of the owned tokens above the ceiling that may be used in a short
-# outage. With a larger part, that kill lost more than 0.1 of a budget.
-_SHORT_OUTAGE_SHARE = 0.3
-# Proofs by the fleet clock end this much earlier than those by the clocks of
-# the machine, as the clocks of the fleet agree to 0.2 s only.
+# restart 0.8 s after a kill.
+OUTAGE_S = 1.2
+# Time in which the tokens that a router owns above its ceiling become usable,
+# from `OUTAGE_S` on. Outages of the platform's store take 4 to 9 s, and large
+# prompts come early in them. A machine that loses power for 2 s is back 2.7 s
+# after its last heartbeat.
+RELEASE_S = 4.25
+# Ages by the fleet clock are taken as this much longer, as the clocks of the
+# fleet agree to 0.2 s only.
 _FLEET_MARGIN_S = 0.3
+# Longer ages by the fleet clock prove nothing: the more time passes, the more
+# clocks may have jumped together.
+_MAX_FLEET_AGE_S = 6.0
 # A holder has one append in flight, whose accounts are one revision newer than
 # those in the log. A reduction by its successor takes precedence over them.
 _REDUCTION_STEP = 2
@@ -46,11 +46,21 @@
     ceiling: int
     revision: int = 0
 
-    @property
-    def short_outage_limit(self) -> int:
-        """Cumulative tokens that it consumes at most in a short outage."""
+    def limit_after(self, age_s: float) -> int:
+        """Return what the holder consumes at most by an age of its heartbeat.
+
+        Parameters
+        ----------
+        age_s : float
+            Time since the holder composed its last heartbeat.
+
+        Returns
+        -------
+        int
+            Cumulative tokens; rises from the ceiling to the owned tokens.
+        """
         above_ceiling = max(0, self.owned - self.ceiling)
-        return self.ceiling + int(above_ceiling * _SHORT_OUTAGE_SHARE)
+        return self.ceiling + int(above_ceiling * released_share(age_s))
 
     def reduced(
         self, heartbeat: ClockReading, successor: ClockReading
@@ -69,12 +79,10 @@
         EscrowAccount or None
             None if no tokens can be proved unused, and the account stays.
         """
-        if heartbeat.proves_end_within(successor, OUTAGE_S):
-            limit = self.ceiling
-        elif heartbeat.proves_end_within(successor, LONG_OUTAGE_S):
-            limit = self.short_outage_limit
-        else:
+        age_s = heartbeat.proved_age_s(successor)
+        if age_s is None:
             return None
+        limit = self.limit_after(age_s)
         if limit >= self.owned:
             return None
         return EscrowAccount(limit, limit, self.revision + _REDUCTION_STEP)
@@ -106,32 +114,46 @@
         successor : ClockReading
             Taken when the next process on the same machine started.
         """
-        return self.proves_end_within(successor, OUTAGE_S)
+        age_s = self.proved_age_s(successor)
+        return age_s is not None and age_s < OUTAGE_S
 
-    def proves_end_within(
-        self, successor: ClockReading, outage_s: float
-    ) -> bool:
-        """Whether the holder certainly ended within a time from this reading.
+    def proved_age_s(self, successor: ClockReading) -> float | None:
+        """Return a time from this reading in which the holder has ended.
 
         Parameters
         ----------
         successor : ClockReading
             Taken when the next process on the same machine started.
-        outage_s : float
-            Time after this reading.
+
+        Returns
+        -------
+        float or None
+            Seconds; None if the clocks prove nothing.
         """
-        limit_ms = outage_s * 1000
-        # Both clocks of the machine have to agree, as the boot-time clock
-        # starts from zero when the machine does.
-        if (
-            0 <= successor.boot_ms - self.boot_ms < limit_ms
-            and 0 <= successor.wall_ms - self.wall_ms < limit_ms
-        ):
-            return True
-        if self.fleet_ms is None or successor.fleet_ms is None:
-            return False
-        age_ms = successor.fleet_ms - self.fleet_ms
-        return 0 <= age_ms < limit_ms - _FLEET_MARGIN_S * 1000
+        ages_s = []
+        boot_ms = successor.boot_ms - self.boot_ms
+        wall_ms = successor.wall_ms - self.wall_ms
+        # Both clocks of the machine count, as the boot-time clock starts from
+        # zero when the machine does. By both, it may have been up for longer
+        # than the time of day shows, or the reverse.
+        if boot_ms >= 0 and wall_ms >= 0:
+            ages_s.append(max(boot_ms, wall_ms) / 1000)
+        if self.fleet_ms is not None and successor.fleet_ms is not None:
+            fleet_s = (successor.fleet_ms - self.fleet_ms) / 1000
+            if 0 <= fleet_s < _MAX_FLEET_AGE_S:
+                ages_s.append(fleet_s + _FLEET_MARGIN_S)
+        return min(ages_s, default=None)
+
+
+def released_share(age_s: float) -> float:
+    """Return the usable part of the tokens above the ceiling, from 0 to 1.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since the holder composed its last heartbeat.
+    """
+    return min(1.0, max(0.0, (age_s - OUTAGE_S) / RELEASE_S))
 
 
 EMPTY_ACCOUNT = EscrowAccount(0, 0)
