Keep deciding raises when a budget is taken away

What callers saw (by reading, review): a configuration that takes prepaid away from one organisation while its raise is pending stopped the decisions on the raises of all organisations, at each read of the log.

Cause: Allotments.decide_raises asserted that a pending raise has a limit. Now the raise waits until the organisation has a budget again; meanwhile it is unlimited. The log line of a refusal that such a configuration overtakes raised KeyError for want of a balance; it has no budget now.

Test: test_budget_may_be_taken_away_while_a_raise_is_pending failed before with the AssertionError.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -470,7 +470,10 @@
         self, organisation: str, tokens: int
     ) -> dict[str, object]:
         """Return the inputs of a rejection, for the log."""
-        owned, used, budget = self.allotments.balances()[organisation]
+        # A configuration may have taken the budget away meanwhile.
+        owned, used, budget = self.allotments.balances().get(
+            organisation, (None, None, None)
+        )
         return {
             'organisation': organisation,
             'tokens': tokens,
--- a/src/basilpond/routing/_prepaid.py
+++ b/src/basilpond/routing/_prepaid.py
@@ -645,6 +645,10 @@
         for organisation, allotment in self._allotments.items():
             if not allotment.raise_pending or allotment.granted_by_log:
                 continue
+            if allotment.limit is None:
+                # A configuration has taken the budget away. The raise is
+                # decided if it gets one again.
+                continue
             account, account_offset = self._accounts.account(
                 organisation, self._holder
             )
@@ -653,7 +657,6 @@
                 or not 0 <= account_offset < offset
             ):
                 continue
-            assert allotment.limit is not None
             granted = (
                 self._accounts.total_owned(organisation) <= allotment.limit
             )
--- a/src/basilpond/routing/tests/test_prepaid.py
+++ b/src/basilpond/routing/tests/test_prepaid.py
@@ -63,6 +63,24 @@
     assert allotments.hold(ORG, 80, 0) is None
 
 
+def test_budget_may_be_taken_away_while_a_raise_is_pending():
+    """Guards against one organisation that stops the decisions of all."""
+    allotments, accounts = make_allotments(limit=100)
+    allotments.set_limit('other', 100)
+    changes = allotments.collect_changes(HEARTBEAT)
+    for offset, (name, account) in enumerate(changes.items()):
+        accounts.apply(name, 'a', account, offset)
+    allotments.confirm_written(changes)
+    allotments.set_limit(ORG, None)
+    [(name, _, granted)] = decide(allotments, 2)
+    assert (name, granted) == ('other', True)
+    assert allotments.hold(ORG, 500, 0) is not None
+    # It is decided when the organisation has a budget again.
+    allotments.set_limit(ORG, 100)
+    [(name, _, granted)] = decide(allotments, 2)
+    assert (name, granted) == (ORG, True)
+
+
 def test_a_rejected_raise_is_withdrawn_before_the_next():
     """Guards against a raise decided by an older record of the same value."""
     allotments, accounts = make_allotments(limit=100)
