Bound the keys of records with names of organisations

Cause: the name is part of the key budget/<organisation>/<holder>; the log takes 255 bytes, and encode_keyed_record raised ValueError in BudgetTask.run, which ends the process. The same holds for the name of a VM in router/ and alive/.

Change: a key that would be too long has a digest of the name, and the value has the name. Names that fit stay in the key, so a roll from the version before reads and writes the same records. Names of VMs over 128 bytes are shortened with a digest.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -28,6 +28,7 @@
 from ._fleet_records import parse_heartbeat
 from ._fleet_records import parse_lost
 from ._fleet_records import router_of
+from ._fleet_records import split_organisation_record
 from ._log_writer import LogWriter
 from ._raise_statements import RaiseStatements
 
@@ -158,9 +159,11 @@
         self, key: str, value: bytes | None, offset: int
     ) -> None:
         """Apply the record of an escrow account."""
-        organisation, _, holder = key.rpartition('/')
         try:
-            account = parse_account(value)
+            organisation, holder, numbers = split_organisation_record(
+                key, value
+            )
+            account = parse_account(numbers)
         except ValueError as error:
             self._decisions.event(
                 'budget_row_unreadable',
@@ -197,9 +200,11 @@
 
     def apply_lost(self, key: str, value: bytes | None) -> None:
         """Apply the record of the tokens that a killed router left unused."""
-        organisation, _, holder = key.rpartition('/')
         try:
-            tokens = parse_lost(value)
+            organisation, holder, numbers = split_organisation_record(
+                key, value
+            )
+            tokens = parse_lost(numbers)
         except ValueError as error:
             self._decisions.event(
                 'lost_tokens_unreadable', key=key, reason=str(error)
--- a/src/basilpond/node/_fleet_records.py
+++ b/src/basilpond/node/_fleet_records.py
@@ -26,6 +26,11 @@
 # writer, and would not fit into datagrams.
 _MAX_NUMBER = 2**53
 _MAX_VALUE_BYTES = 200
+# Longest key of a record in the log.
+_MAX_KEY_BYTES = 255
+# First character of a digest that stands for a name in a key. Names of
+# organisations have no control characters, so no name begins with it.
+_DIGEST_MARK = '\x7f'
 # Names of services and versions come from other writers.
 _MAX_VERSION_BYTES = 2048
 
@@ -75,15 +80,58 @@
     organisation: str, holder: str, account: EscrowAccount
 ) -> Record:
     """Return the record of an escrow account."""
-    return (
-        f'{BUDGET_KIND}/{organisation}/{holder}',
+    return _organisation_record(
+        BUDGET_KIND,
+        organisation,
+        holder,
         b'%d %d %d' % (account.owned, account.ceiling, account.revision),
     )
 
 
 def lost_record(organisation: str, holder: str, tokens: int) -> Record:
     """Return the record of the tokens that a killed holder left unused."""
-    return f'{LOST_KIND}/{organisation}/{holder}', b'%d' % tokens
+    return _organisation_record(
+        LOST_KIND, organisation, holder, b'%d' % tokens
+    )
+
+
+def _organisation_record(
+    kind: str, organisation: str, holder: str, numbers: bytes
+) -> Record:
+    # A name that fits stays in the key, also for routers of earlier versions,
+    # which read no others.
+    key = f'{kind}/{organisation}/{holder}'
+    if len(key.encode()) <= _MAX_KEY_BYTES:
+        return key, numbers
+    name = organisation.encode()
+    digest = xxhash.xxh3_128_hexdigest(name)
+    return f'{kind}/{_DIGEST_MARK}{digest}/{holder}', numbers + b'\n' + name
+
+
+def split_organisation_record(
+    key: str, value: bytes | None
+) -> tuple[str, str, bytes | None]:
+    """Return the organisation, the holder and the numbers of a record.
+
+    Parameters
+    ----------
+    key : str
+        Key without its kind.
+    value : bytes or None
+
+    Raises
+    ------
+    ValueError
+        The value does not name the organisation whose digest is in the key.
+    """
+    organisation, _, holder = key.rpartition('/')
+    if not organisation.startswith(_DIGEST_MARK):
+        return organisation, holder, value
+    numbers, _, name = (value or b'').partition(b'\n')
+    digest = xxhash.xxh3_128_hexdigest(name)
+    if organisation != f'{_DIGEST_MARK}{digest}':
+        raise ValueError(f'{name[:_MAX_VALUE_BYTES]!r}: name of another key')
+    return name.decode(), holder, numbers
 
 
 def parse_lost(value: bytes | None) -> int:
@@ -100,7 +148,7 @@
 
 
 def parse_account(value: bytes | None) -> EscrowAccount:
-    """Return the escrow account of a record.
+    """Return the escrow account of the numbers of a record.
 
     Raises
     ------
--- a/src/basilpond/node/tests/test_fleet_records.py
+++ b/src/basilpond/node/tests/test_fleet_records.py
@@ -1,9 +1,13 @@
 import pytest
 
+from basilpond.node._fleet_records import budget_record
+from basilpond.node._fleet_records import lost_record
 from basilpond.node._fleet_records import parse_account
 from basilpond.node._fleet_records import parse_era
 from basilpond.node._fleet_records import parse_heartbeat
+from basilpond.node._fleet_records import parse_lost
 from basilpond.node._fleet_records import parse_version
+from basilpond.node._fleet_records import split_organisation_record
 from basilpond.node._fleet_records import version_record
 from basilpond.routing import UNKNOWN_VERSION
 from basilpond.routing import EscrowAccount
@@ -22,6 +26,57 @@
         assert parse_version(value) == version
 
 
+@pytest.mark.parametrize(
+    'name',
+    [
+        'a/b c',
+        ' \u2028 ' * 40,
+        'n' * 255,
+        '\u0444' * 133,
+        '\U0001f3ee' * 1_024,
+        'n' * 300 + '/alive/x~1',
+    ],
+)
+def test_any_organisation_has_a_key_that_the_log_accepts(name):
+    """Guards against a long name that ends all routers again and again."""
+    holder = 'front-palermo-1~48fe3abc2d03'
+    account = EscrowAccount(-300, -300, 7)
+    key, value = budget_record(name, holder, account)
+    assert len(key.encode()) <= 255
+    organisation, of, numbers = split_organisation_record(
+        key.removeprefix('budget/'), value
+    )
+    assert (organisation, of) == (name, holder)
+    assert parse_account(numbers) == account
+    key, value = lost_record(name, holder, 12)
+    assert len(key.encode()) <= 255
+    organisation, of, numbers = split_organisation_record(
+        key.removeprefix('lost/'), value
+    )
+    assert (organisation, of) == (name, holder)
+    assert parse_lost(numbers) == 12
+
+
+def test_name_that_fits_stays_in_the_key():
+    """Guards against accounts that routers of an earlier version miss."""
+    holder = 'front-palermo-1~48fe3abc2d03'
+    fits = 'n' * (255 - len(f'budget//{holder}'))
+    key, value = budget_record(fits, holder, EscrowAccount(5, 4, 3))
+    assert key == f'budget/{fits}/{holder}'
+    assert value == b'5 4 3'
+    key, _ = budget_record(fits + 'n', holder, EscrowAccount(5, 4, 3))
+    assert fits not in key
+
+
+def test_account_of_another_name_is_not_read():
+    """Guards against a record that counts for another organisation."""
+    key, value = budget_record('n' * 255, 'a~1', EscrowAccount(5, 4, 3))
+    key = key.removeprefix('budget/')
+    for other in (value + b'n', value.partition(b'\n')[0], b'', None):
+        with pytest.raises(ValueError):
+            split_organisation_record(key, other)
+
+
 @pytest.mark.parametrize(
     'parse', [parse_account, parse_heartbeat, parse_era, parse_version]
 )
--- a/src/basilpond/node/tests/test_node.py
+++ b/src/basilpond/node/tests/test_node.py
@@ -247,6 +247,30 @@
         assert 0.5 < loop.time() - started_s < 3.1
 
 
+async def test_long_name_of_an_organisation_ends_no_router():
+    """Guards against a key that is too long and ends all routers."""
+    name = '\u0444' * 133
+    tenants = [
+        {'name': 'org', 'api_keys': ['key'], 'prepaid': 100_000},
+        {'name': name, 'api_keys': ['long'], 'prepaid': 100_000},
+    ]
+    async with world(configuration(tenants=tenants), nodes=2) as system:
+        for node in range(2):
+            for key in ('long', 'key'):
+                reply = await system.prompt(node=node, key=key)
+                assert reply.status == 200
+        # The next process frees the tokens of this organisation, too.
+        victim = system.nodes[0]
+        system.kill(victim)
+        node = await system.add_node('node-0')
+        await system.until(node.is_ready)
+        await system.until(
+            lambda: node.budgets.allotments.lost.knows(name, victim.holder)
+        )
+        account, _ = node.budgets._accounts.account(name, victim.holder)
+        assert account.owned == account.ceiling
+
+
 async def test_next_incarnation_releases_tokens_of_a_killed_router():
     """Guards against allotments that are lost with a killed process."""
     async with world(nodes=2) as system:
--- a/src/basilpond/platform/_records.py
+++ b/src/basilpond/platform/_records.py
@@ -30,9 +30,10 @@
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 # A start takes seconds to minutes.
 _ColdMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
-# Sent in a header field.
+# Sent in a header field. The pages set no limit; several names have to fit
+# into a datagram.
 _TenantName = Annotated[
-    str, msgspec.Meta(max_length=255, pattern=r'^[^\x00-\x1f\x7f]*$(?!\n)')
+    str, msgspec.Meta(max_length=1024, pattern=r'^[^\x00-\x1f\x7f]*$(?!\n)')
 ]
 _SoftwareVersion = Annotated[str, msgspec.Meta(max_length=128)]
 _ENDPOINT_ID = re.compile(r'[!-~]{1,255}')
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -7,6 +7,7 @@
 from typing import Annotated
 
 import msgspec
+import xxhash
 import yaml
 
 from ..node import NodeSettings
@@ -17,6 +18,8 @@
 # Numbers of the settings are finite and not negative.
 _Number = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+# Names of machines are parts of keys in the log, which take 255 bytes.
+_MAX_NODE_ID_BYTES = 128
 _ADDRESS = re.compile(r'([0-9A-Za-z._-]{1,253}):([0-9]{1,5})')
 
 
@@ -86,6 +89,15 @@
     return match[1], int(match[2])
 
 
+def _short_name(name: str) -> str:
+    data = name.encode()
+    if len(data) <= _MAX_NODE_ID_BYTES:
+        return name
+    # A digest of the whole name keeps machines with a common prefix apart.
+    prefix = data[: _MAX_NODE_ID_BYTES - 33].decode(errors='ignore')
+    return f'{prefix}-{xxhash.xxh3_128_hexdigest(data)}'
+
+
 def load_settings(path: Path) -> NodeSettings:
     """Read and check the settings.
 
@@ -106,7 +118,7 @@
         raw = _load_yaml(path.read_bytes())
         file = msgspec.convert(raw, _SettingsFile, strict=False)
         return NodeSettings(
-            node_id=file.node_name,
+            node_id=_short_name(file.node_name),
             host=file.ip,
             data_centre=file.zone,
             caller_address=split_address(file.listen.front),
