Keep crash counts of requests over a kill of all routers

Cause: the counts were in the memory of the routers only.

Change: routers append their counts to the topic crashes, in batches and in at most 0.05 of the store's writes, and read it before they are ready. A request that is completed removes its counts. Reading a partition to its end is shared with the records of streams.

Tests: test_crash_log.py; with the topic left unread, its tests of a kill of all, of kills between crashes, of lapsing counts and of an outage fail. The node-level test sends the request through four routers, two of them started after a kill of all.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -34,6 +34,7 @@
 from ..routing import tokens_retry_s
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
+from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
@@ -82,6 +83,7 @@
     budgets : BudgetTask
     peers : PeerTask
     crashes : CrashCounter
+    crash_log : CrashLog
     parts : CrashingParts
     limits : EndpointLimits
     versions : StreamVersions
@@ -99,6 +101,7 @@
         budgets: BudgetTask,
         peers: PeerTask,
         crashes: CrashCounter,
+        crash_log: CrashLog,
         parts: CrashingParts,
         limits: EndpointLimits,
         versions: StreamVersions,
@@ -131,7 +134,7 @@
             codec,
             directory,
             peers,
-            crashes,
+            crash_log,
             parts,
             limits,
             self._quiet,
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -19,6 +19,7 @@
 from ..routing import EndpointLimits
 from ._budgets import BudgetTask
 from ._configuration_fetcher import ConfigurationFetcher
+from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
@@ -150,6 +151,14 @@
         self.budgets.recovery.records_of_loss = [
             version_record(UNKNOWN_VERSION)
         ]
+        self._crash_log = CrashLog(
+            self.holder,
+            crashes,
+            log,
+            decisions,
+            writes_per_s=settings.store_writes_per_s,
+            live_routers=self.peers.live_routers,
+        )
         self.dispatcher = Dispatcher(
             settings,
             codec,
@@ -158,6 +167,7 @@
             self.budgets,
             self.peers,
             crashes,
+            self._crash_log,
             self._parts,
             self._limits,
             self.versions,
@@ -222,6 +232,7 @@
             not self._stopping
             and self.configuration.serving is not None
             and all(f.synced.is_set() for f in self._followers)
+            and self._crash_log.is_read
         )
 
     async def start(self) -> None:
@@ -243,6 +254,7 @@
             self._configuration_fetcher.run(),
             self.versions.run(),
             self._stream_records.run(),
+            self._crash_log.run(),
             self._flush_log(),
         ]
         self._tasks = [asyncio.create_task(job) for job in jobs]
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -12,7 +12,6 @@
 from ..http1 import PeerConnection
 from ..http1 import ResponseHead
 from ..routing import Choice
-from ..routing import CrashCounter
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ..routing import InFlightRequest
@@ -22,6 +21,7 @@
 from ..routing import SendResult
 from ..routing import event_gap_timeout_s
 from ..routing import first_byte_timeout_s
+from ._crash_log import CrashLog
 from ._crash_watch import CrashWatch
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
@@ -188,7 +188,7 @@
     codec : PlatformCodec
     directory : EndpointDirectory
     peers : PeerTask
-    crashes : CrashCounter
+    crashes : CrashLog
     parts : CrashingParts
     limits : EndpointLimits
     quiet : QuietEndpoints
@@ -203,7 +203,7 @@
         codec: PlatformCodec,
         directory: EndpointDirectory,
         peers: PeerTask,
-        crashes: CrashCounter,
+        crashes: CrashLog,
         parts: CrashingParts,
         limits: EndpointLimits,
         quiet: QuietEndpoints,
@@ -599,9 +599,9 @@
         failed = outcome.result is not None
         entry.load.record_result(failed=failed, now_s=now_s)
         if outcome.result is None:
-            self._crashes.clear(context.digest)
+            self._crashes.clear(context.digest, now_s)
         if outcome.broken:
-            self._crashes.record(context.digest, context.digest, now_s)
+            self._crashes.record(context.digest, now_s)
             if entry.load.outlier.record_broken(now_s):
                 self._decisions.event(
                     'endpoint_ejected',
--- a/src/basilpond/node/_stream_records.py
+++ b/src/basilpond/node/_stream_records.py
@@ -9,17 +9,14 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
-import dataclasses
 
 import xxhash
 
 from ._decision_log import DecisionLog
 from ._interfaces import Log
-from ._interfaces import LogEraChangedError
-from ._interfaces import LogTrimmedError
 from ._interfaces import LogUnavailableError
-from ._interfaces import ReadProgress
+from ._interfaces import Record
+from ._partition_reader import PartitionReader
 from ._shared_call import SharedCall
 
 STREAMS_TOPIC = 'streams'
@@ -35,15 +32,6 @@
 # Records that wait for the log, and records that were read; 100 bytes each.
 _MAX_WAITING = 10_000
 _MAX_KNOWN = 50_000
-# Pages and restarts of one read.
-_MAX_READS = 20
-
-
-@dataclasses.dataclass(slots=True)
-class _Position:
-    offset: int = 0
-    # Era of the log that the offset belongs to.
-    era: int | None = None
 
 
 class StreamRecords:
@@ -82,9 +70,12 @@
         self._requested = asyncio.Event()
         # Versions that were read, by stream.
         self._known: dict[str, str] = {}
-        self._positions = [_Position() for _ in range(self._partitions)]
         self._reads = [
-            SharedCall(lambda partition=partition: self._read(partition))
+            SharedCall(
+                PartitionReader(
+                    log, STREAMS_TOPIC, partition, self._learn
+                ).read
+            )
             for partition in range(self._partitions)
         ]
 
@@ -172,44 +163,11 @@
         )
         return error is None
 
-    async def _read(self, partition: int) -> None:
-        # Reads up to the end of the partition.
-        position = self._positions[partition]
-        for _ in range(_MAX_READS):
-            try:
-                page = await self._log.read(
-                    STREAMS_TOPIC,
-                    position.offset,
-                    0.0,
-                    ReadProgress(),
-                    partition=partition,
-                )
-            except LogTrimmedError as error:
-                if error.first_offset in (None, position.offset):
-                    raise LogUnavailableError(str(error)) from error
-                position.offset = error.first_offset
+    def _learn(self, records: list[Record]) -> None:
+        for record in records:
+            if not record.value:
                 continue
-            if page.era != position.era:
-                # Offsets may have been given out again.
-                is_first = position.era is None
-                position.era = page.era
-                if not is_first:
-                    position.offset = 0
-                    continue
-            self._learn(
-                (record.key, record.value)
-                for record in page.records
-                if record.value
-            )
-            if page.records:
-                position.offset = page.records[-1].offset + 1
-            if not page.records or position.offset >= page.end:
-                return
-        raise LogEraChangedError(f'{STREAMS_TOPIC}: changes during the read')
-
-    def _learn(self, records: Iterable[tuple[str, bytes]]) -> None:
-        for stream_id, value in records:
-            self._known[stream_id] = value.decode('utf-8', 'replace')
+            self._known[record.key] = record.value.decode('utf-8', 'replace')
             while len(self._known) > _MAX_KNOWN:
                 del self._known[next(iter(self._known))]
 
--- a/src/basilpond/routing/_crash_counter.py
+++ b/src/basilpond/routing/_crash_counter.py
@@ -57,9 +57,20 @@
         for key in dict.fromkeys((body_digest, request_id)):
             self._touch(key, now_s).local += 1
 
-    def clear(self, body_digest: str) -> None:
-        """Remove the count of a request that was completed."""
-        self._entries.pop(body_digest, None)
+    def clear(self, body_digest: str) -> bool:
+        """Remove the count of a request that was completed.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        return self._entries.pop(body_digest, None) is not None
+
+    def local_count(self, body_digest: str) -> int:
+        """Return how many crashes of a request this router has counted."""
+        entry = self._entries.get(body_digest)
+        return 0 if entry is None else entry.local
 
     def is_stopped(
         self, body_digest: str, request_id: str, now_s: float
