Bound the incomplete events of all streams together

Cause: an incomplete event may have 1 MiB, and there was no bound on their sum. Large bodies have one.

Change: beyond 8 MiB of incomplete events, each may have 64 KiB. Such a stream goes on at another endpoint, or ends as incomplete, like one with an event over 1 MiB. Complete events that arrive with the long one are forwarded first.

--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -44,6 +44,10 @@
 # faulty endpoint may send an endless event, and a resumable stream is
 # forwarded in complete events.
 MAX_EVENT_BYTES = 1024 * 1024
+# Incomplete events of all streams together; beyond this sum, each of them is
+# limited to the smaller size. 120 streams whose events did not end used 120 MB.
+_MAX_PARTIAL_BYTES = 8 * 1024 * 1024
+_SMALL_EVENT_BYTES = 65_536
 
 
 @dataclasses.dataclass(slots=True)
@@ -229,6 +233,8 @@
         self._waiting: dict[PeerConnection, tuple[RequestContext, float]] = {}
         peers.on_crash_evidence = self._cancel_quarantined
         self._large_responses = asyncio.Semaphore(_MAX_LARGE_RESPONSES)
+        # Bytes of incomplete events of all streams.
+        self._partial_bytes = 0
 
     async def send(
         self,
@@ -396,9 +402,12 @@
             response_result is ResponseResult.SUCCESS
             and context.route.kind is RouteKind.STREAM
         ):
-            return await self._relay_stream(
-                context, entry, connection, head, in_flight, response_timer
-            )
+            try:
+                return await self._relay_stream(
+                    context, entry, connection, head, in_flight, response_timer
+                )
+            finally:
+                self._drop_event(context)
         if response_result is ResponseResult.UNPROVEN:
             return SendOutcome(SendResult.UNKNOWN, 'success without proof')
         body = await self._read_body(connection)
@@ -452,7 +461,6 @@
     ) -> SendOutcome:
         loop = asyncio.get_running_loop()
         responder = context.responder
-        context.events.drop_partial()
         form = _stream_form(head)
         if responder.started and not _continues(form, context.stream_form):
             return SendOutcome(
@@ -475,7 +483,7 @@
             entry.load.record_first_byte(in_flight, now_s)
             # Only complete events count; another endpoint may have to resume
             # the stream after the last one.
-            forwardable = context.events.feed(part)
+            forwardable = self._split_events(context, part)
             if forwardable and not begun:
                 begun = True
                 self._waiting.pop(connection, None)
@@ -488,8 +496,6 @@
                 # endpoint that sends one now and then would hold the stream
                 # until the time limit of the request.
                 response_timer.record_part()
-            if len(context.events.partial) > MAX_EVENT_BYTES:
-                self._limit_event(context)
             if not forwardable:
                 continue
             if not responder.started:
@@ -527,15 +533,31 @@
         context.complete = True
         return SendOutcome(None)
 
+    def _split_events(self, context: RequestContext, part: bytes) -> bytes:
+        before_bytes = len(context.events.partial)
+        forwardable = context.events.feed(part)
+        size_bytes = len(context.events.partial)
+        self._partial_bytes += size_bytes - before_bytes
+        crowded = self._partial_bytes > _MAX_PARTIAL_BYTES
+        limit_bytes = _SMALL_EVENT_BYTES if crowded else MAX_EVENT_BYTES
+        # Events that are complete have to be forwarded before a failure.
+        if size_bytes > limit_bytes and not forwardable:
+            self._limit_event(context)
+            self._partial_bytes += len(context.events.partial) - size_bytes
+        return forwardable
+
+    def _drop_event(self, context: RequestContext) -> None:
+        self._partial_bytes -= len(context.events.partial)
+        context.events.drop_partial()
+
     def _limit_event(self, context: RequestContext) -> None:
         if not context.route.resumable:
             # Forwarded as it arrives, so only the end of the event matters.
             context.events.shorten_partial()
             return
-        context.events.drop_partial()
         raise ExchangeError(
             ExchangeFailure.MALFORMED,
-            f'event of over {MAX_EVENT_BYTES} bytes',
+            f'event of {len(context.events.partial)} bytes is too long',
         )
 
     def _classify_error(self, error: ExchangeError) -> SendOutcome:
--- a/src/basilpond/node/tests/test_endless_responses.py
+++ b/src/basilpond/node/tests/test_endless_responses.py
@@ -53,6 +53,8 @@
     def __init__(self, first, repeat):
         self.first = first
         self.repeat = repeat
+        # What is sent of the repeated bytes before the server goes silent.
+        self.sent_bytes = SENT_BYTES
         self.requests = 0
         self.closed = 0
         self.port = 0
@@ -82,7 +84,7 @@
             first = self.first.replace(b'%s', fields.get(b'x-request-id', b''))
             writer.write(first)
             block = self.repeat * (16_384 // len(self.repeat) or 1)
-            for _ in range(SENT_BYTES // len(block)):
+            for _ in range(self.sent_bytes // len(block)):
                 writer.write(block)
                 await writer.drain()
             await reader.read()
@@ -238,6 +240,30 @@
         await system.until(lambda: server.closed == server.requests, 1.0)
 
 
+async def test_many_long_events_do_not_fill_the_memory():
+    """Guards against events that together exceed the memory of a VM.
+
+    Each event is shorter than the limit for one, and none of them ends.
+    """
+    stream = HEAD + b'\r\ndata: ', b'a'
+    async with endless_world('llm', stream, alone=True) as (system, server):
+        server.sent_bytes = 1_000_000
+        # The bound for all large responses together, as below.
+        with peak_growth(6 * _sending.MAX_RESPONSE_BYTES):
+            replies = await asyncio.gather(
+                *(
+                    system.prompt(
+                        headers=(*PROMPT[:2], ('X-Prompt-Prefix', f'{i}:300'))
+                    )
+                    for i in range(1, 121)
+                )
+            )
+        assert server.requests >= 80
+        assert not any(reply.complete for reply in replies if reply.events)
+        assert {reply.status for reply in replies} <= {502, 503, 504}
+        await system.until(lambda: server.closed == server.requests, 1.0)
+
+
 async def test_endless_configuration_of_a_peer():
     """Guards against a peer whose response fills the memory."""
     config = configuration()
