--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -45,7 +45,8 @@
 # forwarded in complete events.
 MAX_EVENT_BYTES = 1024 * 1024
 # Incomplete events of all streams together; beyond this sum, each of them is
-# limited to the smaller size. 120 streams whose events did not end used 120 MB.
+# limited to the smaller size. 120 streams whose events did not end used
+# 120 MB.
 _MAX_PARTIAL_BYTES = 8 * 1024 * 1024
 _SMALL_EVENT_BYTES = 65_536
 
