Read the endpoint list again before a stream goes on

What callers saw (an operator's report, tried here): a stream that is taken up at a router that stood still goes on at an endpoint that has started again under its id in another software version (ORDER).

Cause: whether an endpoint was replaced is checked against the entries that the router has applied; they are old while its reads are late.

Change: before the first event of a continuation is forwarded, the entries that follow those applied are read from the store, once for all streams that ask at the same time. If the store does not answer in 0.3 s, the streams go on as before.

Test: test_router_that_stood_still_does_not_go_on_at_a_restarted_server failed before ("joined from two versions").

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
@@ -17,9 +18,13 @@
 from ..routing import LeavingIncarnations
 from ..routing import long_prompt_endpoints
 from ._decision_log import DecisionLog
+from ._interfaces import LogEraChangedError
+from ._interfaces import LogTrimmedError
+from ._interfaces import LogUnavailableError
 from ._interfaces import PlatformCodec
 from ._interfaces import Record
 from ._peer_records import endpoint_number
+from ._shared_call import SharedCall
 
 # A new connection takes one round trip and 1 ms at the endpoint; a lost packet
 # is retransmitted after 200 ms.
@@ -36,6 +41,9 @@
 # without a report. The last report is up to one interval old when an outage of
 # the store begins, so no entry lapses in a shorter outage.
 _MIN_LAPSE_S = 2.4
+# Longest time to learn from the store whether an endpoint was replaced, before
+# a stream goes on there.
+_READ_AHEAD_TIMEOUT_S = 0.3
 
 
 class ConfigurationState:
@@ -199,6 +207,9 @@
     ) -> None:
         self._codec = codec
         self._decisions = decisions
+        # Returns the records of the topic that are not applied yet.
+        self.read_ahead: Callable[[], Awaitable[list[Record]]] | None = None
+        self._newer_records = SharedCall(self._read_newer_records)
         # Called when an endpoint is added.
         self.on_added: Callable[[], None] = lambda: None
         self._cache_retention_s = cache_retention_s
@@ -250,6 +261,54 @@
         present = self._entries.get(entry.endpoint.id, entry)
         return present.endpoint.incarnation != entry.endpoint.incarnation
 
+    async def is_replaced_in_store(self, entry: EndpointEntry) -> bool:
+        """Whether the store lists another process under the id of an endpoint.
+
+        A router that stood still, or whose reads are late, learns of it here.
+        What the store cannot tell counts as unchanged.
+        """
+        if self.is_replaced(entry):
+            return True
+        try:
+            async with asyncio.timeout(_READ_AHEAD_TIMEOUT_S):
+                records = await self._newer_records()
+        except (
+            LogUnavailableError,
+            LogTrimmedError,
+            LogEraChangedError,
+            TimeoutError,
+        ) as error:
+            self._decisions.event(
+                'endpoint_not_confirmed',
+                routine=True,
+                endpoint=entry.endpoint.id,
+                reason=str(error) or 'timed out',
+            )
+            return False
+        return any(
+            incarnation != entry.endpoint.incarnation
+            for incarnation in self._incarnations(entry.endpoint.id, records)
+        )
+
+    async def _read_newer_records(self) -> list[Record]:
+        if self.read_ahead is None:
+            raise LogUnavailableError('not read yet')
+        return await self.read_ahead()
+
+    def _incarnations(
+        self, endpoint_id: str, records: list[Record]
+    ) -> Iterator[tuple[str, int | None, str, int]]:
+        for record in records:
+            if record.key != endpoint_id or record.value is None:
+                continue
+            try:
+                endpoint = self._codec.decode_endpoint(
+                    record.key, record.value
+                )
+            except ValueError:
+                continue
+            yield endpoint.incarnation
+
     def begin_era(self, era: int) -> None:
         """Note that the next newest records are of another era of the store.
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -194,6 +194,15 @@
             decisions,
             are_routers_known=fleet.synced.is_set,
         )
+        endpoints = TopicFollower(
+            log,
+            codec.endpoints_topic,
+            self.directory,
+            decisions,
+            _ENDPOINTS_READ_INTERVAL_S,
+            self._metrics,
+        )
+        self.directory.read_ahead = endpoints.read_ahead
         self._followers = (
             TopicFollower(
                 log,
@@ -203,14 +212,7 @@
                 _CONFIGURATION_READ_INTERVAL_S,
                 self._metrics,
             ),
-            TopicFollower(
-                log,
-                codec.endpoints_topic,
-                self.directory,
-                decisions,
-                _ENDPOINTS_READ_INTERVAL_S,
-                self._metrics,
-            ),
+            endpoints,
             fleet,
         )
         log.on_new_era = self._resync_readers
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -451,6 +451,15 @@
             entry
         )
 
+    async def _may_continue_at(
+        self, context: RequestContext, entry: EndpointEntry
+    ) -> bool:
+        if not context.route.continues_streams or not (
+            context.is_taken_up or context.responder.started
+        ):
+            return True
+        return not await self._directory.is_replaced_in_store(entry)
+
     async def _relay_stream(
         self,
         context: RequestContext,
@@ -467,7 +476,9 @@
             return SendOutcome(
                 SendResult.UNKNOWN, 'success that continues no stream'
             )
-        if self._may_be_other_version(context, entry):
+        if self._may_be_other_version(
+            context, entry
+        ) or not await self._may_continue_at(context, entry):
             return SendOutcome(SendResult.UNKNOWN, 'endpoint started again')
         context.stream_form = form
         events_before = context.events.count
--- a/src/basilpond/node/tests/test_software_versions.py
+++ b/src/basilpond/node/tests/test_software_versions.py
@@ -300,6 +300,45 @@
         assert not await take_up(takes, node=1)
 
 
+async def test_router_that_stood_still_does_not_go_on_at_a_restarted_server():
+    """Guards against a join by a router with an old list of endpoints (ORDER).
+
+    The server starts again under its id in another version while this router
+    stands still; the answer that names it is processed after the take-up.
+    """
+    async with world(nodes=2, models=1) as system:
+        takes = await begin(system, 'v1')
+        await asyncio.sleep(0.5)
+        log = system.logs['node-1']
+        read = log.read
+        awake = asyncio.Event()
+
+        async def read_late(topic, offset, wait_s, progress, **options):
+            page = await read(topic, offset, wait_s, progress, **options)
+            if topic == 'keyed.servers' and wait_s:
+                await awake.wait()
+            return page
+
+        log.read = read_late
+        # The read that has begun is the last one of before.
+        system.log.put('keyed.servers', 'x', None)
+        await asyncio.sleep(0.5)
+        server = system.servers['llm-0']
+        server.stop()
+        await server.start()
+        server.version = 'v2'
+        entry = server.entry(born=1_781_071_599_999)
+        system.log.put('keyed.servers', 'llm-0', entry)
+        known = system.nodes[1].directory.find('llm-0').endpoint
+        assert known.version == 'v1'
+        for take in takes:
+            reply = await take.attempt(node=1)
+            # The server may have run it: 502 promises nothing.
+            assert reply.status in (502, 503)
+            assert take.versions == {'v1'}
+        awake.set()
+
+
 async def test_routes_without_continuation_use_new_versions_at_once():
     """Guards against a delay of requests that nobody takes up."""
     routes = [route('digest', 'streaming', 'llm', sticky=True)]
