Move placement and load into packages of their own

Cause: routing/ had 32 modules in one folder, and the work on hard load adds admission, capacity and placement. No behaviour changes.

--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -9,8 +9,6 @@
 from ._crashing_parts import Quarantine
 from ._crashing_parts import part_key
 from ._donors import Donors
-from ._endpoint_history import EndpointHistory
-from ._endpoint_history import EntryVerdict
 from ._endpoint_limits import EndpointLimits
 from ._endpoint_limits import LimitReport
 from ._era_recovery import Completion
@@ -25,19 +23,10 @@
 from ._leaving_incarnations import LeavingIncarnations
 from ._long_prompts import long_prompt_endpoints
 from ._outlier_detection import SendEvidence
-from ._placement import Choice
-from ._placement import EndpointLoad
-from ._placement import InFlightRequest
-from ._placement import PeerReport
-from ._placement import choose_endpoint
-from ._placement import prefill_cost
-from ._placement import sample_loads
 from ._prepaid import Allotments
 from ._prepaid import Hold
 from ._prepaid import Reservation
 from ._prepaid import tokens_retry_s
-from ._prompt_cache import PromptCache
-from ._prompt_cache import prompt_prefixes
 from ._quiet_endpoints import MAX_QUIET_S
 from ._quiet_endpoints import QuietEndpoints
 from ._quiet_endpoints import return_retry_s
@@ -63,6 +52,17 @@
 from ._types import RouteKind
 from ._version_check import CheckState
 from ._version_check import VersionCheck
+from .placement import Choice
+from .placement import EndpointHistory
+from .placement import EndpointLoad
+from .placement import EntryVerdict
+from .placement import InFlightRequest
+from .placement import PeerReport
+from .placement import PromptCache
+from .placement import choose_endpoint
+from .placement import prefill_cost
+from .placement import prompt_prefixes
+from .placement import sample_loads
 
 __all__ = [
     'Allotments',
--- /dev/null
+++ b/src/basilpond/routing/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what a router and all routers together send and accept."""
--- a/src/basilpond/routing/_endpoint_history.py
+++ b/src/basilpond/routing/placement/_endpoint_history.py
@@ -11,7 +11,7 @@
 import dataclasses
 import enum
 
-from ._types import Endpoint
+from .._types import Endpoint
 
 # Time for which a departure is remembered, several times the age that a copy
 # of the store may have.
--- a/src/basilpond/routing/_placement.py
+++ b/src/basilpond/routing/placement/_placement.py
@@ -13,12 +13,12 @@
 import dataclasses
 import random
 
-from ._long_prompts import LONG_PROMPT_TOKENS
-from ._outlier_detection import MAX_EJECTED_SHARE
-from ._outlier_detection import OutlierDetector
+from .._long_prompts import LONG_PROMPT_TOKENS
+from .._outlier_detection import MAX_EJECTED_SHARE
+from .._outlier_detection import OutlierDetector
+from .._reachability import Reachability
+from .._types import Endpoint
 from ._prompt_cache import PromptCache
-from ._reachability import Reachability
-from ._types import Endpoint
 
 # Prefill speed of an engine, from the data sheets of both sites. Only its
 # ratio to the other terms matters; differences between endpoints are learnt.
--- a/src/basilpond/routing/_prompt_cache.py
+++ b/src/basilpond/routing/placement/_prompt_cache.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from ._types import PromptPart
+from .._types import PromptPart
 
 _PAIR = struct.Struct('<QQ')
 # Prefixes recorded for each endpoint; the sites have some 400 shared parts.
--- a/src/basilpond/routing/tests/test_endpoint_history.py
+++ b/src/basilpond/routing/placement/tests/test_endpoint_history.py
@@ -5,7 +5,7 @@
 from basilpond.routing import Endpoint
 from basilpond.routing import EndpointHistory
 from basilpond.routing import EntryVerdict
-from basilpond.routing._endpoint_history import RETENTION_S
+from basilpond.routing.placement._endpoint_history import RETENTION_S
 
 READY = Endpoint(
     'e-1', 100, 's', '10.0.0.1', 80, 'dc', 6, False, 0.0, sequence=5
