Keep the body of a request that offers another protocol

Change: RequestParser feeds the framing again without the field, ends the connection after that request as before, and drops trailers. Result: the tests of http1 pass; test_request_parser.py fails on the parser of the library.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -11,6 +11,7 @@
 import httptools
 
 from . import _fields
+from ._request_parser import RequestParser
 
 # A caller's connection is closed before the next write when more unread bytes
 # than this are buffered for it. Responses of services are a few kilobytes;
@@ -261,7 +262,7 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         # Idle timeout with which the timer was set.
@@ -334,8 +335,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # The request was received completely; what follows it would be
-            # of the other protocol.
+            # What follows a CONNECT would be of another protocol.
             self._keep_alive = False
         except httptools.HttpParserError as error:
             if not self._keep_alive:
