Keep requests away from evacuated data centres

Operators had no way to keep requests away from all endpoints of a data centre. The key `evacuate/DATA-CENTRE` in the configuration's topic now does that until it is removed. Routers report the newest records to each other, so one that starts or is cut off from the store learns of them as well, and check again after a connection to an endpoint was opened. Reports and choices are as before while there is no such key.

--- a/src/basilpond/node/_datagrams.py
+++ b/src/basilpond/node/_datagrams.py
@@ -105,6 +105,8 @@
             raise DatagramError('leaving is no text')
         if not isinstance(report.data_centre or '', str):
             raise DatagramError('data_centre is no text')
+        if report.evacuations is not None:
+            _check_evacuations(report.evacuations)
     if datagram.request is not None:
         _check_texts(datagram.request, 'organisation')
         _check_wholes(datagram.request, 'tokens')
@@ -118,6 +120,23 @@
         _check_statement(datagram.account_statement)
 
 
+def _check_evacuations(evacuations: object) -> None:
+    # -1: a router that has not read the log yet, or a lost record.
+    _check_offsets(evacuations, 'era', 'log_end')
+    for record in evacuations.records or ():
+        _check_texts(record, 'data_centre')
+        _check_offsets(record, 'era', 'log_offset')
+        if record.active is None:
+            raise DatagramError('active is missing')
+
+
+def _check_offsets(message: object, *names: str) -> None:
+    for name in names:
+        value = getattr(message, name)
+        if value is None or not -1 <= value <= _MAX_WHOLE:
+            raise DatagramError(f'{name} is out of range')
+
+
 def _check_statement(statement: object) -> None:
     _check_wholes(statement, 'number', 'era')
     for account in statement.accounts or ():
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -15,6 +15,7 @@
 from ..routing import EndpointHistory
 from ..routing import EndpointLoad
 from ..routing import EntryVerdict
+from ..routing import Evacuations
 from ..routing import LeavingIncarnations
 from ..routing import long_prompt_endpoints
 from ._decision_log import DecisionLog
@@ -195,6 +196,7 @@
     decisions : DecisionLog
     cache_retention_s : float
         Time for which prompt prefixes count as cached by an endpoint.
+    evacuations : Evacuations or None
     """
 
     only_newest = False
@@ -204,9 +206,13 @@
         codec: PlatformCodec,
         decisions: DecisionLog,
         cache_retention_s: float,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self._codec = codec
         self._decisions = decisions
+        if evacuations is None:
+            evacuations = Evacuations()
+        self._evacuations = evacuations
         # Returns the records of the topic that are not applied yet.
         self.read_ahead: Callable[[], Awaitable[list[Record]]] | None = None
         self._newer_records = SharedCall(self._read_newer_records)
@@ -253,9 +259,27 @@
         return [
             entry
             for entry in self._by_service.get(service, {}).values()
-            if not entry.endpoint.leaving
+            if not entry.endpoint.leaving and not self.is_evacuated(entry)
         ]
 
+    def is_evacuated(self, entry: EndpointEntry) -> bool:
+        """Whether the data centre of an endpoint is evacuated."""
+        return self._evacuations.is_evacuated(entry.endpoint.data_centre)
+
+    def has_evacuated(self, service: str) -> bool:
+        """Whether only evacuations keep some endpoints of a service back."""
+        return any(
+            not entry.endpoint.leaving and self.is_evacuated(entry)
+            for entry in self._by_service.get(service, {}).values()
+        )
+
+    def count_in(self, data_centre: str) -> int:
+        """Return the number of endpoints in a data centre."""
+        return sum(
+            entry.endpoint.data_centre == data_centre
+            for entry in self._entries.values()
+        )
+
     def is_replaced(self, entry: EndpointEntry) -> bool:
         """Whether another process has started under the id of an endpoint."""
         present = self._entries.get(entry.endpoint.id, entry)
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -442,6 +442,8 @@
             reason = 'no endpoint of a registered version'
         elif others:
             reason, retry_s = 'no endpoint of the version', _NO_VERSION_RETRY_S
+        elif self._directory.has_evacuated(context.service):
+            reason = 'data centre evacuated'
         return RefusedError(
             503,
             reason,
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -42,6 +42,9 @@
         Whether the whole fleet starts for the first time.
     store_partitions : int
         Partitions of each topic of the store.
+    evacuate_s : float or None
+        Time after which an evacuated data centre must get no more requests;
+        None where operators evacuate none.
     """
 
     node_id: str
@@ -63,6 +66,7 @@
     link_bytes_per_s: float = float('inf')
     is_first_start: bool = False
     store_partitions: int = 1
+    evacuate_s: float | None = None
 
 
 class LogUnavailableError(Exception):
@@ -274,6 +278,16 @@
     def decode_endpoint(self, endpoint_id: str, data: bytes) -> Endpoint:
         """Decode a server's entry; raise ValueError if it is unreadable."""
 
+    def decode_evacuation(
+        self, key: str, value: bytes | None
+    ) -> tuple[str, bool | None] | None:
+        """Decode the record of an evacuation in the configuration's topic.
+
+        Returns the data centre, and whether it is evacuated or None if the
+        value is unreadable; None if the key is that of another record. Raises
+        ValueError if it names no data centre.
+        """
+
     def decode_request_metadata(
         self, headers: list[Header]
     ) -> RequestMetadata:
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -97,6 +97,10 @@
                 ('configuration_version', 'Version in force'),
                 ('endpoints', 'Endpoints that the platform lists'),
                 ('leaving_endpoints', 'Listed endpoints that are leaving'),
+                (
+                    'evacuated_data_centres',
+                    'Data centres whose endpoints get no requests',
+                ),
                 (
                     'quiet_endpoints',
                     'Endpoints that want no requests from this router now',
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -17,6 +17,7 @@
 from ..routing import CrashCounter
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
+from ..routing import Evacuations
 from ._budgets import BudgetTask
 from ._configuration_fetcher import ConfigurationFetcher
 from ._crash_log import CrashLog
@@ -24,6 +25,8 @@
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._dispatcher import Dispatcher
+from ._evacuations import EvacuationState
+from ._evacuations import OperatorTopic
 from ._fleet_records import FLEET_TOPIC
 from ._fleet_records import new_holder
 from ._fleet_records import router_record
@@ -90,8 +93,16 @@
         self.configuration = ConfigurationState(
             codec, decisions, self._apply_configuration
         )
+        self._evacuations = Evacuations()
         self.directory = EndpointDirectory(
-            codec, decisions, settings.prompt_reuse_s
+            codec, decisions, settings.prompt_reuse_s, self._evacuations
+        )
+        evacuations = EvacuationState(
+            self._evacuations,
+            codec,
+            decisions,
+            self.directory.count_in,
+            settings.evacuate_s,
         )
         crashes = CrashCounter(max_crashes=_MAX_CRASHES)
         self._parts = CrashingParts(random.Random())
@@ -116,6 +127,8 @@
             data_centre=settings.data_centre,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
+        self.peers.evacuations = evacuations.report
+        self.peers.on_evacuations = evacuations.apply_report
         self.budgets.request_from_peers = self.peers.request_tokens
         self.budgets.live_holders = self.peers.live_holders
         self.budgets.fleet_boot_offset_ms = self.peers.fleet_boot_offset_ms
@@ -207,7 +220,7 @@
             TopicFollower(
                 log,
                 codec.configuration_topic,
-                self.configuration,
+                OperatorTopic(self.configuration, evacuations),
                 decisions,
                 _CONFIGURATION_READ_INTERVAL_S,
                 self._metrics,
@@ -416,6 +429,7 @@
             ('configuration_version', self._configuration_version()),
             ('endpoints', len(self.directory)),
             ('leaving_endpoints', len(self.directory.leaving())),
+            ('evacuated_data_centres', len(self._evacuations)),
             ('quiet_endpoints', self.dispatcher.quiet_endpoints),
             ('waiting_requests', self.dispatcher.waiting),
             ('store_read_age_seconds', self.budgets.outage_s),
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -155,6 +155,12 @@
         self._announcement: asyncio.TimerHandle | None = None
         # Called when there is new evidence on crashing prompt parts.
         self.on_crash_evidence: Callable[[], None] = lambda: None
+        # Part of a report on evacuations, if any, and what takes that of
+        # another router, with its id.
+        self.evacuations: Callable[[float], object | None] = lambda _: None
+        self.on_evacuations: Callable[[object, str], None] = (
+            lambda report, router: None
+        )
         self._decisions = decisions
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -357,7 +363,13 @@
             for entry in self._directory
             if (item := entry.load.outlier.evidence(now_s)) is not None
         ]
-        announced = [crash[:2] for crash in crashes], leaving, version
+        evacuations = self.evacuations(now_s)
+        announced = (
+            [crash[:2] for crash in crashes],
+            leaving,
+            version,
+            evacuations,
+        )
         changed = announced != self._last_announced
         self._last_announced = announced
         if not changed and now_s - self._crashes_sent_s < _CRASH_INTERVAL_S:
@@ -379,6 +391,7 @@
             # Left out of most reports, whose size counts for slow links.
             evidence=encode_evidence(evidence) if evidence else None,
             data_centre=self._data_centre if evidence else None,
+            evacuations=evacuations,
         )
         unchanged = not (loads or prefixes or crashes or evidence or changed)
         return report, unchanged
@@ -524,6 +537,8 @@
             )
         for incarnation in report.leaving or ():
             self._directory.mark_leaving(incarnation, datagram.router)
+        if report.evacuations is not None:
+            self.on_evacuations(report.evacuations, datagram.router)
 
     def _apply_loads(
         self,
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -340,6 +340,8 @@
         # Connecting takes up to 0.4 s, in which another response may tell.
         if entry.endpoint.leaving:
             raise _WithdrawnError('endpoint leaves')
+        if self._directory.is_evacuated(entry):
+            raise _WithdrawnError('data centre evacuated')
         if context.route.continues_streams and self._directory.is_replaced(
             entry
         ):
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -6,6 +6,22 @@
   3: i32 age_ms
 }
 
+// Newest record of a data centre that operators evacuate, or no longer do.
+struct Evacuation {
+  1: string data_centre,
+  2: bool active,
+  // Of the record in the log; an offset of -1 stands for none.
+  3: i64 era,
+  4: i64 log_offset
+}
+
+struct Evacuations {
+  // All records before this offset of the era are applied.
+  1: i64 era,
+  2: i64 log_end,
+  3: list<Evacuation> records
+}
+
 struct Report {
   // 1 and 2 carried loads and runs as lists of structures.
   3: list<Crash> crashes,
@@ -19,7 +35,9 @@
   8: binary runs,
   // Endpoints at which the sender's requests break off, or no longer do.
   9: binary evidence,
-  10: string data_centre
+  10: string data_centre,
+  // While there are evacuations, and for a while after the last one.
+  11: optional Evacuations evacuations
 }
 
 // Request for tokens by a router that cannot get them from the log.
--- a/src/basilpond/node/tests/test_odd_datagrams.py
+++ b/src/basilpond/node/tests/test_odd_datagrams.py
@@ -45,6 +45,12 @@
     return messages.Account(**(fields | changes))
 
 
+def evacuations(**changes):
+    fields = {'data_centre': 'dc', 'active': True, 'era': 1, 'log_offset': -1}
+    record = messages.Evacuation(**(fields | changes))
+    return messages.Evacuations(era=-1, log_end=0, records=[record])
+
+
 def full_datagram(**changes):
     fields = {
         'holder': 'a~1',
@@ -58,6 +64,7 @@
             runs=bytes(12),
             evidence=b'',
             data_centre='dc',
+            evacuations=evacuations(),
         ),
         'request': messages.AllotmentRequest(
             number=1, organisation='org', tokens=1, percent=1
@@ -109,6 +116,11 @@
                 number=1, organisation='org', tokens=2**62
             )
         },
+        {'report': messages.Report(evacuations=messages.Evacuations(era=1))},
+        {'report': messages.Report(evacuations=evacuations(data_centre=''))},
+        {'report': messages.Report(evacuations=evacuations(active=None))},
+        {'report': messages.Report(evacuations=evacuations(era=2**62))},
+        {'report': messages.Report(evacuations=evacuations(log_offset=-2))},
         {'known_statement': -1},
         {'account_statement': messages.AccountStatement(era=1)},
         {
--- a/src/basilpond/platform/_codec.py
+++ b/src/basilpond/platform/_codec.py
@@ -17,6 +17,7 @@
 
     decode_configuration = staticmethod(_records.decode_configuration)
     decode_endpoint = staticmethod(_records.decode_endpoint)
+    decode_evacuation = staticmethod(_records.decode_evacuation)
     decode_request_metadata = staticmethod(_messages.decode_request_metadata)
     encode_request = staticmethod(_messages.encode_request)
     echo_field = staticmethod(_messages.echo_field)
--- a/src/basilpond/platform/_records.py
+++ b/src/basilpond/platform/_records.py
@@ -20,6 +20,8 @@
 CONFIGURATION_TOPIC = 'keyed.op'
 CONFIGURATION_KEY = 'config'
 ENDPOINTS_TOPIC = 'keyed.servers'
+# Key of a data centre that is evacuated, with an empty object as its value.
+_EVACUATION_PREFIX = 'evacuate/'
 
 _Struct = TypeVar('_Struct')
 # Bounds of what other writers may send. Reports between routers hold integers
@@ -37,6 +39,7 @@
 ]
 _SoftwareVersion = Annotated[str, msgspec.Meta(max_length=128)]
 _ENDPOINT_ID = re.compile(r'[!-~]{1,255}')
+_DATA_CENTRE = re.compile(r'[^\x00-\x1f\x7f]{1,255}')
 
 
 class RecordError(ValueError):
@@ -111,6 +114,10 @@
     born: _Whole | None = None
 
 
+class _Evacuation(msgspec.Struct):
+    """Object without members that are read."""
+
+
 _KINDS = {
     'safe': RouteKind.SAFE,
     'unsafe': RouteKind.UNSAFE,
@@ -118,6 +125,7 @@
 }
 _config_decoder = msgspec.json.Decoder(_Config)
 _server_decoder = msgspec.json.Decoder(_Server)
+_evacuation_decoder = msgspec.json.Decoder(_Evacuation)
 
 
 def _decode(decoder: msgspec.json.Decoder[_Struct], data: bytes) -> _Struct:
@@ -186,6 +194,41 @@
     return ((route.service, 1.0),)
 
 
+def decode_evacuation(
+    key: str, value: bytes | None
+) -> tuple[str, bool | None] | None:
+    """Decode the record of an evacuation.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes or None
+
+    Returns
+    -------
+    (str, bool or None) or None
+        Data centre, and whether it is evacuated; None if the value is
+        unreadable. None alone if the key is that of another record.
+
+    Raises
+    ------
+    RecordError
+        The key names no data centre.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    data_centre = key.removeprefix(_EVACUATION_PREFIX)
+    if not _DATA_CENTRE.fullmatch(data_centre):
+        raise RecordError(f'{key!r} names no data centre')
+    if value is None:
+        return data_centre, False
+    try:
+        _decode(_evacuation_decoder, value)
+    except RecordError:
+        return data_centre, None
+    return data_centre, True
+
+
 def decode_endpoint(endpoint_id: str, data: bytes) -> Endpoint:
     """Decode a server record.
 
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -43,6 +43,9 @@
 class _Bounds(msgspec.Struct):
     # Time for the requests of a draining server to end.
     drain_ms: _Number = 2000.0
+    # Time after which an evacuated data centre gets no more requests; present
+    # only where operators evacuate data centres.
+    evacuate_ms: _Number | None = None
     # Time between SIGTERM and SIGKILL.
     grace_s: _Number = 8.0
     # Retry budget of the whole fleet: ratio and number of requests that may be
@@ -131,6 +134,9 @@
             store_partitions=file.platform.parts,
             stop_grace_s=file.bounds.grace_s,
             drain_s=file.bounds.drain_ms / 1000,
+            evacuate_s=None
+            if file.bounds.evacuate_ms is None
+            else file.bounds.evacuate_ms / 1000,
             retry_share=file.bounds.retry_budget_ratio,
             retry_window_s=file.bounds.budget_window_s,
             retry_slack=file.bounds.budget_slack,
--- a/src/basilpond/platform/tests/test_boundary.py
+++ b/src/basilpond/platform/tests/test_boundary.py
@@ -9,7 +9,7 @@
     r'x-response-stamp|x-expect-instance|x-not-executed|x-token-count'
     r'|x-prompt-prefix|x-deadline-ms|x-tenant|x-request-priority'
     r'|x-length-hint|kv-from|kv-fetch|api_keys|path_prefix["\']\s*:'
-    r'|cold_left_ms|latency_target_ms|gap_target_ms'
+    r'|cold_left_ms|latency_target_ms|gap_target_ms|evacuate/'
     r'|log-append|log-read|log-newest|keyed\.op|keyed\.servers'
     r'|retry_budget_ratio|budget_slack|node_name|BASILPOND_SETTINGS',
     re.IGNORECASE,
--- a/src/basilpond/platform/tests/test_records.py
+++ b/src/basilpond/platform/tests/test_records.py
@@ -5,6 +5,7 @@
 from basilpond.platform import RecordError
 from basilpond.platform import decode_configuration
 from basilpond.platform import decode_endpoint
+from basilpond.platform._records import decode_evacuation
 from basilpond.routing import RouteKind
 
 SERVER = {
@@ -148,3 +149,30 @@
     """Guards against a configuration with missing routes."""
     with pytest.raises(RecordError):
         decode_configuration(json.dumps({**CONFIG, **changes}).encode())
+
+
+@pytest.mark.parametrize(
+    ('key', 'value', 'expected'),
+    [
+        ('evacuate/nl-west-a', b'{}', ('nl-west-a', True)),
+        ('evacuate/nl-west-a', b' {"by": "op"}', ('nl-west-a', True)),
+        ('evacuate/nl-west-a', None, ('nl-west-a', False)),
+        ('evacuate/a/b', b'{}', ('a/b', True)),
+        ('evacuate/a', b'', ('a', None)),
+        ('evacuate/a', b'[]', ('a', None)),
+        ('evacuate/a', b'null', ('a', None)),
+        ('evacuate/a', b'{' * 100_000, ('a', None)),
+        ('config', b'{}', None),
+        ('evacuate', b'{}', None),
+    ],
+)
+def test_evacuation_is_decoded(key, value, expected):
+    """Guards against keys of others, or damaged ones, that evacuate."""
+    assert decode_evacuation(key, value) == expected
+
+
+@pytest.mark.parametrize('name', ['', '\n', 'a\x00', 'a' * 256])
+def test_evacuation_of_no_data_centre_is_rejected(name):
+    """Guards against names that cannot be those of a data centre."""
+    with pytest.raises(RecordError):
+        decode_evacuation(f'evacuate/{name}', b'{}')
--- a/src/basilpond/platform/tests/test_settings.py
+++ b/src/basilpond/platform/tests/test_settings.py
@@ -39,6 +39,9 @@
     assert settings.drain_s == 2.0
     assert settings.peer_port == 7340
     assert settings.retry_slack == 56
+    assert settings.evacuate_s is None
+    text = TEXT.replace('bounds:\n', 'bounds:\n  evacuate_ms: 5000\n')
+    assert load(tmp_path, text).evacuate_s == 5.0
 
 
 @pytest.mark.parametrize(
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -52,6 +52,9 @@
 from ._types import RouteKind
 from ._version_check import CheckState
 from ._version_check import VersionCheck
+from .capacity import EvacuationRecord
+from .capacity import EvacuationReport
+from .capacity import Evacuations
 from .placement import Choice
 from .placement import EndpointHistory
 from .placement import EndpointLoad
@@ -87,6 +90,9 @@
     'EraStatement',
     'EscrowAccount',
     'EscrowAccounts',
+    'EvacuationRecord',
+    'EvacuationReport',
+    'Evacuations',
     'EventTokens',
     'FleetClock',
     'FleetRetryBudget',
