Keep the retry allowance over kills of routers

Change: no slack in the first window after a start, except at the first start of the fleet, and the slack is divided by the most routers that were live in the window. First attempts are not concerned.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -144,6 +144,10 @@
             decisions,
         )
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
+        # At the first start of the fleet, nobody has used retries before.
+        self._started_s = float('-inf')
+        if not settings.is_first_start:
+            self._started_s = asyncio.get_running_loop().time()
         self._event_tokens = EventTokens()
         self._refusing = False
         # Time by which all requests end because the router stops.
@@ -275,7 +279,9 @@
 
     async def _serve(self, context: RequestContext) -> None:
         loop = asyncio.get_running_loop()
-        self._retry_budget(context.service).record_request(loop.time())
+        self._retry_budget(context.service).record_request(
+            loop.time(), self._budgets.allotments.routers
+        )
         if self._is_poison(context, loop.time()):
             raise RefusedError(
                 503, 'crashed several endpoints', _POISON_RETRY_S
@@ -657,6 +663,7 @@
                 self._settings.retry_share,
                 self._settings.retry_slack,
                 self._settings.retry_window_s,
+                self._started_s,
             )
         return retry_budget
 
--- a/src/basilpond/routing/tests/test_decisions.py
+++ b/src/basilpond/routing/tests/test_decisions.py
@@ -133,7 +133,7 @@
     budget = FleetRetryBudget(0.2, 56.0, 10.0)
     allowed = 0
     for i in range(1_000):
-        budget.record_request(i / 100)
+        budget.record_request(i / 100, 8)
         allowed += budget.try_retry(i / 100, 8)
     assert allowed <= 0.2 * 1_000 + 56 / 8
     assert allowed > 100
@@ -146,6 +146,52 @@
     assert budget.try_retry(10.1, 1)
 
 
+@pytest.mark.parametrize('routers', [3, 9, 85])
+@pytest.mark.parametrize('killed_share', [0.0, 0.3, 0.5, 1.0])
+@pytest.mark.parametrize('kills_s', [(5.0,), (5.0, 9.0)])
+def test_killed_routers_do_not_spend_the_slack_again(
+    routers, killed_share, kills_s
+):
+    """Guards against retries that routers allow once more after a start.
+
+    Every retry that is allowed is sent. After a kill, survivors count fewer
+    live routers until those that were killed are back two seconds later.
+    """
+    slack, share, window_s = 98.0, 0.2, 10.0
+    budgets = [
+        FleetRetryBudget(share, slack, window_s) for _ in range(routers)
+    ]
+    back_s = [0.0] * routers
+    killed = round(killed_share * routers)
+    requests, retries = [], []
+    for tick in range(400):
+        now_s = tick / 10
+        if now_s in kills_s:
+            for i in range(killed):
+                back_s[i] = now_s + 2.0
+                budgets[i] = FleetRetryBudget(
+                    share, slack, window_s, back_s[i]
+                )
+        live = [i for i in range(routers) if back_s[i] <= now_s]
+        for i in live:
+            budgets[i].record_request(now_s, len(live))
+            requests.append(now_s)
+            while budgets[i].try_retry(now_s, len(live)):
+                retries.append(now_s)
+        recent = [t for t in retries if t >= now_s - window_s]
+        asked = sum(t >= now_s - window_s for t in requests)
+        assert len(recent) <= share * asked + slack
+    assert retries
+
+
+def test_retry_budget_has_its_slack_a_window_after_the_start():
+    """Guards against a router that never retries a rare request."""
+    budget = FleetRetryBudget(0.0, 8.0, 10.0, started_s=3.0)
+    budget.record_request(4.0, 1)
+    assert not budget.has_budget(12.9, 1)
+    assert budget.has_budget(13.0, 1)
+
+
 def test_event_token_bound_is_never_too_low():
     """Guards against streams charged for fewer tokens than delivered."""
     bounds = EventTokens()
