Judge the load of a router as an expected wait

Routers could not tell that their own processor, link or memory was full: they admitted requests whose callers left before they were sent.

RouterLoad turns the lag of the event loop, the bytes that wait on the link and the bodies in progress into the expected wait of a request, and compares it with what the request's objective and time limit allow. SendQueue orders the requests that wait for the link. Nothing uses them yet.

--- a/src/basilpond/routing/capacity/__init__.py
+++ b/src/basilpond/routing/capacity/__init__.py
@@ -1,1 +1,21 @@
 """Limits on what a router and all routers together send and accept."""
+
+from ._router_load import LINK_AHEAD_S
+from ._router_load import SAMPLE_INTERVAL_S
+from ._router_load import LoadVerdict
+from ._router_load import RequestDemand
+from ._router_load import RouterLoad
+from ._router_load import UploadProgress
+from ._send_queue import HeldSend
+from ._send_queue import SendQueue
+
+__all__ = [
+    'LINK_AHEAD_S',
+    'SAMPLE_INTERVAL_S',
+    'HeldSend',
+    'LoadVerdict',
+    'RequestDemand',
+    'RouterLoad',
+    'SendQueue',
+    'UploadProgress',
+]
