Let a server refuse a request before its body is received

A body of 72 KB takes 0.115 s of a link of 5 Mbit/s, and was received in full before it could be refused.

The server now asks once per request, when at least 16 KiB of the body are missing. A refusal is answered at once, the rest is not read, and the connection is closed. The default accepts everything. Connections also count the bytes that they have sent and those that the network has not taken.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -17,6 +17,7 @@
 from ._server import Handler
 from ._server import Responder
 from ._server import UnansweredClose
+from ._server import Upload
 
 __all__ = [
     'ResponseHead',
@@ -32,6 +33,7 @@
     'PeerConnection',
     'Responder',
     'UnansweredClose',
+    'Upload',
     'encode_fields',
     'end_to_end_fields',
     'find',
--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -13,6 +13,7 @@
 import httptools
 
 from . import _fields
+from ._unsent import unsent_bytes
 
 # Failures of which a connection remembers the request; it is then closed.
 _MAX_FAILED_IDS = 64
@@ -138,6 +139,8 @@
         self._complete = False
         self._error: ExchangeError | None = None
         self._closed = False
+        # Bytes of all requests.
+        self.sent_bytes = 0
 
     # Transport callbacks.
 
@@ -317,6 +320,7 @@
             self._fail(ExchangeFailure.BROKEN, 'closed before the request')
             return
         self._transport.write(data)
+        self.sent_bytes += len(data)
 
     async def read_head(self) -> ResponseHead:
         """Wait for the head of the response.
@@ -443,6 +447,13 @@
         poll.register(sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that the network has not taken."""
+        if self._transport is None or self._closed:
+            return 0
+        return unsent_bytes(self._transport)
+
     @property
     def delimited_by_close(self) -> bool:
         """Whether only the end of the connection ends the response."""
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -11,6 +11,7 @@
 import httptools
 
 from . import _fields
+from ._unsent import unsent_bytes
 
 # A caller's connection is closed before the next write when more unread bytes
 # than this are buffered for it. Responses of services are a few kilobytes;
@@ -18,6 +19,10 @@
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 # Time for a caller to read the refusal before the connection is closed.
 LINGER_S = 0.5
+# Smallest missing part of a body that can be refused before it is received.
+# Senders have as much on the way before the first acknowledgement, so refusing
+# less would save nothing.
+MIN_UPLOAD_BYTES = 16_384
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,6 +67,28 @@
     received_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class Upload:
+    """A request of which a large part of the body is missing.
+
+    Parameters
+    ----------
+    target : bytes
+    headers : list of (bytes, bytes)
+        Names in lower case.
+    started_s : float
+        Event loop time of the first byte.
+    received_bytes, missing_bytes : int
+        Of the body.
+    """
+
+    target: bytes
+    headers: list[_fields.Header]
+    started_s: float
+    received_bytes: int
+    missing_bytes: int
+
+
 @dataclasses.dataclass(slots=True)
 class UnansweredClose:
     """A connection that ended before all of its requests were answered.
@@ -145,6 +172,11 @@
         """Whether the caller reads more slowly than data is sent."""
         return self._connection.is_congested
 
+    @property
+    def is_open(self) -> bool:
+        """Whether a response can still reach the caller."""
+        return self._connection.is_open
+
     @property
     def caller_left(self) -> bool:
         """Whether the caller closed the connection before the end."""
@@ -180,6 +212,10 @@
     pass
 
 
+def _accept_upload(upload: Upload) -> list[_fields.Header] | None:
+    return None
+
+
 class CallerServer:
     """HTTP server with one listener and its connections.
 
@@ -212,6 +248,13 @@
         # Whether connections without a request are closed.
         self.closing_idle = False
         self.connections: set[CallerConnection] = set()
+        # Connections with an upload.
+        self.uploading: set[CallerConnection] = set()
+        # Returns the fields of a refusal with status 503, or None to receive
+        # the rest of the body.
+        self.check_upload: Callable[[Upload], list[_fields.Header] | None] = (
+            _accept_upload
+        )
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -278,6 +321,8 @@
         self.is_congested = False
         self._drained: asyncio.Future[None] | None = None
         self._accepted_s = self._loop.time()
+        # Bytes of all responses.
+        self.sent_bytes = 0
         # Of the request in progress.
         self._request: CallerRequest | None = None
         # What ended the connection; the caller, unless this side does.
@@ -290,8 +335,11 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # Length of the body if it is given in the head.
+        self._declared_bytes = 0
         self._started_s = 0.0
         self._reading = False
+        self._server.uploading.discard(self)
         # Whether the caller waits for an interim response before the body.
         self._expects_interim = False
 
@@ -307,6 +355,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._server.connections.discard(self)
+        self._server.uploading.discard(self)
         self._set_timer(None)
         self.resume_writing()
         self._report_unanswered()
@@ -346,6 +395,8 @@
                 self._rejection = (400, str(error))
         if self._rejection is not None:
             self._reject()
+        else:
+            self._check_upload()
 
     # Parser callbacks.
 
@@ -380,6 +431,7 @@
         declared = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
         if declared > self._server.limits.body_bytes:
             self._rejection = (413, 'body too large')
+        self._declared_bytes = declared
         self._set_timer(self._server.limits.idle_timeout_s)
         expected = _fields.find(self._headers, b'expect')
         if self._rejection is None and expected is not None:
@@ -417,8 +469,53 @@
         else:
             self._queued_requests.append(request)
 
+    # Uploads.
+
+    @property
+    def upload(self) -> Upload:
+        """The request that is being received."""
+        return Upload(
+            self._target,
+            self._headers,
+            self._started_s,
+            self._body_bytes,
+            self._declared_bytes - self._body_bytes,
+        )
+
+    def _check_upload(self) -> None:
+        # Behind a request in progress, the response would come out of order.
+        missing_bytes = self._declared_bytes - self._body_bytes
+        if missing_bytes < MIN_UPLOAD_BYTES:
+            self._server.uploading.discard(self)
+        elif self._task is None and self not in self._server.uploading:
+            fields = self._server.check_upload(self.upload)
+            if fields is None:
+                self._server.uploading.add(self)
+            else:
+                self._refuse_upload(fields)
+
+    def _refuse_upload(self, fields: list[_fields.Header]) -> None:
+        # What is not read stays with the caller instead of using the link.
+        assert self._transport is not None
+        self._transport.pause_reading()
+        self._lingering = True
+        self._reading = False
+        self._keep_alive = False
+        Responder(self).respond(503, fields)
+        self._set_timer(LINGER_S)
+
     # Responses.
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection has not ended on either side."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the network has not taken."""
+        return unsent_bytes(self._transport) if self.is_open else 0
+
     @property
     def busy(self) -> bool:
         """Whether a request is being read or handled."""
@@ -448,6 +545,7 @@
             self.abort('responses not read')
             return
         self._transport.write(data)
+        self.sent_bytes += len(data)
 
     async def drain(self) -> None:
         """Wait while the connection is congested."""
--- /dev/null
+++ b/src/basilpond/http1/_unsent.py
@@ -0,0 +1,26 @@
+"""Bytes that a connection has accepted and the network has not taken."""
+
+from __future__ import annotations
+
+import array
+import asyncio
+import fcntl
+import termios
+
+
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that wait in a transport and in its socket.
+
+    The socket counts what its peer has not acknowledged. A platform without
+    this figure counts as an empty socket.
+    """
+    buffered_bytes = transport.get_write_buffer_size()
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() == -1:
+        return buffered_bytes
+    queued = array.array('i', (0,))
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
+    except OSError:
+        return buffered_bytes
+    return buffered_bytes + queued[0]
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -590,3 +590,70 @@
     assert caller.server.active == 1
     caller.transport.unread_bytes = 0
     assert caller.server.active == 0
+
+
+def upload(size, sent):
+    return b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s' % (
+        size,
+        b'x' * sent,
+    )
+
+
+@on_paused_clock
+async def test_upload_is_refused_before_its_body():
+    """Guards against bodies that are received only to be refused.
+
+    The caller is answered at once and keeps the part that is not read.
+    """
+    handled = []
+
+    async def record(request, responder):
+        handled.append(request)
+        responder.respond(200)
+
+    caller = Caller(record)
+    seen = []
+
+    def refuse(upload):
+        seen.append((upload.target, upload.received_bytes))
+        return [(b'retry-after', b'0.050')]
+
+    caller.server.check_upload = refuse
+    sent = await caller.send(upload(72_000, 14_000))
+    assert sent.startswith(b'HTTP/1.1 503 ')
+    assert b'retry-after: 0.050' in sent
+    assert b'connection: close' in sent
+    assert seen == [(b'/a', 14_000)]
+    assert caller.transport.paused
+    assert not caller.server.uploading
+    await caller.send(b'x' * 58_000)
+    await asyncio.sleep(0.6)
+    assert caller.transport.closed
+    assert not handled
+
+
+@on_paused_clock
+async def test_upload_in_progress_is_checked_once_and_received():
+    """Guards against an upload that is refused in the middle."""
+    caller = Caller(echo)
+    seen = []
+    caller.server.check_upload = seen.append
+    await caller.send(upload(72_000, 14_000), b'x' * 20_000)
+    assert caller.server.uploading == {caller.connection}
+    assert caller.connection.upload.missing_bytes == 38_000
+    assert len(seen) == 1
+    sent = await caller.send(b'x' * 38_000)
+    assert sent.startswith(b'HTTP/1.1 200 ')
+    assert not caller.server.uploading
+
+
+@pytest.mark.parametrize('size', [0, 16_000])
+@on_paused_clock
+async def test_small_body_is_received_without_a_check(size):
+    """Guards against refusals that save nothing."""
+    caller = Caller(echo)
+    caller.server.check_upload = lambda upload: []
+    await caller.send(upload(size, 0))
+    assert b'503' not in await caller.send(b'x' * size)
+    # Behind a request in progress, a refusal would come out of order.
+    assert not caller.server.uploading
