Refuse what a full router cannot send in time

A router admitted whatever arrived.

A task samples the lag of the event loop and the bytes that wait on the link. The dispatcher refuses at once, as not run and with a Retry-After of at most 0.1 s, what cannot be sent within the objective and the time limit; uploads are refused with their head. While over 50 ms of bytes wait on the link, sends are held before an endpoint is chosen, by priority. Without limits in the settings, only the lag counts.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -10,7 +10,6 @@
 
 from ..http1 import CallerRequest
 from ..http1 import Responder
-from ..http1 import find
 from ..routing import MAX_CONNECTS
 from ..routing import Catalogue
 from ..routing import Choice
@@ -48,6 +47,8 @@
 from ._peers import PeerTask
 from ._request_context import RefusedError
 from ._request_context import RequestContext
+from ._router_overload import RouterOverload
+from ._router_overload import find_route
 from ._sending import Sender
 from ._sending import SendOutcome
 from ._stream_versions import StreamVersions
@@ -87,6 +88,7 @@
     parts : CrashingParts
     limits : EndpointLimits
     versions : StreamVersions
+    overload : RouterOverload
     metrics : NodeMetrics
     decisions : DecisionLog
     rng : random.Random
@@ -105,6 +107,7 @@
         parts: CrashingParts,
         limits: EndpointLimits,
         versions: StreamVersions,
+        overload: RouterOverload,
         metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -119,6 +122,7 @@
         self._parts = parts
         self._limits = limits
         self._versions = versions
+        self._overload = overload
         self._metrics = metrics
         self._decisions = decisions
         self._rng = rng
@@ -130,7 +134,7 @@
         signals = SignalRecorder(
             codec, directory, self._quiet, decisions, self._returns.wake_up
         )
-        self._sender = Sender(
+        self.sender = Sender(
             codec,
             directory,
             peers,
@@ -141,6 +145,7 @@
             signals,
             self._reachability,
             versions,
+            overload,
             decisions,
         )
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
@@ -226,6 +231,7 @@
         finally:
             if context is not None:
                 self._contexts.discard(context)
+                self._overload.record_end(context)
                 self._record_end(context)
 
     def _admit(
@@ -239,9 +245,7 @@
         catalogue = self._configuration.serving
         if catalogue is None:
             raise RefusedError(503, 'no configuration yet', _STARTING_RETRY_S)
-        host = (find(request.headers, b'host') or b'').decode('latin-1')
-        path = request.target.partition(b'?')[0].decode('latin-1')
-        route = catalogue.find_route(host.partition(':')[0], path)
+        route = find_route(catalogue, request.target, request.headers)
         if route is None:
             raise RefusedError(404, f'no route in version {catalogue.version}')
         organisation = self._authenticate(catalogue, route, metadata)
@@ -250,7 +254,7 @@
             raise RefusedError(
                 503, 'route has no service', _NO_ENDPOINT_RETRY_S
             )
-        return RequestContext(
+        context = RequestContext(
             request,
             responder,
             metadata,
@@ -260,6 +264,8 @@
             catalogue.version,
             may_begin=self._versions.may_begin,
         )
+        self._overload.admit(context)
+        return context
 
     def _authenticate(
         self, catalogue: Catalogue, route: Route, metadata: RequestMetadata
@@ -324,6 +330,7 @@
                 if self._refusing and not context.possible_runs:
                     raise _stop_refusal()
                 self._check_parts(context, asyncio.get_running_loop().time())
+                await self._overload.wait_to_send(context)
                 entry, choice = await self._choose(context)
             except RefusedError as refusal:
                 if outcome is None or not context.possible_runs:
@@ -336,7 +343,7 @@
                 )
                 self._respond_failure(context, outcome)
                 return
-            outcome = await self._sender.send(
+            outcome = await self.sender.send(
                 context, entry, choice, lambda: self._reserve_retry(context)
             )
             self._metrics.count_send(
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -42,6 +42,10 @@
         Whether the whole fleet starts for the first time.
     store_partitions : int
         Partitions of each topic of the store.
+    cpu_share : float
+        Share of a core that the process may use; 0 if unknown.
+    memory_bytes : float
+        Memory that the process may use; infinite if unknown.
     """
 
     node_id: str
@@ -63,6 +67,8 @@
     link_bytes_per_s: float = float('inf')
     is_first_start: bool = False
     store_partitions: int = 1
+    cpu_share: float = 0.0
+    memory_bytes: float = float('inf')
 
 
 class LogUnavailableError(Exception):
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -129,6 +129,20 @@
                     'peer_sent_bytes',
                     'Bytes of datagrams sent to other routers',
                 ),
+                (
+                    'router_lag_seconds',
+                    'Time by which the event loop runs timers late',
+                ),
+                (
+                    'link_wait_seconds',
+                    'Time in which the link sends what waits on it',
+                ),
+                (
+                    'router_delay_seconds',
+                    'Expected time until the least urgent request is sent',
+                ),
+                ('router_full', 'Whether the router refuses for its load'),
+                ('held_requests', 'Requests that wait for the link'),
             )
         }
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
+import math
 import os
 from pathlib import Path
 import random
@@ -17,6 +19,7 @@
 from ..routing import CrashCounter
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
+from ..routing.capacity import RouterLoad
 from ._budgets import BudgetTask
 from ._configuration_fetcher import ConfigurationFetcher
 from ._crash_log import CrashLog
@@ -39,6 +42,10 @@
 from ._metrics import CONTENT_TYPE
 from ._metrics import NodeMetrics
 from ._peers import PeerTask
+from ._router_overload import RouterOverload
+from ._router_watch import LinkMeter
+from ._router_watch import RouterWatch
+from ._router_watch import SendingConnection
 from ._settings_watch import SettingsWatch
 from ._stream_records import StreamRecords
 from ._stream_versions import StreamVersions
@@ -159,6 +166,16 @@
             writes_per_s=settings.store_writes_per_s,
             live_routers=self.peers.live_routers,
         )
+        self.load = RouterLoad(settings.cpu_share, settings.memory_bytes)
+        overload = RouterOverload(
+            self.load,
+            codec,
+            self.configuration,
+            self._metrics,
+            decisions,
+            random.Random(),
+            settings.link_bytes_per_s,
+        )
         self.dispatcher = Dispatcher(
             settings,
             codec,
@@ -171,6 +188,7 @@
             self._parts,
             self._limits,
             self.versions,
+            overload,
             self._metrics,
             decisions,
             random.Random(),
@@ -222,6 +240,18 @@
             self._log_malformed_request,
             self._log_unanswered,
         )
+        if not math.isinf(settings.link_bytes_per_s):
+            self._callers.check_upload = overload.check_upload
+            overload.uploads = lambda: [
+                c.upload for c in self._callers.uploading
+            ]
+        self._router_watch = RouterWatch(
+            self.load,
+            LinkMeter(self._sending_connections),
+            settings.link_bytes_per_s,
+            decisions,
+        )
+        overload.confirm_link = self._router_watch.confirm_link
         self._ready_path = codec.ready_path
         self._ready = InternalServer(self._respond_ready)
         self._metrics_server = InternalServer(self._respond_metrics)
@@ -257,6 +287,7 @@
             self.versions.run(),
             self._stream_records.run(),
             self._crash_log.run(),
+            self._router_watch.run(),
             self._flush_log(),
         ]
         self._tasks = [asyncio.create_task(job) for job in jobs]
@@ -409,7 +440,14 @@
         self._update_gauges()
         return 200, [(b'content-type', CONTENT_TYPE)], self._metrics.render()
 
+    def _sending_connections(self) -> Iterator[SendingConnection]:
+        yield from self.dispatcher.sender.connections
+        yield from (
+            c for c in self._callers.connections if c.busy or c.is_sending
+        )
+
     def _update_gauges(self) -> None:
+        now_s = asyncio.get_running_loop().time()
         for name, value in (
             ('active_requests', self._callers.active),
             ('live_routers', self.peers.live_routers()),
@@ -427,6 +465,11 @@
             ('log_lines_dropped', self._decisions.dropped_total),
             ('peer_report_interval_seconds', self.peers.report_interval_s),
             ('peer_sent_bytes', self.peers.sent_bytes),
+            ('router_lag_seconds', self.load.lag_s(now_s)),
+            ('link_wait_seconds', self.load.link_wait_s(now_s)),
+            ('router_delay_seconds', self.load.delay_s(now_s)),
+            ('router_full', int(self.load.is_full(now_s))),
+            ('held_requests', len(self.load.held)),
         ):
             self._metrics.set_gauge(name, value)
 
--- a/src/basilpond/node/_request_context.py
+++ b/src/basilpond/node/_request_context.py
@@ -208,12 +208,12 @@
 
     def time_limit(self) -> asyncio.Timeout:
         """Return the time limit of the request as a context manager."""
-        self._time_limit = asyncio.timeout_at(self._unsent_limit_s)
+        self._time_limit = asyncio.timeout_at(self.unsent_limit_s)
         return self._time_limit
 
     @property
-    def _unsent_limit_s(self) -> float:
-        # Just before the caller leaves, or when the router stops.
+    def unsent_limit_s(self) -> float:
+        """Time just before the caller leaves, or when the router stops."""
         patience_s = _less_margin_s(self.route.patience_s)
         return min(
             self.respond_by_s, self.started_s + patience_s, self.end_by_s
@@ -250,7 +250,7 @@
     def record_send_failed(self) -> None:
         """Record that no endpoint goes on with the request."""
         if self._time_limit is not None and not self.responder.started:
-            self._time_limit.reschedule(self._unsent_limit_s)
+            self._time_limit.reschedule(self.unsent_limit_s)
 
     def record_begun(self) -> None:
         """Record that the response has begun, which may use all the time."""
@@ -265,10 +265,7 @@
     @property
     def effective_priority(self) -> int:
         """Priority at the endpoint, 0 (first) to 9 (last)."""
-        rank = self.route.priority
-        if self.organisation and self.organisation.priority is not None:
-            rank = self.organisation.priority
-        return min(9, max(0, rank))
+        return effective_priority(self.route, self.organisation)
 
     def admits(self, endpoint: Endpoint) -> bool:
         """Whether the request may be sent to an endpoint of this version."""
@@ -331,5 +328,13 @@
         return self.metadata.prompt_tokens + output
 
 
+def effective_priority(route: Route, organisation: Organisation | None) -> int:
+    """Return the priority of a request, 0 (first) to 9 (last)."""
+    rank = route.priority
+    if organisation is not None and organisation.priority is not None:
+        rank = organisation.priority
+    return min(9, max(0, rank))
+
+
 def _less_margin_s(limit_s: float) -> float:
     return limit_s - min(_RESPONSE_MARGIN_S, _MAX_MARGIN_SHARE * limit_s)
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -31,6 +31,7 @@
 from ._interfaces import ResponseResult
 from ._peers import PeerTask
 from ._request_context import RequestContext
+from ._router_overload import RouterOverload
 from ._stream_versions import StreamVersions
 
 # Largest response that is buffered completely before it is forwarded.
@@ -200,6 +201,7 @@
     signals : SignalRecorder
     reachability : Reachability
     versions : StreamVersions
+    overload : RouterOverload
     decisions : DecisionLog
     """
 
@@ -215,6 +217,7 @@
         signals: SignalRecorder,
         reachability: Reachability,
         versions: StreamVersions,
+        overload: RouterOverload,
         decisions: DecisionLog,
     ) -> None:
         self._parts = parts
@@ -228,7 +231,10 @@
         self._crashes = crashes
         self._reachability = reachability
         self._versions = versions
+        self._overload = overload
         self._decisions = decisions
+        # Connections that carry a request.
+        self.connections: set[PeerConnection] = set()
         # Connections that wait for the beginning of a response to a prompt
         # with shared parts, and when it was sent.
         self._waiting: dict[PeerConnection, tuple[RequestContext, float]] = {}
@@ -277,6 +283,9 @@
             if connection is None:
                 connection = await entry.pool.connect()
                 self._check_still_wanted(context, entry)
+            if not await self._overload.settle(context):
+                raise _WithdrawnError('router full, link')
+            self.connections.add(connection)
             started = True
             sent_s = loop.time()
             context.record_sent(sent_s)
@@ -302,6 +311,7 @@
             response_timer.stop()
             if connection is not None:
                 self._waiting.pop(connection, None)
+                self.connections.discard(connection)
                 entry.pool.release(connection)
             load.remove_request(in_flight)
         if outcome.result is not None and outcome.result.proves_not_run:
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -15,6 +15,7 @@
 # Same as in the deployment file, where operators' tools look it up.
 METRICS_PORT = 9464
 _BYTES_PER_MBIT = 125_000
+_BYTES_PER_MB = 1_000_000
 # Numbers of the settings are finite and not negative.
 _Number = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -38,6 +39,8 @@
     max_fds: int = 0
     # Bandwidth of the VM's link; 0 if unknown.
     link_mbps: _Number = 0.0
+    # Share of a core; 0 if unknown.
+    cpu_share: _Number = 0.0
 
 
 class _Bounds(msgspec.Struct):
@@ -137,6 +140,8 @@
             prompt_reuse_s=file.bounds.reuse_window_s,
             link_bytes_per_s=file.limits.link_mbps * _BYTES_PER_MBIT
             or float('inf'),
+            cpu_share=file.limits.cpu_share,
+            memory_bytes=file.limits.memory_mb * _BYTES_PER_MB or float('inf'),
             is_first_start=file.bootstrap,
         )
     except (OSError, ValueError, RecursionError) as error:
--- a/src/basilpond/platform/tests/test_settings.py
+++ b/src/basilpond/platform/tests/test_settings.py
@@ -62,3 +62,15 @@
     """Guards against a router that starts without settings."""
     with pytest.raises(SettingsError):
         load_settings(tmp_path / 'none.yaml')
+
+
+def test_limits_of_the_machine_are_read(tmp_path):
+    """Guards against a router that takes a share of a core for a core."""
+    settings = load(tmp_path, TEXT)
+    assert settings.cpu_share == 0
+    assert settings.memory_bytes == settings.link_bytes_per_s == float('inf')
+    limits = 'limits: {cpu_share: 0.39, memory_mb: 160, link_mbps: 5}\n'
+    settings = load(tmp_path, TEXT + limits)
+    assert settings.cpu_share == 0.39
+    assert settings.memory_bytes == 160e6
+    assert settings.link_bytes_per_s == 625_000
