Check again right before each send

A request could wait after the choice of its endpoint, and was checked again only after a new connection, not for a kept one. Requests reached an endpoint 40 to 77 ms after the bound for a leaving endpoint.

The check now runs before every send, with nothing awaited in between. It also covers endpoints that were removed or replaced on any route, connections that ended, callers that left and the time limit. Without it, the tests of an endpoint that leaves and of a time limit that passes during a hold fail.

--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -282,9 +282,9 @@
         try:
             if connection is None:
                 connection = await entry.pool.connect()
-                self._check_still_wanted(context, entry)
             if not await self._overload.settle(context):
                 raise _WithdrawnError('router full, link')
+            self._check_still_wanted(context, entry, connection)
             self.connections.add(connection)
             started = True
             sent_s = loop.time()
@@ -345,18 +345,28 @@
         return outcome
 
     def _check_still_wanted(
-        self, context: RequestContext, entry: EndpointEntry
+        self,
+        context: RequestContext,
+        entry: EndpointEntry,
+        connection: PeerConnection,
     ) -> None:
         # Connecting takes up to 0.4 s, in which another response may tell.
+        # Nothing is awaited between this check and the send.
         if entry.endpoint.leaving:
             raise _WithdrawnError('endpoint leaves')
-        if context.route.continues_streams and self._directory.is_replaced(
-            entry
-        ):
+        if self._directory.find(entry.endpoint.id) is None:
+            raise _WithdrawnError('endpoint removed')
+        if self._directory.is_replaced(entry):
             raise _WithdrawnError('endpoint started again')
         now_s = asyncio.get_running_loop().time()
         if self._quiet.is_quiet(entry.incarnation_number, now_s):
             raise _WithdrawnError('endpoint asks for quiet')
+        if not connection.is_usable():
+            raise _WithdrawnError('connection ended before the send')
+        if not context.responder.is_open:
+            raise _WithdrawnError('caller left')
+        if not context.responder.started and now_s >= context.unsent_limit_s:
+            raise _WithdrawnError('time limit reached before a send')
 
     def _cancel_quarantined(self) -> None:
         # A request that has not begun still can crash its endpoint. A trial
