--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -45,6 +45,10 @@
     evacuate_s : float or None
         Time after which an evacuated data centre must get no more requests;
         None where operators evacuate none.
+    cpu_share : float
+        Share of a core that the process may use; 0 if unknown.
+    memory_bytes : float
+        Memory that the process may use; infinite if unknown.
     """
 
     node_id: str
@@ -67,6 +71,8 @@
     is_first_start: bool = False
     store_partitions: int = 1
     evacuate_s: float | None = None
+    cpu_share: float = 0.0
+    memory_bytes: float = float('inf')
 
 
 class LogUnavailableError(Exception):
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -31,6 +31,7 @@
 from ._interfaces import ResponseResult
 from ._peers import PeerTask
 from ._request_context import RequestContext
+from ._router_overload import RouterOverload
 from ._stream_versions import StreamVersions
 
 # Largest response that is buffered completely before it is forwarded.
@@ -200,6 +201,7 @@
     signals : SignalRecorder
     reachability : Reachability
     versions : StreamVersions
+    overload : RouterOverload
     decisions : DecisionLog
     """
 
@@ -215,6 +217,7 @@
         signals: SignalRecorder,
         reachability: Reachability,
         versions: StreamVersions,
+        overload: RouterOverload,
         decisions: DecisionLog,
     ) -> None:
         self._parts = parts
@@ -228,7 +231,10 @@
         self._crashes = crashes
         self._reachability = reachability
         self._versions = versions
+        self._overload = overload
         self._decisions = decisions
+        # Connections that carry a request.
+        self.connections: set[PeerConnection] = set()
         # Connections that wait for the beginning of a response to a prompt
         # with shared parts, and when it was sent.
         self._waiting: dict[PeerConnection, tuple[RequestContext, float]] = {}
@@ -276,7 +282,10 @@
         try:
             if connection is None:
                 connection = await entry.pool.connect()
-                self._check_still_wanted(context, entry)
+            if not await self._overload.settle(context):
+                raise _WithdrawnError('router full, link')
+            self._check_still_wanted(context, entry, connection)
+            self.connections.add(connection)
             started = True
             sent_s = loop.time()
             context.record_sent(sent_s)
@@ -302,6 +311,7 @@
             response_timer.stop()
             if connection is not None:
                 self._waiting.pop(connection, None)
+                self.connections.discard(connection)
                 entry.pool.release(connection)
             load.remove_request(in_flight)
         if outcome.result is not None and outcome.result.proves_not_run:
@@ -335,20 +345,30 @@
         return outcome
 
     def _check_still_wanted(
-        self, context: RequestContext, entry: EndpointEntry
+        self,
+        context: RequestContext,
+        entry: EndpointEntry,
+        connection: PeerConnection,
     ) -> None:
         # Connecting takes up to 0.4 s, in which another response may tell.
+        # Nothing is awaited between this check and the send.
         if entry.endpoint.leaving:
             raise _WithdrawnError('endpoint leaves')
         if self._directory.is_evacuated(entry):
             raise _WithdrawnError('data centre evacuated')
-        if context.route.continues_streams and self._directory.is_replaced(
-            entry
-        ):
+        if self._directory.find(entry.endpoint.id) is None:
+            raise _WithdrawnError('endpoint removed')
+        if self._directory.is_replaced(entry):
             raise _WithdrawnError('endpoint started again')
         now_s = asyncio.get_running_loop().time()
         if self._quiet.is_quiet(entry.incarnation_number, now_s):
             raise _WithdrawnError('endpoint asks for quiet')
+        if not connection.is_usable():
+            raise _WithdrawnError('connection ended before the send')
+        if not context.responder.is_open:
+            raise _WithdrawnError('caller left')
+        if not context.responder.started and now_s >= context.unsent_limit_s:
+            raise _WithdrawnError('time limit reached before a send')
 
     def _cancel_quarantined(self) -> None:
         # A request that has not begun still can crash its endpoint. A trial
--- a/src/basilpond/routing/capacity/__init__.py
+++ b/src/basilpond/routing/capacity/__init__.py
@@ -3,9 +3,25 @@
 from ._evacuations import EvacuationRecord
 from ._evacuations import EvacuationReport
 from ._evacuations import Evacuations
+from ._router_load import LINK_AHEAD_S
+from ._router_load import SAMPLE_INTERVAL_S
+from ._router_load import LoadVerdict
+from ._router_load import RequestDemand
+from ._router_load import RouterLoad
+from ._router_load import UploadProgress
+from ._send_queue import HeldSend
+from ._send_queue import SendQueue
 
 __all__ = [
+    'LINK_AHEAD_S',
+    'SAMPLE_INTERVAL_S',
     'EvacuationRecord',
     'EvacuationReport',
     'Evacuations',
+    'HeldSend',
+    'LoadVerdict',
+    'RequestDemand',
+    'RouterLoad',
+    'SendQueue',
+    'UploadProgress',
 ]
