Let less urgent prompts wait at the routers while engines have no room

Prompts waited only at engines, where an urgent one waits behind all less urgent ones whose prefill has begun, and all routers sent to the endpoints that their old reports called free. In a service whose prompts differ in priority or objective, less urgent ones now wait at the router while there is contention: each router bounds its unfinished work by its part of what all may leave unfinished, some endpoints are left to more urgent prompts, and the endpoint is chosen at random among those with the least work of this router. Prompts that cannot be sent in time are refused early.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -32,6 +32,7 @@
 from ..routing import prefill_cost
 from ..routing import sample_loads
 from ..routing import tokens_retry_s
+from ._admission import AdmissionTask
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
 from ._crash_log import CrashLog
@@ -127,6 +128,15 @@
         self._returns = EndpointReturns(
             self._quiet, directory, decisions, peers.live_routers, rng
         )
+        self.admission = AdmissionTask(
+            configuration,
+            directory,
+            self._quiet,
+            peers.live_routers,
+            metrics,
+            decisions,
+            rng,
+        )
         signals = SignalRecorder(
             codec, directory, self._quiet, decisions, self._returns.wake_up
         )
@@ -285,6 +295,7 @@
             async with context.time_limit():
                 await self._versions.find(context)
                 self._check_endpoints(context)
+                self.admission.check(context)
                 await self._hold_tokens(context)
                 await self._send_until_answered(context)
         except TimeoutError:
@@ -355,7 +366,7 @@
         picked = context.reserved_retry
         context.reserved_retry = None
         if picked is None or not self._is_usable(context, picked[0]):
-            entries = await self._usable_entries(context)
+            entries = await self.admission.admit(context, self._usable_entries)
             picked = self._pick(context, entries)
         if picked is None:
             raise self._no_endpoint(context)
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -87,6 +87,17 @@
         self._duration = self._histogram(
             'basilpond_request_seconds', 'Time to the last byte', 'route'
         )
+        self._admission_wait = self._histogram(
+            'basilpond_admission_wait_seconds',
+            'Time for which less urgent prompts waited for room',
+            'priority',
+        )
+        self._admission_refusals = self._counter(
+            'basilpond_admission_refusals',
+            'Prompts refused for lack of room by reason and priority',
+            'reason',
+            'priority',
+        )
         self._gauges = {
             name: prometheus_client.Gauge(
                 f'basilpond_{name}', text, registry=self._registry
@@ -105,6 +116,10 @@
                     'waiting_requests',
                     'Requests that wait for the end of a quiet time',
                 ),
+                (
+                    'admission_waiting',
+                    'Prompts that wait for room at the endpoints',
+                ),
                 ('store_read_age_seconds', 'Age of the last read'),
                 ('store_era', 'Rises when the store comes back from a copy'),
                 (
@@ -153,6 +168,14 @@
         """Count a refusal by the router."""
         self._refusals.labels(status, reason).inc()
 
+    def observe_admission_wait(self, priority: int, waited_s: float) -> None:
+        """Observe the wait of a prompt, whether or not it was sent then."""
+        self._admission_wait.labels(priority).observe(waited_s)
+
+    def count_admission_refusal(self, reason: str, priority: int) -> None:
+        """Count a prompt that was refused for lack of room."""
+        self._admission_refusals.labels(reason, priority).inc()
+
     def count_take_up(self, source: str) -> None:
         """Count a stream that a caller took up again."""
         self._take_ups.labels(source).inc()
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -418,6 +418,7 @@
             ('leaving_endpoints', len(self.directory.leaving())),
             ('quiet_endpoints', self.dispatcher.quiet_endpoints),
             ('waiting_requests', self.dispatcher.waiting),
+            ('admission_waiting', self.dispatcher.admission.waiting),
             ('store_read_age_seconds', self.budgets.outage_s),
             ('store_era', self._writer.era),
             ('accounts_complete', int(self.budgets.knows_accounts)),
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -21,6 +21,7 @@
 from ._fleet_clock import FleetClock
 from ._fleet_retry_budget import FleetRetryBudget
 from ._leaving_incarnations import LeavingIncarnations
+from ._long_prompts import LONG_PROMPT_TOKENS
 from ._long_prompts import long_prompt_endpoints
 from ._outlier_detection import SendEvidence
 from ._prepaid import Allotments
@@ -92,6 +93,7 @@
     'FleetRetryBudget',
     'Hold',
     'InFlightRequest',
+    'LONG_PROMPT_TOKENS',
     'LeavingIncarnations',
     'LimitReport',
     'MAX_CONNECTS',
--- a/src/basilpond/routing/placement/__init__.py
+++ b/src/basilpond/routing/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from ._endpoint_history import EndpointHistory
 from ._endpoint_history import EntryVerdict
+from ._placement import PREFILL_TOKENS_PER_S
 from ._placement import Choice
 from ._placement import EndpointLoad
 from ._placement import InFlightRequest
@@ -18,6 +19,7 @@
     'EndpointLoad',
     'EntryVerdict',
     'InFlightRequest',
+    'PREFILL_TOKENS_PER_S',
     'PeerReport',
     'PromptCache',
     'choose_endpoint',
--- a/src/basilpond/routing/placement/_placement.py
+++ b/src/basilpond/routing/placement/_placement.py
@@ -164,6 +164,8 @@
         'in_flight',
         'outlier',
         'prefill_cost',
+        'queued_at_s',
+        'queued_s',
         'reported',
         'slowness',
     )
@@ -193,6 +195,10 @@
         self._ejected_until_s = 0.0
         self._ejection_s = _FIRST_EJECTION_S
         self._heard_s = 0.0
+        # By how much the last prompt with a response waited longer than its
+        # own prefill takes, and when that response began.
+        self.queued_s = 0.0
+        self.queued_at_s = float('-inf')
 
     @property
     def running(self) -> int:
@@ -311,6 +317,9 @@
         self.prefill_cost -= in_flight.prefill_cost
         if in_flight.prefill_cost:
             observed_s = now_s - in_flight.started_s
+            prefill_s = in_flight.prefill_cost / PREFILL_TOKENS_PER_S
+            self.queued_s = max(0.0, observed_s - prefill_s)
+            self.queued_at_s = now_s
             ratio = observed_s * self.slowness / in_flight.forecast_s
             ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
             self.slowness += _SPEED_WEIGHT * (ratio - self.slowness)
