Refuse hopeless prompts by the speed of the shared endpoints

The early check divided the backlog by the speed of all endpoints, of which less urgent prompts cannot use the reserved part.

--- a/src/basilpond/routing/admission/_admission_policy.py
+++ b/src/basilpond/routing/admission/_admission_policy.py
@@ -299,7 +299,7 @@
             Of the prompts.
         """
         share = max(self.share, 1 / self._routers)
-        speed = share * self._tokens_per_s
+        speed = share * self._shared_load.tokens_per_s
         return cost / speed if speed else 0.0
 
     def retry_s(self, cost: float, remaining_s: float, jitter: float) -> float:
