Take no usable endpoints and float remainders for no load

With all endpoints ejected, 0 of 0 slots counted as busy, and sums of floats near zero gave a router's part any value.

--- a/src/basilpond/routing/admission/_admission_policy.py
+++ b/src/basilpond/routing/admission/_admission_policy.py
@@ -22,6 +22,8 @@
 # Weight of an equal part for each router beside the part of the last work, so
 # that a router which has just got its first prompts is not left behind.
 _EQUAL_WEIGHT = 0.3
+# Average cost below which there is no part: what sums of floats leave behind.
+_LEAST_COST = 1.0
 # Time without a sign of contention after which prompts are sent at once.
 _CONTENDED_S = 1.0
 # Longest time by which a router uses its part in advance or saves it up.
@@ -98,7 +100,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether nearly all slots are taken."""
-        return self.running >= _BUSY_SLOTS_SHARE * self.slots
+        return self.running >= _BUSY_SLOTS_SHARE * self.slots > 0
 
 
 class _Window:
@@ -254,9 +256,9 @@
     def share(self) -> float:
         """Part of this router in the unfinished work."""
         equal = 1 / self._routers
-        if not self._total_average:
+        if self._total_average < _LEAST_COST:
             return equal
-        part = self._own_average / self._total_average
+        part = min(1.0, self._own_average / self._total_average)
         return _EQUAL_WEIGHT * equal + (1 - _EQUAL_WEIGHT) * part
 
     @property
--- a/src/basilpond/routing/admission/tests/test_admission_policy.py
+++ b/src/basilpond/routing/admission/tests/test_admission_policy.py
@@ -83,6 +83,14 @@
     assert policy.is_contended(3.0)
 
 
+def test_service_without_usable_endpoints_is_not_contended():
+    """Guards against waits for endpoints that are all ejected."""
+    policy = AdmissionPolicy()
+    update(policy, ServiceLoad(), 0.0)
+    assert not policy.is_contended(0.0)
+    assert policy.admits(COST)
+
+
 def test_router_bounds_its_unfinished_work_by_its_part():
     """Guards against many routers that all fill the room that one sees."""
     policy = AdmissionPolicy()
