--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -470,6 +470,7 @@
             ('evacuated_data_centres', len(self._evacuations)),
             ('quiet_endpoints', self.dispatcher.quiet_endpoints),
             ('waiting_requests', self.dispatcher.waiting),
+            ('admission_waiting', self.dispatcher.admission.waiting),
             ('store_read_age_seconds', self.budgets.outage_s),
             ('store_era', self._writer.era),
             ('accounts_complete', int(self.budgets.knows_accounts)),
