Limit what all routers send to cold endpoints

An idle endpoint that returns attracted the requests of all routers at once, and one that is cold crashes at a rate well above that of its service. Services may now name a limit (`cold_start_s`, `cold_per_s`). It is divided into slots, and these between live routers by the rendezvous hash of the limits that endpoints name. Entries, responses, reports and failures tell which endpoints are or may be cold. Requests without another endpoint wait by priority and time left, as for quiet endpoints, or are refused at once.

An entry whose cold time alone is invalid no longer removes an endpoint in use where its service has a limit; elsewhere it does, as before.

--- a/src/basilpond/node/__init__.py
+++ b/src/basilpond/node/__init__.py
@@ -1,6 +1,7 @@
 """Router for requests of known cost, coordinated through a log."""
 
 from ._decision_log import DecisionLog
+from ._interfaces import ColdTimeError
 from ._interfaces import EndpointSignals
 from ._interfaces import Log
 from ._interfaces import LogAppendError
@@ -20,6 +21,7 @@
 from ._node import Node
 
 __all__ = [
+    'ColdTimeError',
     'DecisionLog',
     'EndpointSignals',
     'Log',
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -19,6 +19,7 @@
 from ..routing import LeavingIncarnations
 from ..routing import long_prompt_endpoints
 from ._decision_log import DecisionLog
+from ._interfaces import ColdTimeError
 from ._interfaces import LogEraChangedError
 from ._interfaces import LogTrimmedError
 from ._interfaces import LogUnavailableError
@@ -34,6 +35,9 @@
 # outage, or that the store has lost in it, are written again, if their servers
 # are alive.
 _LAPSE_GRACE_S = 2.0
+# Time after the end of a store outage in which entries from before it may be
+# read.
+_DELAYED_S = 2.0
 # Source of versions that are read from the store.
 _STORE = 'store'
 # Rejected records whose log lines are not repeated.
@@ -218,6 +222,14 @@
         self._newer_records = SharedCall(self._read_newer_records)
         # Called when an endpoint is added.
         self.on_added: Callable[[], None] = lambda: None
+        # Called when the entry of an endpoint in use was read, and when the
+        # endpoint is removed.
+        self.on_entry: Callable[[EndpointEntry], None] = lambda entry: None
+        self.on_removed: Callable[[EndpointEntry], None] = lambda entry: None
+        # Returns whether a service limits requests to cold endpoints.
+        self.limits_cold: Callable[[str], bool] = lambda service: False
+        # Whether the newest entries have been read once.
+        self.is_read = False
         self._cache_retention_s = cache_retention_s
         self._entries: dict[str, EndpointEntry] = {}
         self._by_service: dict[str, dict[str, EndpointEntry]] = {}
@@ -366,6 +378,7 @@
                 self._schedule_removal(endpoint_id)
         for endpoint_id in self._withheld.keys() - listed:
             self._release_withheld(endpoint_id)
+        self.is_read = True
 
     def apply(self, records: list[Record], end: int) -> None:
         """Apply records in order."""
@@ -381,14 +394,32 @@
                     record.key, record.value
                 )
             except ValueError as error:
-                self._schedule_removal(
-                    record.key, f'unreadable entry: {error}'
-                )
+                if not self._ignores(record.key, error):
+                    self._schedule_removal(
+                        record.key, f'unreadable entry: {error}'
+                    )
                 continue
             if self._told_leaving.has(_incarnation_text(endpoint)):
                 endpoint = dataclasses.replace(endpoint, leaving=True)
             self._add_or_update(endpoint)
 
+    def _ignores(self, endpoint_id: str, error: ValueError) -> bool:
+        # A wrong time must not remove an endpoint in use.
+        known = self._entries.get(endpoint_id)
+        if (
+            known is None
+            or not isinstance(error, ColdTimeError)
+            or not self.limits_cold(known.endpoint.service)
+        ):
+            return False
+        self._log_endpoint('cold_time_ignored', known.endpoint, str(error))
+        return True
+
+    def is_delayed(self) -> bool:
+        """Whether entries may have been written long before they are read."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._reachable_again_s < _DELAYED_S
+
     def update_reachability(self, *, reachable: bool) -> None:
         """Record whether the store responds."""
         if reachable:
@@ -518,6 +549,7 @@
                     return
                 known.endpoint = endpoint
                 known.load.endpoint = endpoint
+                self.on_entry(known)
                 return
             self._remove(endpoint.id, 'started again')
         entry = EndpointEntry(endpoint, self._cache_retention_s)
@@ -528,6 +560,7 @@
         self._assign_long_prompts(endpoint.service)
         self._log_endpoint('endpoint_added', endpoint)
         self.on_added()
+        self.on_entry(entry)
 
     def _withhold(self, endpoint: Endpoint, now_s: float) -> None:
         # The store removes entries of silent servers within seconds: one that
@@ -584,6 +617,7 @@
         )
         self._assign_long_prompts(entry.endpoint.service)
         self._log_endpoint('endpoint_removed', entry.endpoint, reason)
+        self.on_removed(entry)
 
     def _assign_long_prompts(self, service: str) -> None:
         entries = self._by_service[service]
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -34,6 +34,7 @@
 from ..routing import tokens_retry_s
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
+from ._cold_endpoints import ColdEndpointWatch
 from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
@@ -87,6 +88,7 @@
     parts : CrashingParts
     limits : EndpointLimits
     versions : StreamVersions
+    cold : ColdEndpointWatch
     metrics : NodeMetrics
     decisions : DecisionLog
     rng : random.Random
@@ -105,6 +107,7 @@
         parts: CrashingParts,
         limits: EndpointLimits,
         versions: StreamVersions,
+        cold: ColdEndpointWatch,
         metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -125,11 +128,14 @@
         self._reachability = Reachability()
         self._quiet = QuietEndpoints()
         self._returns = EndpointReturns(
-            self._quiet, directory, decisions, peers.live_routers, rng
+            self._quiet, directory, decisions, peers.live_routers, rng, cold
         )
+        self._cold = cold
+        cold.is_unreachable = self._reachability.is_avoided
         signals = SignalRecorder(
             codec, directory, self._quiet, decisions, self._returns.wake_up
         )
+        signals.on_cold = cold.record_response
         self._sender = Sender(
             codec,
             directory,
@@ -141,6 +147,7 @@
             signals,
             self._reachability,
             versions,
+            cold,
             decisions,
         )
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
@@ -415,6 +422,7 @@
         assert entry is not None
         self._limits.record_sent(entry.incarnation_number, now_s)
         self._quiet.record_sent(entry.incarnation_number, now_s)
+        self._cold.record_sent(entry.incarnation_number, now_s)
         return entry, choice
 
     def _lone_versions(
--- a/src/basilpond/node/_endpoint_returns.py
+++ b/src/basilpond/node/_endpoint_returns.py
@@ -1,4 +1,4 @@
-"""Waiting of requests for endpoints that asked for quiet."""
+"""Waiting of requests for endpoints that asked for quiet, or are cold."""
 
 from __future__ import annotations
 
@@ -7,11 +7,14 @@
 import math
 import random
 
+from ..routing import ClosedEndpoints
+from ..routing import ColdEndpoints
 from ..routing import QuietEndpoints
 from ..routing import ReturnQueue
 from ..routing import WaitingRequest
 from ..routing import event_gap_timeout_s
 from ..routing import return_retry_s
+from ._cold_endpoints import ColdEndpointWatch
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
@@ -39,7 +42,9 @@
 
 
 class EndpointReturns:
-    """Selects endpoints that are not quiet, and waits for them.
+    """Selects endpoints that are not closed, and waits for them.
+
+    Closed ones ask for quiet, or are cold and have no room for a request.
 
     Parameters
     ----------
@@ -49,6 +54,7 @@
     live_routers : callable
         Returns the number of live routers, this one included.
     rng : random.Random
+    cold : ColdEndpointWatch or None
     """
 
     def __init__(
@@ -58,8 +64,11 @@
         decisions: DecisionLog,
         live_routers: Callable[[], int],
         rng: random.Random,
+        cold: ColdEndpointWatch | None = None,
     ) -> None:
-        self._quiet = quiet
+        self._closed = ClosedEndpoints(
+            quiet, ColdEndpoints('') if cold is None else cold.state
+        )
         self._directory = directory
         self._decisions = decisions
         self._live_routers = live_routers
@@ -83,13 +92,13 @@
     def open_entries(self, context: RequestContext) -> list[EndpointEntry]:
         """Return the endpoints that may get a request now."""
         entries = self.candidates(context)
-        if self._quiet.is_empty:
+        if self._closed.is_empty:
             return entries
         now_s = asyncio.get_running_loop().time()
         return [
             entry
             for entry in entries
-            if self._quiet.is_open(entry.incarnation_number, now_s)
+            if self._closed.is_open(entry.incarnation_number, now_s)
         ]
 
     def wake_up(self, service: str) -> None:
@@ -210,27 +219,31 @@
         return [
             entry
             for entry in entries
-            if now_s
-            + self._quiet.quiet_left_s(entry.incarnation_number, now_s)
+            if now_s + self._closed.wait_s(entry.incarnation_number, now_s)
             <= max(now_s, latest_s)
         ]
 
     def _first_return_s(self, entries: list[EndpointEntry]) -> float:
         now_s = asyncio.get_running_loop().time()
         return min(
-            self._quiet.quiet_left_s(entry.incarnation_number, now_s)
+            self._closed.wait_s(entry.incarnation_number, now_s)
             for entry in entries
         )
 
     def _capacity(self, context: RequestContext, latest_s: float) -> int:
         # This router's part of the requests that the endpoints process
         # concurrently.
-        entries = self.candidates(context)
-        slots = sum(
-            entry.endpoint.slots
-            for entry in self._returning(entries, latest_s)
-        )
-        return math.ceil(slots / self._live_routers())
+        now_s = asyncio.get_running_loop().time()
+        slots = cold_sends = 0
+        for entry in self._returning(self.candidates(context), latest_s):
+            sends = self._closed.sends_until(
+                entry.incarnation_number, latest_s, now_s
+            )
+            if sends is None:
+                slots += entry.endpoint.slots
+            else:
+                cold_sends += sends
+        return cold_sends + math.ceil(slots / self._live_routers())
 
     def _retry_s(
         self, context: RequestContext, entries: list[EndpointEntry]
@@ -238,13 +251,13 @@
         now_s = asyncio.get_running_loop().time()
         first = min(
             entries,
-            key=lambda entry: self._quiet.quiet_left_s(
+            key=lambda entry: self._closed.retry_s(
                 entry.incarnation_number, now_s
             ),
         ).incarnation_number
         return return_retry_s(
-            self._quiet.quiet_left_s(first, now_s),
-            self._quiet.quiet_s(first),
+            self._closed.retry_s(first, now_s),
+            self._closed.quiet_s(first),
             context.deadline_s - now_s,
             self._rng.random(),
         )
@@ -253,13 +266,19 @@
         self, context: RequestContext, entries: list[EndpointEntry]
     ) -> RefusedError:
         queue = self._queues.get((context.service, context.stream_version))
+        now_s = asyncio.get_running_loop().time()
+        numbers = [entry.incarnation_number for entry in entries]
+        first_return_s = self._first_return_s(entries)
         return RefusedError(
             503,
-            'all endpoints ask for quiet',
+            self._closed.reason(numbers, now_s),
             self._retry_s(context, entries),
             service=context.service,
             endpoints=len(entries),
-            first_return_s=round(self._first_return_s(entries), 3),
+            # None: this router may send nothing to the cold ones.
+            first_return_s=round(first_return_s, 3)
+            if math.isfinite(first_return_s)
+            else None,
             waiting=len(queue.requests) if queue else 0,
         )
 
--- a/src/basilpond/node/_endpoint_signals.py
+++ b/src/basilpond/node/_endpoint_signals.py
@@ -44,6 +44,10 @@
         self._directory = directory
         self._quiet = quiet
         self._on_return = on_return
+        # Called with the time for which an endpoint says that it is cold.
+        self.on_cold: Callable[[EndpointEntry, float | None], None] = (
+            lambda entry, cold_s: None
+        )
         self._decisions = decisions
         self._logged: set[tuple[int, str]] = set()
 
@@ -65,6 +69,7 @@
             self._log_problem(entry, problem)
         if signals.leaving:
             self._directory.mark_told_leaving(entry)
+        self.on_cold(entry, signals.cold_s)
         if signals.quiet_s:
             self._record_refusal(entry, signals.quiet_s)
         elif self._quiet.record_response(
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -45,6 +45,9 @@
     evacuate_s : float or None
         Time after which an evacuated data centre must get no more requests;
         None where operators evacuate none.
+    cold_over, cold_slack : float
+        Requests to a cold endpoint that all routers may send in a second: a
+        multiple of the limit of its service plus the slack.
     """
 
     node_id: str
@@ -67,6 +70,8 @@
     is_first_start: bool = False
     store_partitions: int = 1
     evacuate_s: float | None = None
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
 
 
 class LogUnavailableError(Exception):
@@ -228,6 +233,10 @@
         """Read the newest record of each key, in pages."""
 
 
+class ColdTimeError(ValueError):
+    """Only the time for which an endpoint is cold is invalid in its entry."""
+
+
 class RequestMetadataError(ValueError):
     """A request lacks a mandatory header field or has an invalid one."""
 
@@ -255,12 +264,15 @@
     quiet_s : float or None
         Time for which it wants no requests from this router, in a response
         that turns one away. None if it names none.
+    cold_s : float or None
+        Time for which it still is cold; None if it names none.
     problems : tuple of str
         Fields without a defined value, with their values; they say nothing.
     """
 
     leaving: bool
     quiet_s: float | None = None
+    cold_s: float | None = None
     problems: tuple[str, ...] = ()
 
 
@@ -276,7 +288,10 @@
         """Decode a configuration; raise ValueError if it is unreadable."""
 
     def decode_endpoint(self, endpoint_id: str, data: bytes) -> Endpoint:
-        """Decode a server's entry; raise ValueError if it is unreadable."""
+        """Decode a server's entry; raise ValueError if it is unreadable.
+
+        Raises ColdTimeError if only the time is for which it is cold.
+        """
 
     def decode_evacuation(
         self, key: str, value: bytes | None
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -101,6 +101,15 @@
                     'evacuated_data_centres',
                     'Data centres whose endpoints get no requests',
                 ),
+                (
+                    'cold_endpoints',
+                    'Endpoints that are cold, or may be, with a limit',
+                ),
+                (
+                    'cold_share_used',
+                    'Part of what this router may send to cold endpoints that'
+                    ' it has sent in the last second',
+                ),
                 (
                     'quiet_endpoints',
                     'Endpoints that want no requests from this router now',
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -14,11 +14,13 @@
 from ..http1 import UnansweredClose
 from ..routing import UNKNOWN_VERSION
 from ..routing import Catalogue
+from ..routing import ColdEndpoints
 from ..routing import CrashCounter
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ..routing import Evacuations
 from ._budgets import BudgetTask
+from ._cold_endpoints import ColdEndpointWatch
 from ._configuration_fetcher import ConfigurationFetcher
 from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
@@ -97,6 +99,14 @@
         self.directory = EndpointDirectory(
             codec, decisions, settings.prompt_reuse_s, self._evacuations
         )
+        cold = ColdEndpoints(
+            settings.node_id,
+            over=settings.cold_over,
+            slack=settings.cold_slack,
+        )
+        self._cold = ColdEndpointWatch(
+            cold, self.directory, decisions, settings.node_id
+        )
         evacuations = EvacuationState(
             self._evacuations,
             codec,
@@ -127,6 +137,13 @@
             data_centre=settings.data_centre,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
+        evacuations.on_change = lambda data_centre: (
+            self._cold.suspect_data_centre(data_centre, 'evacuation')
+        )
+        self.peers.cold_endpoints = self._cold.reports
+        self.peers.on_cold = self._cold.apply_reports
+        self.peers.on_routers = self._cold.update_routers
+        self.peers.on_ejected = self._cold.suspect
         self.peers.evacuations = evacuations.report
         self.peers.on_evacuations = evacuations.apply_report
         self.budgets.request_from_peers = self.peers.request_tokens
@@ -184,6 +201,7 @@
             self._parts,
             self._limits,
             self.versions,
+            self._cold,
             self._metrics,
             decisions,
             random.Random(),
@@ -200,6 +218,11 @@
         self.budgets.recovery.wake_reader = fleet.wake_up
         self.versions.wake_reader = fleet.wake_up
         self.versions.read_ahead = fleet.read_ahead
+        self._cold.registered_routers = lambda: (
+            self.peers.registered_router_ids()
+            if fleet.synced.is_set()
+            else None
+        )
         self.budgets.restart_reader = self._restart_readers
         self._configuration_fetcher = ConfigurationFetcher(
             self.configuration,
@@ -359,6 +382,7 @@
     def _apply_configuration(self, catalogue: Catalogue) -> None:
         self.budgets.set_limits(catalogue)
         self.versions.apply_configuration(catalogue)
+        self._cold.apply_configuration(catalogue)
         limits = catalogue.configuration.limits
         if limits is not None:
             self._callers.limits = ConnectionLimits(
@@ -430,6 +454,8 @@
             ('endpoints', len(self.directory)),
             ('leaving_endpoints', len(self.directory.leaving())),
             ('evacuated_data_centres', len(self._evacuations)),
+            ('cold_endpoints', self._cold.count()),
+            ('cold_share_used', self._cold.share_used()),
             ('quiet_endpoints', self.dispatcher.quiet_endpoints),
             ('waiting_requests', self.dispatcher.waiting),
             ('store_read_age_seconds', self.budgets.outage_s),
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -24,6 +24,8 @@
 from ..routing import PeerReport
 from ..routing import SendEvidence
 from ._budgets import BudgetTask
+from ._cold_records import decode_cold
+from ._cold_records import encode_cold
 from ._crash_records import decode_cleared
 from ._crash_records import decode_crash_evidence
 from ._crash_records import encode_cleared
@@ -32,6 +34,7 @@
 from ._datagrams import messages
 from ._decision_log import DecisionLog
 from ._directory import EndpointDirectory
+from ._directory import EndpointEntry
 from ._limit_records import decode_limits
 from ._limit_records import encode_limits
 from ._peer_records import PrefixAnnouncements
@@ -155,12 +158,27 @@
         self._announcement: asyncio.TimerHandle | None = None
         # Called when there is new evidence on crashing prompt parts.
         self.on_crash_evidence: Callable[[], None] = lambda: None
+        # Called when reports of other routers eject an endpoint.
+        self.on_ejected: Callable[[EndpointEntry, str], None] = (
+            lambda entry, reason: None
+        )
         # Part of a report on evacuations, if any, and what takes that of
         # another router, with its id.
         self.evacuations: Callable[[float], object | None] = lambda _: None
         self.on_evacuations: Callable[[object, str], None] = (
             lambda report, router: None
         )
+        # Endpoints that are cold and the time left, what takes those of
+        # another router, and what takes the ids of the live routers.
+        self.cold_endpoints: Callable[[float], list[tuple[int, float]]] = (
+            lambda now_s: []
+        )
+        self.on_cold: Callable[[list[tuple[int, float]], float], None] = (
+            lambda times, now_s: None
+        )
+        self.on_routers: Callable[[list[str], float], None] = (
+            lambda live, now_s: None
+        )
         self._decisions = decisions
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -265,6 +283,10 @@
         """Return the number of other routers whose addresses are known."""
         return len(self._peers)
 
+    def registered_router_ids(self) -> list[str]:
+        """Return the ids of all routers with a known address, but this one."""
+        return list(self._peers)
+
     def live_routers(self) -> int:
         """Return the number of live routers, this one included."""
         return 1 + sum(1 for _ in self._live_peers())
@@ -313,7 +335,9 @@
                 self._synchronise(synchronised_s)
             if loop.time() - expired_s >= _EXPIRY_INTERVAL_S:
                 expired_s = loop.time()
-                self._limits.set_routers(self.live_router_ids(), expired_s)
+                live = self.live_router_ids()
+                self._limits.set_routers(live, expired_s)
+                self.on_routers(live, expired_s)
                 for entry in self._directory:
                     entry.load.expire_reports(expired_s)
 
@@ -364,11 +388,13 @@
             if (item := entry.load.outlier.evidence(now_s)) is not None
         ]
         evacuations = self.evacuations(now_s)
+        cold = self.cold_endpoints(now_s)
         announced = (
             [crash[:2] for crash in crashes],
             leaving,
             version,
             evacuations,
+            [incarnation for incarnation, _ in cold],
         )
         changed = announced != self._last_announced
         self._last_announced = announced
@@ -392,6 +418,7 @@
             evidence=encode_evidence(evidence) if evidence else None,
             data_centre=self._data_centre if evidence else None,
             evacuations=evacuations,
+            cold=encode_cold(cold) if cold else None,
         )
         unchanged = not (loads or prefixes or crashes or evidence or changed)
         return report, unchanged
@@ -469,6 +496,7 @@
             loads = decode_loads(report and report.loads or b'')
             prefixes = decode_prefixes(report and report.runs or b'')
             evidence = decode_evidence(report and report.evidence or b'')
+            cold = decode_cold(report and report.cold or b'')
             now_s = asyncio.get_running_loop().time()
             crashes = decode_crash_evidence(
                 datagram.crash_evidence or b'', now_s
@@ -499,6 +527,8 @@
             self._apply_loads(datagram.router, loads, prefixes, now_s)
             if evidence:
                 self._apply_evidence(datagram, evidence, now_s)
+            if cold:
+                self.on_cold(cold, now_s)
         for item in crashes:
             self._parts.add(item, now_s)
         for key, begun_s in cleared:
@@ -584,6 +614,7 @@
                     reason=f'routers report broken requests: '
                     f'{datagram.router}',
                 )
+                self.on_ejected(entry, 'ejected by reports')
 
     # Accounts that must not be lost with the log.
 
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -21,6 +21,7 @@
 from ..routing import SendResult
 from ..routing import event_gap_timeout_s
 from ..routing import first_byte_timeout_s
+from ._cold_endpoints import ColdEndpointWatch
 from ._crash_log import CrashLog
 from ._crash_watch import CrashWatch
 from ._decision_log import DecisionLog
@@ -200,6 +201,7 @@
     signals : SignalRecorder
     reachability : Reachability
     versions : StreamVersions
+    cold : ColdEndpointWatch
     decisions : DecisionLog
     """
 
@@ -215,9 +217,11 @@
         signals: SignalRecorder,
         reachability: Reachability,
         versions: StreamVersions,
+        cold: ColdEndpointWatch,
         decisions: DecisionLog,
     ) -> None:
         self._parts = parts
+        self._cold = cold
         self._limits = limits
         self._quiet = quiet
         self._signals = signals
@@ -277,6 +281,8 @@
             if connection is None:
                 connection = await entry.pool.connect()
                 self._check_still_wanted(context, entry)
+            if not self._cold.check_send(entry):
+                raise _WithdrawnError('endpoint is cold')
             started = True
             sent_s = loop.time()
             context.record_sent(sent_s)
@@ -653,6 +659,11 @@
                 endpoint=entry.endpoint.id,
                 reason=outcome.reason,
             )
+            self._cold.suspect_data_centre(
+                entry.endpoint.data_centre, 'data centre unreachable'
+            )
+        if outcome.broken or outcome.result is SendResult.NOT_SENT:
+            self._cold.suspect(entry, outcome.reason)
         if outcome.result is SendResult.NOT_SENT:
             ejected_s = entry.load.eject(now_s)
             self._decisions.event(
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -37,7 +37,9 @@
   9: binary evidence,
   10: string data_centre,
   // While there are evacuations, and for a while after the last one.
-  11: optional Evacuations evacuations
+  11: optional Evacuations evacuations,
+  // Endpoints that the sender knows to be cold; see _cold_records.py.
+  12: optional binary cold
 }
 
 // Request for tokens by a router that cannot get them from the log.
--- a/src/basilpond/node/tests/test_peer_reports.py
+++ b/src/basilpond/node/tests/test_peer_reports.py
@@ -219,7 +219,7 @@
     """Guards against a router that fails on a malformed report of a peer."""
     task, directory = make_task('n', 1)
     # Five bytes are a row of evidence, but of none that is known.
-    for field in ('loads', 'runs', 'evidence'):
+    for field in ('loads', 'runs', 'evidence', 'cold'):
         report = messages.Report(wall_ms=1, **{field: b'12345'})
         datagram = messages.Datagram(holder='m~1', router='m', report=report)
         data = serialize(datagram, TCyBinaryProtocolFactory())
--- a/src/basilpond/platform/_endpoint_signals.py
+++ b/src/basilpond/platform/_endpoint_signals.py
@@ -13,9 +13,13 @@
 
 _LEAVING = b'server-leaving'
 _RETRY_AFTER = b'retry-after'
+_COLD_MS = b'x-cold-ms'
 _UNAVAILABLE = 503
 # Whole seconds in HTTP; on the platform they may include fractions.
 _SECONDS = re.compile(r'[0-9]+(\.[0-9]*)?')
+# Whole or broken milliseconds, up to a day: a start takes seconds to minutes.
+_MILLISECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{0,9})?')
+_MAX_COLD_MS = 86_400_000
 # Bytes of a value without meaning that are logged.
 _MAX_LOGGED_BYTES = 40
 
@@ -36,6 +40,7 @@
     return EndpointSignals(
         _leaving(head, problems),
         _quiet_s(head, wall_s, problems),
+        _cold_s(head, problems),
         tuple(problems),
     )
 
@@ -60,6 +65,18 @@
     return max(times_s, default=None)
 
 
+def _cold_s(head: ResponseHead, problems: list[str]) -> float | None:
+    values = _values(head, _COLD_MS)
+    times_ms = [
+        float(value)
+        for value in values
+        if _MILLISECONDS.fullmatch(value) and float(value) <= _MAX_COLD_MS
+    ]
+    if len(values) > 1 or len(times_ms) < len(values):
+        problems.append(_problem(_COLD_MS, values))
+    return max(times_ms) / 1000 if times_ms else None
+
+
 def _decode_times(values: set[str], sent_s: float) -> Iterator[float]:
     for value in values:
         if _SECONDS.fullmatch(value):
--- a/src/basilpond/platform/_records.py
+++ b/src/basilpond/platform/_records.py
@@ -9,7 +9,9 @@
 
 import msgspec
 
+from ..node import ColdTimeError
 from ..routing import CallerLimits
+from ..routing import ColdLimit
 from ..routing import Configuration
 from ..routing import Endpoint
 from ..routing import Organisation
@@ -32,6 +34,8 @@
 _Slots = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 # A start takes seconds to minutes.
 _ColdMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
+_ColdSeconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+_ColdRate = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 # Sent in a header field. The pages set no limit; several names have to fit
 # into a datagram.
 _TenantName = Annotated[
@@ -46,6 +50,10 @@
     """A record is invalid; the message names the field."""
 
 
+class RecordTimeError(RecordError, ColdTimeError):
+    """Only the time for which a server is cold is invalid."""
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: _Weight
@@ -81,6 +89,10 @@
 
 class _Service(msgspec.Struct):
     name: str
+    # Time for which a server is cold after its start, and requests a second
+    # that it takes meanwhile from all routers; 0: no limit.
+    cold_start_s: _ColdSeconds = 0.0
+    cold_per_s: _ColdRate = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -98,14 +110,12 @@
     limits: _Limits | None = None
 
 
-class _Server(msgspec.Struct):
+class _ServerBase(msgspec.Struct, kw_only=True):
     service: str
     address: str
     zone: str
     slots: _Slots
     state: Literal['ready', 'draining']
-    # Remaining time for which the server is slow after its start.
-    cold_left_ms: _ColdMilliseconds
     # Sequence number of the entry since the start of the server.
     seq: int
     # Of the server's software, not of a model's weights.
@@ -114,6 +124,11 @@
     born: _Whole | None = None
 
 
+class _Server(_ServerBase, kw_only=True):
+    # Remaining time for which the server is slow after its start.
+    cold_left_ms: _ColdMilliseconds
+
+
 class _Evacuation(msgspec.Struct):
     """Object without members that are read."""
 
@@ -125,6 +140,7 @@
 }
 _config_decoder = msgspec.json.Decoder(_Config)
 _server_decoder = msgspec.json.Decoder(_Server)
+_server_base_decoder = msgspec.json.Decoder(_ServerBase)
 _evacuation_decoder = msgspec.json.Decoder(_Evacuation)
 
 
@@ -165,6 +181,11 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
+        cold_limits=tuple(
+            (service.name, ColdLimit(service.cold_start_s, service.cold_per_s))
+            for service in config.services
+            if service.cold_start_s and service.cold_per_s
+        ),
     )
 
 
@@ -236,10 +257,17 @@
     ------
     RecordError
         The record does not describe a usable server.
+    RecordTimeError
+        Only the time for which it is cold is missing or out of range.
     """
     if not _ENDPOINT_ID.fullmatch(endpoint_id):
         raise RecordError(f'{endpoint_id!r} is no id')
-    server = _decode(_server_decoder, data)
+    try:
+        server = _decode(_server_decoder, data)
+    except RecordError as error:
+        # Raises again unless only the time is wrong.
+        _decode(_server_base_decoder, data)
+        raise RecordTimeError(str(error)) from error
     try:
         host, port = split_address(server.address)
     except ValueError as error:
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -46,6 +46,10 @@
     # Time after which an evacuated data centre gets no more requests; present
     # only where operators evacuate data centres.
     evacuate_ms: _Number | None = None
+    # Requests to a cold server that may be sent in a second: multiple of the
+    # service's limit, and number beyond it.
+    cold_over: _Number = 1.5
+    cold_slack: _Number = 5.0
     # Time between SIGTERM and SIGKILL.
     grace_s: _Number = 8.0
     # Retry budget of the whole fleet: ratio and number of requests that may be
@@ -137,6 +141,8 @@
             evacuate_s=None
             if file.bounds.evacuate_ms is None
             else file.bounds.evacuate_ms / 1000,
+            cold_over=file.bounds.cold_over,
+            cold_slack=file.bounds.cold_slack,
             retry_share=file.bounds.retry_budget_ratio,
             retry_window_s=file.bounds.budget_window_s,
             retry_slack=file.bounds.budget_slack,
--- a/src/basilpond/platform/tests/test_endpoint_signals.py
+++ b/src/basilpond/platform/tests/test_endpoint_signals.py
@@ -104,3 +104,22 @@
     assert endpoint_signals(head, NOW_S) == endpoint_signals(
         ResponseHead(status, []), NOW_S
     )
+
+
+@pytest.mark.parametrize(
+    ('value', 'cold_s'),
+    [('0', 0.0), ('2400', 2.4), (' 12.5 ', 0.0125), ('86400000', 86_400.0)],
+)
+def test_cold_time_is_decoded(value, cold_s):
+    """Guards against a cold server that counts as warm."""
+    result = signals(status=200, **{'x-cold-ms': value})
+    assert result.cold_s == cold_s
+    assert not result.problems
+
+
+@pytest.mark.parametrize('value', ['', '-1', 'soon', 'nan', '1e9', '86400001'])
+def test_cold_time_without_sense_is_named(value):
+    """Guards against a server that one wrong time limits for years."""
+    result = signals(status=200, **{'x-cold-ms': value})
+    assert result.cold_s is None
+    assert len(result.problems) == 1
--- a/src/basilpond/platform/tests/test_records.py
+++ b/src/basilpond/platform/tests/test_records.py
@@ -5,7 +5,9 @@
 from basilpond.platform import RecordError
 from basilpond.platform import decode_configuration
 from basilpond.platform import decode_endpoint
+from basilpond.platform._records import RecordTimeError
 from basilpond.platform._records import decode_evacuation
+from basilpond.routing import ColdLimit
 from basilpond.routing import RouteKind
 
 SERVER = {
@@ -176,3 +178,39 @@
     """Guards against names that cannot be those of a data centre."""
     with pytest.raises(RecordError):
         decode_evacuation(f'evacuate/{name}', b'{}')
+
+
+def test_limits_of_cold_servers_are_decoded():
+    """Guards against limits that are not applied, or where there are none."""
+    services = [
+        {'name': 's1', 'cold_start_s': 3.0, 'cold_per_s': 8.2},
+        {'name': 's2', 'cold_start_s': 3.0},
+        {'name': 's3', 'cold_start_s': 0, 'cold_per_s': 8.2},
+    ]
+    data = json.dumps({**CONFIG, 'services': services}).encode()
+    limits = decode_configuration(data).cold_limits
+    assert limits == (('s1', ColdLimit(3.0, 8.2)),)
+    assert not decode_configuration(json.dumps(CONFIG).encode()).cold_limits
+
+
+@pytest.mark.parametrize('field', ['cold_start_s', 'cold_per_s'])
+@pytest.mark.parametrize('value', [-1, 1e300, 'soon', None])
+def test_limit_without_sense_is_unreadable(field, value):
+    """Guards against a version with a limit that no server keeps."""
+    data = json.dumps({**CONFIG, 'services': [{'name': 's', field: value}]})
+    with pytest.raises(RecordError):
+        decode_configuration(data.encode())
+
+
+def test_entry_with_only_a_wrong_time_is_told_apart():
+    """Guards against a server in use that one wrong time removes."""
+    with pytest.raises(RecordTimeError):
+        decode_endpoint(
+            'i-1', json.dumps({**SERVER, 'cold_left_ms': -1}).encode()
+        )
+    with pytest.raises(RecordError) as error:
+        decode_endpoint(
+            'i-1',
+            json.dumps({**SERVER, 'cold_left_ms': -1, 'slots': -1}).encode(),
+        )
+    assert not isinstance(error.value, RecordTimeError)
--- a/src/basilpond/platform/tests/test_settings.py
+++ b/src/basilpond/platform/tests/test_settings.py
@@ -40,8 +40,12 @@
     assert settings.peer_port == 7340
     assert settings.retry_slack == 56
     assert settings.evacuate_s is None
-    text = TEXT.replace('bounds:\n', 'bounds:\n  evacuate_ms: 5000\n')
+    assert (settings.cold_over, settings.cold_slack) == (1.5, 5.0)
+    text = TEXT.replace(
+        'bounds:\n', 'bounds:\n  evacuate_ms: 5000\n  cold_over: 2\n'
+    )
     assert load(tmp_path, text).evacuate_s == 5.0
+    assert load(tmp_path, text).cold_over == 2.0
 
 
 @pytest.mark.parametrize(
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -43,6 +43,7 @@
 from ._software_versions import ServiceVersion
 from ._software_versions import SoftwareVersions
 from ._types import CallerLimits
+from ._types import ColdLimit
 from ._types import Configuration
 from ._types import Endpoint
 from ._types import Organisation
@@ -52,9 +53,12 @@
 from ._types import RouteKind
 from ._version_check import CheckState
 from ._version_check import VersionCheck
+from .capacity import ClosedEndpoints
+from .capacity import ColdEndpoints
 from .capacity import EvacuationRecord
 from .capacity import EvacuationReport
 from .capacity import Evacuations
+from .capacity import RouterView
 from .placement import Choice
 from .placement import EndpointHistory
 from .placement import EndpointLoad
@@ -75,6 +79,9 @@
     'CheckState',
     'Choice',
     'ClockReading',
+    'ClosedEndpoints',
+    'ColdEndpoints',
+    'ColdLimit',
     'Completion',
     'Configuration',
     'CrashCounter',
@@ -114,6 +121,7 @@
     'ReturnQueue',
     'Route',
     'RouteKind',
+    'RouterView',
     'SendEvidence',
     'SendResult',
     'ServiceVersion',
--- a/src/basilpond/routing/_endpoint_limits.py
+++ b/src/basilpond/routing/_endpoint_limits.py
@@ -248,12 +248,20 @@
         )
         rotation = int(max(0.0, now_s - limit.named_s) / _ROTATION_S)
         seed = incarnation + (rotation << 32)
-        own = _score(self._router_id, seed)
-        rank = sum(_score(router, seed) > own for router in self._routers)
+        rank = router_rank(self._router_id, self._routers, seed)
         limit.set_share(
             limit.per_s / holders if rank < holders else 0.0, now_s
         )
 
 
+def router_rank(router_id: str, routers: Iterable[str], seed: int) -> int:
+    """Return how many routers come before one in an order by hash.
+
+    Routers that see the same others agree on the order.
+    """
+    own = _score(router_id, seed)
+    return sum(_score(router, seed) > own for router in routers)
+
+
 def _score(router_id: str, seed: int) -> int:
     return xxhash.xxh64_intdigest(router_id.encode(), seed)
--- a/src/basilpond/routing/_types.py
+++ b/src/basilpond/routing/_types.py
@@ -149,6 +149,22 @@
     idle_timeout_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdLimit:
+    """Limit of a service on requests to each cold endpoint.
+
+    Parameters
+    ----------
+    start_s : float
+        Time for which an endpoint is cold after its start.
+    per_s : float
+        Requests a second that it takes meanwhile.
+    """
+
+    start_s: float
+    per_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Configuration:
     """One version of the configuration that the operators publish.
@@ -162,6 +178,8 @@
     services : frozenset of str
     limits : CallerLimits or None
         None leaves the current limits unchanged.
+    cold_limits : tuple of (str, ColdLimit)
+        By service; others send cold endpoints as many requests as warm ones.
     """
 
     version: int
@@ -169,6 +187,7 @@
     organisations: tuple[Organisation, ...] | None
     services: frozenset[str]
     limits: CallerLimits | None
+    cold_limits: tuple[tuple[str, ColdLimit], ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
