Read evacuations again after a router stood still

Cause: a router that was paused for seconds processes the requests that waited at its sockets before the records that came meanwhile, so it sent them to a data centre that was evacuated during the pause. Without the store, the last known state holds.

The added test fails without the read (status 200 in place of 503).

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -226,6 +226,9 @@
         # endpoint is removed.
         self.on_entry: Callable[[EndpointEntry], None] = lambda entry: None
         self.on_removed: Callable[[EndpointEntry], None] = lambda entry: None
+        # Whether evacuations may have been missed, and reads them.
+        self.is_stale: Callable[[], bool] = lambda: False
+        self.refresh: Callable[[], Awaitable[None]] = _do_nothing
         # Returns whether a service limits requests to cold endpoints.
         self.limits_cold: Callable[[str], bool] = lambda service: False
         # Whether the newest entries have been read once.
@@ -657,3 +660,7 @@
 
 def _incarnation_text(endpoint: Endpoint) -> str:
     return f'{endpoint.id}@{endpoint.boot_ms}'
+
+
+async def _do_nothing() -> None:
+    pass
--- a/src/basilpond/node/_evacuations.py
+++ b/src/basilpond/node/_evacuations.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import deque
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -12,13 +14,22 @@
 from ._datagrams import messages
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
+from ._interfaces import LogEraChangedError
+from ._interfaces import LogTrimmedError
+from ._interfaces import LogUnavailableError
 from ._interfaces import PlatformCodec
 from ._interfaces import Record
+from ._shared_call import SharedCall
 
 # Time for which reports tell that there are no evacuations, after the last one
 # ended or another router reported one: longer than a router is silent before
 # it is no longer live.
 _ENDED_TOLD_S = 10.0
+# A router whose reports are this far apart stood still: they are sent every
+# 0.05 to 2 s. What it knew before is then older than usual bounds allow.
+_STOOD_STILL_S = 3.0
+# Longest time to read what was written meanwhile, before a request is sent.
+_READ_AHEAD_TIMEOUT_S = 0.3
 # Malformed records whose log lines are not repeated.
 _MAX_REJECTED = 16
 # Source of records that are read from the store.
@@ -36,7 +47,8 @@
     count_endpoints : callable
         Returns the number of endpoints that are listed in a data centre.
     bound_s : float or None
-        Time in which an evacuation must be in force, for the log.
+        Time in which an evacuation must be in force; None where there are
+        none.
     """
 
     def __init__(
@@ -54,6 +66,13 @@
         self._bound_s = bound_s
         # Called with a data centre whose evacuation started or ended.
         self.on_change: Callable[[str], None] = lambda data_centre: None
+        # Returns the records of the topic that are not applied yet.
+        self.read_ahead: Callable[[], Awaitable[list[Record]]] | None = None
+        self._newer_records = SharedCall(self._read_newer_records)
+        # When the last report was built, and whether records were not read
+        # since this router stood still.
+        self._reported_s: float | None = None
+        self._is_stale = False
         self._era = -1
         self._tell_until_s = float('-inf')
         # Whether the next report starts a new time of telling.
@@ -172,10 +191,59 @@
             bound_s=self._bound_s,
         )
 
+    # A router that stood still.
+
+    def is_stale(self) -> bool:
+        """Whether this router stood still and has not read the store since.
+
+        Requests that waited at its sockets are then processed before the
+        records that came meanwhile.
+        """
+        if self._bound_s is None or self._reported_s is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return self._is_stale or now_s - self._reported_s >= _STOOD_STILL_S
+
+    async def refresh(self) -> None:
+        """Read what was written while this router stood still.
+
+        Without the store, the last known state holds.
+        """
+        try:
+            async with asyncio.timeout(_READ_AHEAD_TIMEOUT_S):
+                records = await self._newer_records()
+        except (
+            LogUnavailableError,
+            LogTrimmedError,
+            LogEraChangedError,
+            TimeoutError,
+        ) as error:
+            self._decisions.event(
+                'evacuations_not_confirmed',
+                routine=True,
+                reason=str(error) or 'timed out',
+            )
+        else:
+            if records:
+                self.apply(records, records[-1].offset + 1)
+        self._is_stale = False
+        self._reported_s = asyncio.get_running_loop().time()
+
+    async def _read_newer_records(self) -> list[Record]:
+        if self.read_ahead is None:
+            raise LogUnavailableError('not read yet')
+        return await self.read_ahead()
+
     # Reports between routers.
 
     def report(self, now_s: float) -> object | None:
         """Return the part of a report, if other routers may lack it."""
+        if (
+            self._reported_s is not None
+            and now_s - self._reported_s >= _STOOD_STILL_S
+        ):
+            self._is_stale = True
+        self._reported_s = now_s
         if self._must_tell:
             self._must_tell = False
             self._tell_until_s = now_s + _ENDED_TOLD_S
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -239,18 +239,18 @@
             self._metrics,
         )
         self.directory.read_ahead = endpoints.read_ahead
-        self._followers = (
-            TopicFollower(
-                log,
-                codec.configuration_topic,
-                OperatorTopic(self.configuration, evacuations),
-                decisions,
-                _CONFIGURATION_READ_INTERVAL_S,
-                self._metrics,
-            ),
-            endpoints,
-            fleet,
+        operator = TopicFollower(
+            log,
+            codec.configuration_topic,
+            OperatorTopic(self.configuration, evacuations),
+            decisions,
+            _CONFIGURATION_READ_INTERVAL_S,
+            self._metrics,
         )
+        evacuations.read_ahead = operator.read_ahead
+        self.directory.is_stale = evacuations.is_stale
+        self.directory.refresh = evacuations.refresh
+        self._followers = operator, endpoints, fleet
         log.on_new_era = self._resync_readers
         self._callers = CallerServer(
             self.dispatcher.handle,
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -281,6 +281,9 @@
             if connection is None:
                 connection = await entry.pool.connect()
                 self._check_still_wanted(context, entry)
+            if self._directory.is_stale():
+                await self._directory.refresh()
+                self._check_still_wanted(context, entry)
             if not self._cold.check_send(entry):
                 raise _WithdrawnError('endpoint is cold')
             started = True
--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -100,10 +100,15 @@
         # Log clients of the routers by name.
         self.logs = {}
         self.ids = 0
+        # Time in which evacuations must be in force, if there are any.
+        self.evacuate_s = None
         # Log lines are discarded.
         self.sink = os.open(os.devnull, os.O_WRONLY)
 
-    async def start(self, config=None, *, nodes=1, apps=2, models=2):
+    async def start(
+        self, config=None, *, nodes=1, apps=2, models=2, evacuate_s=None
+    ):
+        self.evacuate_s = evacuate_s
         await self.log.start()
         for service, count in (('app', apps), ('llm', models)):
             for i in range(count):
@@ -138,6 +143,7 @@
             retry_window_s=10.0,
             prompt_reuse_s=10.0,
             is_first_start=not self.logs,
+            evacuate_s=self.evacuate_s,
         )
         decisions = DecisionLog(name, fd=self.sink)
         log = self.logs[name] = CuttableLog(settings.store_address)
--- a/src/basilpond/node/tests/test_evacuations.py
+++ b/src/basilpond/node/tests/test_evacuations.py
@@ -229,3 +229,31 @@
         put(system, 'dc', None)
         await until_evacuated(system)
         assert await call_all(system) == {200}
+
+
+async def test_router_that_stood_still_reads_the_store_before_a_send():
+    """Guards against requests that waited at a router which was paused."""
+    async with world(apps=1, evacuate_s=5.0) as system:
+        node = system.nodes[0]
+        assert (await system.call('/look/1')).status == 200
+        server = system.servers['app-0']
+        log = system.logs['node-0']
+        read = log.read
+
+        async def read_at_once(topic, offset, wait_s, *args, **kwargs):
+            if topic == 'keyed.op' and wait_s:
+                # The reader of the topic comes later than the request.
+                await asyncio.sleep(3600)
+            return await read(topic, offset, wait_s, *args, **kwargs)
+
+        log.read = read_at_once
+        # The read that is under way ends with a record.
+        system.log.put('keyed.op', 'config', configuration(2))
+        await system.until(lambda: node.configuration.catalogue.version == 2)
+        put(system, 'dc', EMPTY)
+        evacuations = node.directory.is_stale.__self__
+        evacuations._reported_s -= 10
+        assert (await system.call('/look/2')).status == 503
+        assert len(server.arrived_s) == 1
+        # Once is enough.
+        assert not node.directory.is_stale()
