--- a/src/basilpond/node/_admission.py
+++ b/src/basilpond/node/_admission.py
@@ -11,7 +11,6 @@
 from ..routing import LONG_PROMPT_TOKENS
 from ..routing import Catalogue
 from ..routing import EndpointLoad
-from ..routing import QuietEndpoints
 from ..routing import event_gap_timeout_s
 from ..routing import prefill_cost
 from ..routing.admission import OWN_PENDING_SHARE
@@ -101,7 +100,8 @@
     ----------
     configuration : ConfigurationState
     directory : EndpointDirectory
-    quiet : QuietEndpoints
+    is_open : callable
+        Returns whether an endpoint may get a request of this router now.
     live_routers : callable
         Returns the number of live routers, this one included.
     metrics : NodeMetrics
@@ -109,23 +109,28 @@
     rng : random.Random
     report_interval_s : callable
         Returns the interval in which routers report their load, in seconds.
+    enabled : bool
+        Prompts are sent at once unless set.
     """
 
     def __init__(
         self,
         configuration: ConfigurationState,
         directory: EndpointDirectory,
-        quiet: QuietEndpoints,
+        is_open: Callable[[EndpointEntry], bool],
         live_routers: Callable[[], int],
         metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
         report_interval_s: Callable[[], float] = lambda: math.inf,
+        *,
+        enabled: bool = True,
     ) -> None:
+        self._enabled = enabled
         self._report_interval_s = report_interval_s
         self._configuration = configuration
         self._directory = directory
-        self._quiet = quiet
+        self._is_open = is_open
         self._live_routers = live_routers
         self._metrics = metrics
         self._decisions = decisions
@@ -189,7 +194,11 @@
         return self._select(context, await usable_entries(context))
 
     def _applies(self, context: RequestContext) -> bool:
-        if not context.route.generates or not context.metadata.prompt_tokens:
+        if (
+            not self._enabled
+            or not context.route.generates
+            or not context.metadata.prompt_tokens
+        ):
             return False
         levels = self._service(context.service).levels
         return levels is not None and not levels.is_uniform
@@ -388,7 +397,7 @@
             state = entry.load
             if (
                 state.is_avoided(now_s)
-                or self._quiet.is_quiet(entry.incarnation_number, now_s)
+                or not self._is_open(entry)
                 or state.stalled_s(now_s)
             ):
                 continue
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -34,6 +34,7 @@
 from ._admission import AdmissionTask
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
+from ._cold_endpoints import ColdEndpointWatch
 from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
@@ -90,6 +91,7 @@
     limits : EndpointLimits
     versions : StreamVersions
     overload : RouterOverload
+    cold : ColdEndpointWatch
     metrics : NodeMetrics
     decisions : DecisionLog
     rng : random.Random
@@ -109,6 +111,7 @@
         limits: EndpointLimits,
         versions: StreamVersions,
         overload: RouterOverload,
+        cold: ColdEndpointWatch,
         metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -130,21 +133,25 @@
         self._reachability = Reachability()
         self._quiet = QuietEndpoints()
         self._returns = EndpointReturns(
-            self._quiet, directory, decisions, peers.live_routers, rng
+            self._quiet, directory, decisions, peers.live_routers, rng, cold
         )
         self.admission = AdmissionTask(
             configuration,
             directory,
-            self._quiet,
+            self._returns.is_open,
             peers.live_routers,
             metrics,
             decisions,
             rng,
             lambda: peers.report_interval_s,
+            enabled=settings.admission_control,
         )
+        self._cold = cold
+        cold.is_unreachable = self._reachability.is_avoided
         signals = SignalRecorder(
             codec, directory, self._quiet, decisions, self._returns.wake_up
         )
+        signals.on_cold = cold.record_response
         self.sender = Sender(
             codec,
             directory,
@@ -157,6 +164,7 @@
             self._reachability,
             versions,
             overload,
+            cold,
             decisions,
         )
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
@@ -440,6 +448,7 @@
         assert entry is not None
         self._limits.record_sent(entry.incarnation_number, now_s)
         self._quiet.record_sent(entry.incarnation_number, now_s)
+        self._cold.record_sent(entry.incarnation_number, now_s)
         return entry, choice
 
     def _lone_versions(
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -21,6 +21,7 @@
 from ..routing import SendResult
 from ..routing import event_gap_timeout_s
 from ..routing import first_byte_timeout_s
+from ._cold_endpoints import ColdEndpointWatch
 from ._crash_log import CrashLog
 from ._crash_watch import CrashWatch
 from ._decision_log import DecisionLog
@@ -202,6 +203,7 @@
     reachability : Reachability
     versions : StreamVersions
     overload : RouterOverload
+    cold : ColdEndpointWatch
     decisions : DecisionLog
     """
 
@@ -218,9 +220,11 @@
         reachability: Reachability,
         versions: StreamVersions,
         overload: RouterOverload,
+        cold: ColdEndpointWatch,
         decisions: DecisionLog,
     ) -> None:
         self._parts = parts
+        self._cold = cold
         self._limits = limits
         self._quiet = quiet
         self._signals = signals
@@ -282,9 +286,13 @@
         try:
             if connection is None:
                 connection = await entry.pool.connect()
+            if self._directory.is_stale():
+                await self._directory.refresh()
             if not await self._overload.settle(context):
                 raise _WithdrawnError('router full, link')
             self._check_still_wanted(context, entry, connection)
+            if not self._cold.check_send(entry):
+                raise _WithdrawnError('endpoint is cold')
             self.connections.add(connection)
             started = True
             sent_s = loop.time()
@@ -673,6 +681,11 @@
                 endpoint=entry.endpoint.id,
                 reason=outcome.reason,
             )
+            self._cold.suspect_data_centre(
+                entry.endpoint.data_centre, 'data centre unreachable'
+            )
+        if outcome.broken or outcome.result is SendResult.NOT_SENT:
+            self._cold.suspect(entry, outcome.reason)
         if outcome.result is SendResult.NOT_SENT:
             ejected_s = entry.load.eject(now_s)
             self._decisions.event(
--- a/src/basilpond/node/tests/test_admission.py
+++ b/src/basilpond/node/tests/test_admission.py
@@ -231,7 +231,7 @@
     for item in config['routes']:
         item['priority'] = {'chat': 0}.get(item['name'], 2)
         item['latency_target_ms'] = 1500
-    async with world(config, models=2) as system:
+    async with world(config, models=2, admission_control=True) as system:
         node = system.nodes[0]
         now_s = asyncio.get_running_loop().time()
         for entry in node.directory.candidates('llm'):
--- a/src/basilpond/node/tests/test_admission_replay.py
+++ b/src/basilpond/node/tests/test_admission_replay.py
@@ -19,7 +19,6 @@
 from basilpond.routing import Endpoint
 from basilpond.routing import EndpointLoad
 from basilpond.routing import PeerReport
-from basilpond.routing import QuietEndpoints
 from basilpond.routing import Reachability
 from basilpond.routing import Route
 from basilpond.routing import RouteKind
@@ -165,7 +164,7 @@
         self.admission = AdmissionTask(
             types.SimpleNamespace(serving=catalogue),
             self.directory,
-            QuietEndpoints(),
+            lambda entry: True,
             lambda: fleet.known_routers,
             NodeMetrics(),
             NullDecisionLog(),
--- a/src/basilpond/routing/capacity/__init__.py
+++ b/src/basilpond/routing/capacity/__init__.py
@@ -1,5 +1,8 @@
 """Limits on what a router and all routers together send and accept."""
 
+from ._closed_endpoints import ClosedEndpoints
+from ._cold_endpoints import ColdEndpoints
+from ._cold_endpoints import RouterView
 from ._evacuations import EvacuationRecord
 from ._evacuations import EvacuationReport
 from ._evacuations import Evacuations
@@ -15,6 +18,8 @@
 __all__ = [
     'LINK_AHEAD_S',
     'SAMPLE_INTERVAL_S',
+    'ClosedEndpoints',
+    'ColdEndpoints',
     'EvacuationRecord',
     'EvacuationReport',
     'Evacuations',
@@ -22,6 +27,7 @@
     'LoadVerdict',
     'RequestDemand',
     'RouterLoad',
+    'RouterView',
     'SendQueue',
     'UploadProgress',
 ]
