Bound the memory and descriptors that clients can take

Nothing added up what the connections of a router hold: bodies that stop short, heads of many fields, queued requests and unread responses made a process exceed its VM, and bodies in chunks of one byte kept the event loop busy.

Add a memory budget from limits.memory_mb and a descriptor budget from limits.max_fds, which all listeners of a process share. When large holders have used up their part, those with the most bytes times seconds are refused with 503 or closed; the rest is reserved for small requests. Parts of bodies are joined as they arrive, reading pauses behind 16 queued requests and behind unread responses, tiny chunks are parsed in turn, and bodies and readers have a least rate of 1,000 bytes/s. The ready, metrics and peers' ports get small limits of their own. Metrics and one log line a second and limit name the way and the address.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -11,8 +11,11 @@
 from ._fields import end_to_end_fields
 from ._fields import find
 from ._fields import find_all
+from ._memory_budget import DescriptorBudget
+from ._memory_budget import MemoryBudget
 from ._server import CallerRequest
 from ._server import CallerServer
+from ._server import ClientResources
 from ._server import ConnectionLimits
 from ._server import Handler
 from ._server import Responder
@@ -22,13 +25,16 @@
     'ResponseHead',
     'CallerRequest',
     'CallerServer',
+    'ClientResources',
     'ConnectionLimits',
     'ConnectionPool',
+    'DescriptorBudget',
     'EventSplitter',
     'ExchangeError',
     'ExchangeFailure',
     'Handler',
     'Header',
+    'MemoryBudget',
     'PeerConnection',
     'Responder',
     'UnansweredClose',
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -7,10 +7,19 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import fcntl
+import select
+import socket
+import struct
+import termios
 
 import httptools
 
 from . import _fields
+from ._memory_budget import Account
+from ._memory_budget import DescriptorBudget
+from ._memory_budget import MemoryBudget
+from ._read_throttle import ReadThrottle
 
 # A caller's connection is closed before the next write when more unread bytes
 # than this are buffered for it. Responses of services are a few kilobytes;
@@ -18,6 +27,46 @@
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
 # Time for a caller to read the refusal before the connection is closed.
 LINGER_S = 0.5
+# Bytes read in one iteration of the event loop, as from endpoints.
+READ_BYTES = 65_536
+# Bytes passed to the parser at a time. Limits are checked after each piece; a
+# piece of a head holds few whole requests, all of which are kept.
+_HEAD_PIECE_BYTES = 2_048
+_BODY_PIECE_BYTES = 16_384
+# Requests kept behind the one in progress; reading pauses then. Clients that
+# send ahead at all send a few requests.
+MAX_QUEUED_REQUESTS = 16
+# Fields of a head. The usual limit of 16 KiB holds 3,276 of the shortest.
+MAX_FIELDS = 4_096
+# Memory of a header field beyond its bytes: a tuple and two objects.
+_FIELD_BYTES = 160
+# Memory of a connection without a request: transport, parser, timer, account.
+_CONNECTION_BYTES = 8_192
+# Memory of a request beyond its fields and body: task, context, responder.
+_REQUEST_BYTES = 4_096
+# Copies of a body while its request is in progress: the encoded request, and
+# what the endpoint's connection has not taken yet.
+_BODY_COPIES = 2
+# Bytes outside of heads and bodies: chunk sizes with extensions, and trailers.
+# Each part of a body may have so many, its framing takes 5.
+_PART_OVERHEAD_BYTES = 256
+_MAX_OVERHEAD_BYTES = 8_192
+# Parts of a body below this size are expensive to parse for their content;
+# after so many in one read, about 1 ms, a connection waits for its turn.
+_SMALL_PART_BYTES = 64
+_MAX_SMALL_PARTS = 1_024
+# Least rates of clients on a link of 9.6 kbit/s, the slowest one in use, which
+# carries about 1,000 bytes a second. A body has the grace in addition, and
+# reading is checked in intervals of it, as mobile links pause for seconds.
+MIN_BYTES_PER_S = 1_000
+RATE_GRACE_S = 30.0
+# Connections accepted in one iteration of the event loop, by which the limit
+# on descriptors may be exceeded.
+_ACCEPT_BATCH = 16
+_BACKLOG = 1024
+# Another router may have memory; the caller's next attempt reaches it.
+_SHORT_RETRY = (b'retry-after', b'0.3')
+_MEMORY_SHORT = (503, 'memory short')
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,6 +222,17 @@
         return _fields.status_line(status) + _fields.encode_fields(fields)
 
 
+def _request_bytes(request: CallerRequest) -> int:
+    # Fields cost more than their bytes, see _FIELD_BYTES.
+    fields_bytes = sum(len(n) + len(v) for n, v in request.headers)
+    return (
+        _REQUEST_BYTES
+        + fields_bytes
+        + len(request.headers) * _FIELD_BYTES
+        + len(request.body)
+    )
+
+
 Handler = Callable[[CallerRequest, Responder], Awaitable[None]]
 
 
@@ -180,6 +240,31 @@
     pass
 
 
+def _ignore_limited(way: str, address: str) -> None:
+    pass
+
+
+@dataclasses.dataclass(slots=True)
+class ClientResources:
+    """What the clients of all servers of a process share.
+
+    Parameters
+    ----------
+    memory : MemoryBudget
+    descriptors : DescriptorBudget
+    throttle : ReadThrottle
+    on_limited : callable
+        Called with the limit that a client met and the client's address.
+    """
+
+    memory: MemoryBudget = dataclasses.field(default_factory=MemoryBudget)
+    descriptors: DescriptorBudget = dataclasses.field(
+        default_factory=DescriptorBudget
+    )
+    throttle: ReadThrottle = dataclasses.field(default_factory=ReadThrottle)
+    on_limited: Callable[[str, str], None] = _ignore_limited
+
+
 class CallerServer:
     """HTTP server with one listener and its connections.
 
@@ -195,6 +280,8 @@
         it is read.
     on_unanswered : callable
         Called with an UnansweredClose.
+    resources : ClientResources or None
+        Shared by the servers of a process.
     """
 
     def __init__(
@@ -203,7 +290,9 @@
         limits: ConnectionLimits,
         on_reject: Callable[[int, str], None],
         on_unanswered: Callable[[UnansweredClose], None] = _ignore_close,
+        resources: ClientResources | None = None,
     ) -> None:
+        self.resources = resources or ClientResources()
         self.handler = handler
         self.limits = limits
         self.on_reject = on_reject
@@ -217,9 +306,13 @@
     async def listen(self, host: str, port: int) -> None:
         """Start to accept connections."""
         loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        sock = socket.create_server((host, port), family=family)
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=1024
+            lambda: CallerConnection(self), sock=sock, backlog=_ACCEPT_BATCH
         )
+        # The event loop uses one number for both.
+        sock.listen(_BACKLOG)
 
     @property
     def active(self) -> int:
@@ -248,15 +341,45 @@
             if not connection.busy:
                 connection.close_unless_read('router stops')
 
+    def make_room(self, new: CallerConnection) -> None:
+        """Close connections if there are more than the limit.
+
+        First those that have been idle for the longest, then those that have
+        been sending a request for the longest. If all others have a request
+        in progress, the new one is closed.
+        """
+        count = self.resources.descriptors.excess
+        if not count:
+            return
+        others = [c for c in self.connections if c is not new]
+        idle = [c for c in others if c.is_idle]
+        idle.sort(key=lambda c: c.idle_since_s)
+        closed = 0
+        for connection in idle:
+            if closed == count:
+                break
+            # A request that has arrived is not dropped.
+            if not connection.has_unread_input():
+                connection.close_surplus()
+                closed += 1
+        if not closed:
+            sending = [c for c in others if c.is_incomplete]
+            oldest = min(sending, key=lambda c: c.request_since_s, default=new)
+            oldest.close_surplus()
+
     def refuse_partial(self) -> None:
         """Refuse the requests of which only a part has arrived."""
         for connection in list(self.connections):
             connection.refuse_partial()
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """A caller's connection, which handles one request at a time."""
 
+    # Shared by all connections: the event loop fills it and calls
+    # `buffer_updated` without yielding in between, and what is kept is copied.
+    _buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self, server: CallerServer) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
@@ -282,14 +405,35 @@
         self._request: CallerRequest | None = None
         # What ended the connection; the caller, unless this side does.
         self.close_reason = 'caller'
+        self.idle_since_s = self._accepted_s
+        self._address = ''
+        self._is_counted = False
+        self._account = Account(self.shed)
+        # Input that is parsed later, while reading is paused.
+        self._pending = b''
+        self._is_throttled = False
+        self._paused_s = 0.0
+        self._small_parts = 0
+        # Memory of queued requests, of the one in progress and of responses
+        # that the kernel has not taken.
+        self._queued_bytes = 0
+        self._running_bytes = 0
+        self._unread_bytes = 0
+        self._written_bytes = 0
+        # Checks whether the caller reads, while it has much to read.
+        self._read_check: asyncio.TimerHandle | None = None
         self._reset()
 
     def _reset(self) -> None:
+        self._in_body = False
+        self._overhead_bytes = 0
+        self._body_started_s = 0.0
+        # When the caller last sent a part of a body.
+        self._progress_s = 0.0
         self._target = b''
         self._headers: list[_fields.Header] = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: bytes | bytearray = b''
         self._started_s = 0.0
         self._reading = False
         # Whether the caller waits for an interim response before the body.
@@ -302,37 +446,86 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.connections.add(self)
+        peer = transport.get_extra_info('peername')
+        self._address = str(peer[0]) if peer else ''
+        self._resources.memory.open(self._account)
+        self._resources.descriptors.open += 1
+        self._is_counted = True
         self._start_idle()
+        self._update_account()
+        self._server.make_room(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
         self._server.connections.discard(self)
         self._set_timer(None)
+        self._pending = b''
+        self._resources.memory.close(self._account)
+        self._release_descriptor()
         self.resume_writing()
         self._report_unanswered()
+        # The parser refers to the connection, so that its memory is freed
+        # only by the next garbage collection.
+        self._queued_requests.clear()
+        self._reset()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Mark the connection as congested."""
         self.is_congested = True
+        self._start_read_check()
 
     def resume_writing(self) -> None:
         """Mark the connection as no longer congested."""
         self.is_congested = False
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
+        if self._read_check is not None:
+            self._read_check.cancel()
+            self._read_check = None
+        self._record_unread()
+        self._resume()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
         return False
 
-    def data_received(self, data: bytes) -> None:
-        """Feed the parser."""
-        if self._lingering or not self._keep_alive:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the event loop reads into."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes read into the buffer."""
+        self.data_received(self._buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Feed the parser, or keep the data while requests are queued."""
+        if self._pending:
+            self._pending += data
+            self._update_account()
             return
+        self._small_parts = 0
+        self._feed(memoryview(data))
+
+    def _feed(self, view: memoryview) -> None:
+        if self._in_body:
+            self._progress_s = self._loop.time()
+        while view and not self._lingering and self._keep_alive:
+            is_costly = self._small_parts > _MAX_SMALL_PARTS
+            if is_costly or self._is_full():
+                self._suspend(bytes(view), is_costly)
+                break
+            size = _BODY_PIECE_BYTES if self._in_body else _HEAD_PIECE_BYTES
+            self._feed_piece(view[:size])
+            view = view[size:]
+        if not self._update_account():
+            self.shed()
+
+    def _feed_piece(self, piece: memoryview) -> None:
+        self._overhead_bytes += len(piece)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             # The request was received completely; what follows it would be
             # of the other protocol.
@@ -344,14 +537,64 @@
                 return
             if self._rejection is None:
                 self._rejection = (400, str(error))
+        limit_bytes = self._server.limits.header_bytes + _MAX_OVERHEAD_BYTES
+        if self._overhead_bytes > limit_bytes and self._rejection is None:
+            # The parser keeps the beginning of an endless field to itself.
+            self._rejection = (431, 'header too large')
         if self._rejection is not None:
             self._reject()
 
+    def _is_full(self) -> bool:
+        # Responses that the caller does not read come before new requests.
+        return len(self._queued_requests) >= MAX_QUEUED_REQUESTS or (
+            self.is_congested and self._task is None
+        )
+
+    def _suspend(self, rest: bytes, is_costly: bool) -> None:
+        self._pending = rest
+        self._paused_s = self._loop.time()
+        if self._transport is not None:
+            self._transport.pause_reading()
+        if self._reading:
+            # The caller cannot send meanwhile.
+            self._set_timer(None)
+        if is_costly:
+            self._is_throttled = True
+            self._resources.throttle.wait(self._end_throttle)
+
+    def _end_throttle(self) -> None:
+        self._is_throttled = False
+        self._resume()
+
+    def _resume(self) -> None:
+        if not self._pending or self._is_throttled or self._is_full():
+            return
+        rest, self._pending = self._pending, b''
+        if self._transport is None or self._transport.is_closing():
+            return
+        paused_s = self._loop.time() - self._paused_s
+        self._body_started_s += paused_s
+        self._progress_s += paused_s
+        self._small_parts = 0
+        if self._reading:
+            limits = self._server.limits
+            self._set_timer(
+                limits.idle_timeout_s
+                if self._in_body
+                else limits.header_timeout_s
+            )
+        self._feed(memoryview(rest))
+        if not self._pending and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     # Parser callbacks.
 
     def on_message_begin(self) -> None:
         """Start a request; empty lines before it are ignored."""
+        if self._lingering:
+            return
         self._reading = True
+        self._overhead_bytes = 0
         self._started_s = self._loop.time()
         self._set_timer(self._server.limits.header_timeout_s)
 
@@ -364,9 +607,16 @@
         """Record a header field."""
         self._headers.append((name.lower(), value))
         self._count_header(len(name) + len(value) + 4)
+        if len(self._headers) > MAX_FIELDS:
+            self._rejection = (431, 'too many fields')
 
     def on_headers_complete(self) -> None:
         """Check protocol version, framing and declared length."""
+        if self._rejection is not None:
+            return
+        self._in_body = True
+        self._overhead_bytes = 0
+        self._body_started_s = self._progress_s = self._loop.time()
         if self._parser.get_http_version() not in ('1.1', '1.0'):
             self._rejection = (400, 'unknown protocol version')
         codings = _fields.find_all(self._headers, b'transfer-encoding')
@@ -389,22 +639,31 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        self._body_bytes += len(data)
-        if self._body_bytes > self._server.limits.body_bytes:
+        size = len(data)
+        if size < _SMALL_PART_BYTES:
+            self._small_parts += 1
+        self._overhead_bytes = max(
+            0, self._overhead_bytes - size - _PART_OVERHEAD_BYTES
+        )
+        if len(self._body) + size > self._server.limits.body_bytes:
             self._rejection = (413, 'body too large')
-            return
-        self._body.append(data)
-        self._set_timer(self._server.limits.idle_timeout_s)
+        elif not self._body:
+            self._body = data
+        else:
+            # A list of one-byte parts takes many times their content.
+            if isinstance(self._body, bytes):
+                self._body = bytearray(self._body)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the current one."""
-        if self._rejection is not None:
+        if self._rejection is not None or self._lingering:
             return
         request = CallerRequest(
             self._parser.get_method(),
             self._target,
             self._headers,
-            b''.join(self._body),
+            bytes(self._body),
             self._started_s,
             self._loop.time(),
         )
@@ -416,13 +675,14 @@
             self._handle(request)
         else:
             self._queued_requests.append(request)
+            self._queued_bytes += _request_bytes(request)
 
     # Responses.
 
     @property
     def busy(self) -> bool:
         """Whether a request is being read or handled."""
-        return self._task is not None or self._reading
+        return self._task is not None or self._reading or bool(self._pending)
 
     @property
     def is_sending(self) -> bool:
@@ -436,6 +696,7 @@
         """Whether the connection stays open after the current response."""
         return (
             bool(self._queued_requests)
+            or bool(self._pending)
             or self._rejection is not None
             or (self._keep_alive and not self._server.stopping)
         )
@@ -444,10 +705,17 @@
         """Write data, or close if the caller has too much unread data."""
         if self._transport is None or self._transport.is_closing():
             return
-        if self._transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
-            self.abort('responses not read')
+        unread_bytes = self._transport.get_write_buffer_size()
+        if unread_bytes > MAX_UNREAD_BYTES:
+            self._abort_unread()
             return
+        self._written_bytes += len(data)
         self._transport.write(data)
+        # The kernel usually takes a small response at once.
+        if unread_bytes or self._unread_bytes or len(data) > READ_BYTES:
+            if self._record_unread():
+                return
+            self._abort_unread()
 
     async def drain(self) -> None:
         """Wait while the connection is congested."""
@@ -460,6 +728,45 @@
         if self._transport is not None and not self._transport.is_closing():
             self.close_reason = reason
             self._transport.close()
+            if self.is_sending:
+                self._start_read_check()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection can be closed without losing anything."""
+        return (
+            not self.busy
+            and not self._lingering
+            and not self.is_sending
+            and not self._is_closing()
+        )
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether only a part of a request has arrived, and no other."""
+        return self._reading and self._task is None and not self._is_closing()
+
+    @property
+    def request_since_s(self) -> float:
+        """Time of the first byte of the request that is being read."""
+        return self._started_s
+
+    def close_surplus(self) -> None:
+        """Close at once, as there are too many connections."""
+        self._resources.on_limited('too many connections', self._address)
+        self._release_descriptor()
+        self.abort('too many connections')
+
+    def shed(self) -> None:
+        """Free memory: refuse what has not been handled, or stop sending."""
+        if self._is_closing():
+            return
+        if self._reading or self._queued_requests or self._pending:
+            self._refuse_rest()
+            return
+        self._record_unread()
+        if self._unread_bytes:
+            self._abort_unread()
 
     def close_unless_read(self, reason: str) -> None:
         """Close an idle connection unless a request has arrived on it.
@@ -506,12 +813,112 @@
             )
         )
 
+    @property
+    def _resources(self) -> ClientResources:
+        return self._server.resources
+
+    def _is_closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
+    def _release_descriptor(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._resources.descriptors.open -= 1
+
+    def has_unread_input(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read."""
+        sock = self._transport and self._transport.get_extra_info('socket')
+        if sock is None or sock.fileno() == -1:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _abort_unread(self) -> None:
+        self._resources.on_limited('responses not read', self._address)
+        self.abort('responses not read')
+
+    def _record_unread(self) -> bool:
+        if self._is_closing():
+            return True
+        assert self._transport is not None
+        self._unread_bytes = self._transport.get_write_buffer_size()
+        return self._update_account()
+
+    def _update_account(self) -> bool:
+        # Returns whether the memory budget allows what is held now.
+        if self._is_closing():
+            return True
+        account = self._account
+        now_s = self._loop.time()
+        if account.held_bytes <= _CONNECTION_BYTES:
+            account.since_s = now_s
+        account.is_sheddable = bool(
+            self._reading
+            or self._queued_requests
+            or self._pending
+            or self._unread_bytes
+        )
+        held_bytes = (
+            _CONNECTION_BYTES
+            + self._header_bytes
+            + len(self._headers) * _FIELD_BYTES
+            + len(self._body)
+            + len(self._pending)
+            + self._queued_bytes
+            + self._running_bytes
+            + self._unread_bytes
+        )
+        return self._resources.memory.update(account, held_bytes, now_s)
+
+    def _taken_bytes(self) -> int:
+        # What the caller has acknowledged of all that was written.
+        assert self._transport is not None
+        unsent_bytes = self._transport.get_write_buffer_size()
+        sock = self._transport.get_extra_info('socket')
+        if sock is not None and sock.fileno() != -1:
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+            unsent_bytes += struct.unpack('i', queued)[0]
+        return self._written_bytes - unsent_bytes
+
+    def _start_read_check(self) -> None:
+        if self._read_check is None and self._transport is not None:
+            self._read_check = self._loop.call_later(
+                RATE_GRACE_S, self._check_read, self._taken_bytes()
+            )
+
+    def _check_read(self, taken_before_bytes: int) -> None:
+        self._read_check = None
+        if self._transport is None or not self.is_sending:
+            return
+        taken_bytes = self._taken_bytes() - taken_before_bytes
+        if taken_bytes < MIN_BYTES_PER_S * RATE_GRACE_S:
+            self._abort_unread()
+        else:
+            self._start_read_check()
+
+    def _refuse_rest(self) -> None:
+        # All of these requests were not passed on to the handler.
+        self._queued_requests.clear()
+        self._queued_bytes = 0
+        self._rejection = _MEMORY_SHORT
+        self._reject()
+
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.header_bytes:
             self._rejection = (431, 'header too large')
 
     def _handle(self, request: CallerRequest) -> None:
+        body_bytes = len(request.body)
+        self._running_bytes = (
+            _request_bytes(request) + _BODY_COPIES * body_bytes
+        )
+        if not self._update_account():
+            # It was not passed on to the handler.
+            self._running_bytes = 0
+            self._rejection = _MEMORY_SHORT
+            return
         responder = Responder(self)
         self._request = request
         self._task = self._loop.create_task(self._run(request, responder))
@@ -525,13 +932,27 @@
                 self.abort('handler ended without a response')
             elif not responder.cut:
                 self._request = None
+        self._running_bytes = 0
         if self._transport is None or self._transport.is_closing():
             return
+        self._record_unread()
         if self.end_announced:
             self.close('end announced')
-        elif self._queued_requests:
-            self._handle(self._queued_requests.pop(0))
-        elif self._rejection is not None:
+            return
+        if self._queued_requests:
+            queued = self._queued_requests.pop(0)
+            self._queued_bytes -= _request_bytes(queued)
+            self._handle(queued)
+            if self._task is None:
+                self._refuse_rest()
+                return
+        self._resume()
+        if self._task is not None or self._is_closing():
+            return
+        if self._lingering and self._rejection is None:
+            # Refused by now.
+            return
+        if self._rejection is not None:
             self._respond_rejection()
         elif self._reading:
             self._send_interim()
@@ -547,14 +968,26 @@
 
     def _start_idle(self) -> None:
         self._idle_timeout_s = self._server.limits.idle_timeout_s
+        self.idle_since_s = self._loop.time()
         self._set_timer(self._idle_timeout_s)
 
     def _reject(self) -> None:
         assert self._rejection is not None
         self._lingering = True
-        self._reading = False
+        self._reset()
+        if self._pending:
+            # What follows is read and ignored, until the caller has read the
+            # refusal.
+            self._pending = b''
+            if self._transport is not None and not self._is_closing():
+                self._transport.resume_reading()
         self._set_timer(None)
-        self._server.on_reject(*self._rejection)
+        self._update_account()
+        status, reason = self._rejection
+        self._server.on_reject(status, reason)
+        self._resources.on_limited(
+            'malformed' if status == 400 else reason, self._address
+        )
         # Requests that were received before are answered first.
         if self._task is None:
             self._respond_rejection()
@@ -562,9 +995,10 @@
     def _respond_rejection(self) -> None:
         assert self._rejection is not None
         status, _ = self._rejection
+        fields = [_SHORT_RETRY] if self._rejection is _MEMORY_SHORT else []
         self._rejection = None
         self._keep_alive = False
-        Responder(self).respond(status)
+        Responder(self).respond(status, fields)
         self._set_timer(LINGER_S)
 
     def _set_timer(
@@ -588,10 +1022,26 @@
         if not self._reading:
             self._end_idle()
             return
-        self._rejection = (408, 'request was not sent in time')
+        reason = 'request was not sent in time'
+        if self._in_body:
+            now_s = self._loop.time()
+            elapsed_s = now_s - self._body_started_s - RATE_GRACE_S
+            is_slow = elapsed_s * MIN_BYTES_PER_S > len(self._body)
+            limit_s = self._server.limits.idle_timeout_s
+            remaining_s = self._progress_s + limit_s - now_s
+            if remaining_s > 0 and not is_slow:
+                self._set_timer(remaining_s)
+                return
+            if is_slow:
+                reason = 'body sent too slowly'
+        self._rejection = (408, reason)
         self._reject()
 
     def _end_idle(self) -> None:
+        if self._pending:
+            # The next requests wait until the caller has read responses.
+            self._start_idle()
+            return
         # Callers go by the newest limit, so a longer one applies at once. A
         # shorter one does not, as callers may not have it yet.
         limit_s = self._server.limits.idle_timeout_s
--- /dev/null
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -0,0 +1,246 @@
+import asyncio
+
+import pytest
+
+from basilpond.http1 import CallerServer
+from basilpond.http1 import ClientResources
+from basilpond.http1 import ConnectionLimits
+from basilpond.http1 import DescriptorBudget
+from basilpond.http1 import MemoryBudget
+from basilpond.http1 import _server
+from basilpond.http1._server import CallerConnection
+from basilpond.http1.tests.memory_transport import MemoryTransport
+from basilpond_testkit.paused_clock import on_paused_clock
+
+GET = b'GET /g HTTP/1.1\r\nHost: h\r\n\r\n'
+CHUNKED = b'POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+BUDGET_BYTES = 1_000_000
+
+
+def sized(size):
+    return b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n' % size
+
+
+class Crowd:
+    """Connections to a server with a small budget."""
+
+    def __init__(self, handler=None, *, max_connections=100, **limits):
+        self.handled = []
+        self.limited = []
+        self.resources = ClientResources(
+            MemoryBudget(BUDGET_BYTES),
+            DescriptorBudget(max_connections),
+            on_limited=lambda way, address: self.limited.append(way),
+        )
+        self.server = CallerServer(
+            handler or self._handle,
+            ConnectionLimits(**limits),
+            lambda status, reason: None,
+            resources=self.resources,
+        )
+
+    async def _handle(self, request, responder):
+        self.handled.append(request)
+        responder.respond(200, [], b'done')
+
+    def connect(self):
+        return MemoryTransport(CallerConnection(self.server))
+
+    async def send(self, transport, *parts):
+        for part in parts:
+            transport.protocol.data_received(part)
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.001)
+        return transport.sent
+
+
+@on_paused_clock
+async def test_stalled_bodies_leave_room_for_ordinary_requests():
+    """Guards against 236 MB held by 200 bodies of which a byte is missing."""
+    crowd = Crowd()
+    stalled = [crowd.connect() for _ in range(30)]
+    for transport in stalled:
+        await crowd.send(transport, sized(100_000) + b'a' * 99_999)
+        assert crowd.resources.memory.held_bytes <= BUDGET_BYTES
+    assert (await crowd.send(crowd.connect(), GET)).startswith(
+        b'HTTP/1.1 200 '
+    )
+    refused = [t for t in stalled if t.sent.startswith(b'HTTP/1.1 503 ')]
+    assert len(refused) == crowd.limited.count('memory short') > 20
+    assert len(crowd.handled) == 1
+    # The rest of a refused body does not run it.
+    await crowd.send(refused[0], b'a')
+    assert len(crowd.handled) == 1
+
+
+@on_paused_clock
+async def test_request_beyond_the_budget_is_refused_before_it_is_handled():
+    """Guards against a refusal with 503 of a request that runs."""
+    crowd = Crowd()
+    sent = await crowd.send(
+        crowd.connect(), sized(300_000), *[b'a' * 50_000] * 6
+    )
+    assert sent.startswith(b'HTTP/1.1 503 ')
+    assert b'retry-after: 0.3' in sent
+    assert not crowd.handled
+    sent = await crowd.send(
+        crowd.connect(), sized(200_000), *[b'a' * 50_000] * 4
+    )
+    assert sent.startswith(b'HTTP/1.1 200 ')
+
+
+@on_paused_clock
+async def test_requests_sent_ahead_are_left_in_the_kernel():
+    """Guards against 126 MB of requests that wait for unread responses."""
+
+    async def slow(request, responder):
+        await asyncio.sleep(1.0)
+        responder.respond(200)
+
+    crowd = Crowd(slow)
+    transport = crowd.connect()
+    await crowd.send(transport, GET * 200)
+    assert transport.paused
+    assert len(transport.protocol._queued_requests) < 100
+    await asyncio.sleep(250.0)
+    # All of them are answered, if the caller waits.
+    assert not transport.paused
+    assert transport.sent.count(b'HTTP/1.1 200 ') == 200
+
+
+@pytest.mark.parametrize('stopping', [False, True])
+def test_requests_that_wait_unparsed_are_answered(stopping):
+    """Guards against a stop that drops requests which have arrived."""
+
+    @on_paused_clock
+    async def check():
+        async def slow(request, responder):
+            await asyncio.sleep(0.01)
+            responder.respond(200)
+
+        crowd = Crowd(slow)
+        transport = crowd.connect()
+        await crowd.send(transport, GET * 300)
+        if stopping:
+            crowd.server.announce_stop()
+            crowd.server.close_idle()
+        await asyncio.sleep(10.0)
+        assert transport.sent.count(b'HTTP/1.1 200 ') == 300
+        assert transport.sent.count(b'connection: close') == stopping
+
+    check()
+
+
+@on_paused_clock
+async def test_responses_that_are_not_read_stop_the_reading():
+    """Guards against responses that pile up for a caller that reads none."""
+    crowd = Crowd()
+    transport = crowd.connect()
+    transport.protocol.pause_writing()
+    await crowd.send(transport, GET * 3)
+    assert not crowd.handled
+    assert transport.paused
+    transport.protocol.resume_writing()
+    await crowd.send(transport)
+    assert len(crowd.handled) == 3
+    assert not transport.paused
+
+
+@on_paused_clock
+async def test_caller_that_takes_nothing_is_ended():
+    """Guards against streams that a caller holds open without reading."""
+
+    async def stream(request, responder):
+        responder.start_stream(200, [])
+        responder.send(b'a' * 100_000)
+        transport.protocol.pause_writing()
+        await responder.drain()
+
+    crowd = Crowd(stream)
+    transport = crowd.connect()
+    transport.is_read = False
+    await crowd.send(transport, GET)
+    await asyncio.sleep(_server.RATE_GRACE_S + 1.0)
+    assert transport.aborted
+    assert crowd.limited == ['responses not read']
+
+
+@on_paused_clock
+async def test_body_in_tiny_chunks_takes_its_turn():
+    """Guards against 1,110 MB and no answers during chunks of one byte."""
+    crowd = Crowd()
+    tiny = [crowd.connect() for _ in range(5)]
+    for transport in tiny:
+        transport.protocol.data_received(CHUNKED + b'1\r\na\r\n' * 10_000)
+        assert transport.paused
+    ordinary = await crowd.send(crowd.connect(), GET)
+    assert ordinary.startswith(b'HTTP/1.1 200 ')
+    for transport in tiny:
+        await crowd.send(transport, b'0\r\n\r\n')
+    await asyncio.sleep(5.0)
+    for transport in tiny:
+        assert transport.sent.startswith(b'HTTP/1.1 200 ')
+        assert not transport.paused
+    assert crowd.handled[-1].body == b'a' * 10_000
+
+
+@pytest.mark.parametrize(('rate', 'status'), [(900, 408), (1_100, 200)])
+def test_bodies_have_a_least_rate(rate, status):
+    """Guards against bodies that hold memory for hours."""
+
+    @on_paused_clock
+    async def check():
+        crowd = Crowd(idle_timeout_s=15.0)
+        crowd.resources.memory.limit_bytes = 10 * BUDGET_BYTES
+        transport = crowd.connect()
+        await crowd.send(transport, sized(400 * rate))
+        for _ in range(400):
+            await asyncio.sleep(1.0)
+            await crowd.send(transport, b'a' * rate)
+        assert transport.sent.startswith(b'HTTP/1.1 %d ' % status)
+
+    check()
+
+
+@on_paused_clock
+async def test_endless_field_is_refused():
+    """Guards against a field that the parser collects without limit."""
+    crowd = Crowd(header_bytes=1_000)
+    transport = crowd.connect()
+    await crowd.send(transport, GET[:-2] + b'a: ')
+    sent = await crowd.send(transport, *[b'b' * 2_000] * 6)
+    assert sent.startswith(b'HTTP/1.1 431 ')
+
+
+@on_paused_clock
+async def test_oldest_idle_connections_make_room():
+    """Guards against a process without descriptors."""
+    crowd = Crowd(max_connections=16)
+    idle = []
+    for _ in range(16):
+        idle.append(crowd.connect())
+        await asyncio.sleep(0.1)
+    await crowd.send(idle[0], GET)
+    await asyncio.sleep(1.0)
+    used = crowd.connect()
+    assert (await crowd.send(used, GET)).startswith(b'HTTP/1.1 200 ')
+    assert [t.aborted for t in idle] == [False, True] + [False] * 14
+    assert crowd.limited == ['too many connections']
+
+
+@on_paused_clock
+async def test_request_in_progress_is_not_closed_to_make_room():
+    """Guards against new connections that end requests in progress."""
+
+    async def slow(request, responder):
+        await asyncio.sleep(1.0)
+        responder.respond(200)
+
+    crowd = Crowd(slow, max_connections=2)
+    running = [crowd.connect() for _ in range(2)]
+    for transport in running:
+        await crowd.send(transport, GET)
+    assert crowd.connect().aborted
+    await asyncio.sleep(2.0)
+    for transport in running:
+        assert transport.sent.startswith(b'HTTP/1.1 200 ')
--- a/src/basilpond/node/_configuration_fetcher.py
+++ b/src/basilpond/node/_configuration_fetcher.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 import zlib
 
+from ..http1 import ClientResources
 from ..http1 import ConnectionPool
 from ..http1 import ExchangeError
 from ..http1 import ExchangeFailure
@@ -55,6 +56,8 @@
     decisions : DecisionLog
     are_routers_known : callable
         Returns whether the addresses of the routers have been read.
+    resources : ClientResources or None
+        Shared by the servers of the process.
     """
 
     def __init__(
@@ -64,12 +67,13 @@
         decisions: DecisionLog,
         *,
         are_routers_known: Callable[[], bool] = lambda: True,
+        resources: ClientResources | None = None,
     ) -> None:
         self._configuration = configuration
         self._peers = peers
         self._decisions = decisions
         self._are_routers_known = are_routers_known
-        self._server = InternalServer(self._respond)
+        self._server = InternalServer(self._respond, resources)
         self._fetching: asyncio.Task[None] | None = None
         # Start time and bytes of the transfers of the last second.
         self._recent_transfers: deque[tuple[float, int]] = deque()
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -42,6 +42,10 @@
         Whether the whole fleet starts for the first time.
     store_partitions : int
         Partitions of each topic of the store.
+    memory_bytes : float
+        Memory that the process may use; 0 if unknown.
+    max_fds : int
+        Descriptors that the process may open; 0 if unknown.
     """
 
     node_id: str
@@ -63,6 +67,8 @@
     link_bytes_per_s: float = float('inf')
     is_first_start: bool = False
     store_partitions: int = 1
+    memory_bytes: float = 0.0
+    max_fds: int = 0
 
 
 class LogUnavailableError(Exception):
--- a/src/basilpond/node/_internal_server.py
+++ b/src/basilpond/node/_internal_server.py
@@ -3,13 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 
 from ..http1 import CallerRequest
 from ..http1 import CallerServer
+from ..http1 import ClientResources
 from ..http1 import ConnectionLimits
 from ..http1 import Header
 from ..http1 import Responder
 
+# Requests to these servers have a few short fields and no body; load balancers
+# and scrapers reuse a connection within some seconds.
+_LIMITS = ConnectionLimits(
+    header_bytes=16_384,
+    body_bytes=4_096,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+# Connections to one of these servers: load balancers, scrapers and the
+# routers that fetch a configuration at once.
+MAX_CONNECTIONS = 64
+
 InternalResponse = tuple[int, list[Header], bytes]
 
 
@@ -20,14 +34,25 @@
     ----------
     get_response : callable
         Called with the path; returns status, header fields and body.
+    resources : ClientResources or None
+        Shared with the other servers of the process, but for the connections.
     """
 
     def __init__(
-        self, get_response: Callable[[bytes], InternalResponse]
+        self,
+        get_response: Callable[[bytes], InternalResponse],
+        resources: ClientResources | None = None,
     ) -> None:
         self._get_response = get_response
+        resources = resources or ClientResources()
         self._server = CallerServer(
-            self._handle, ConnectionLimits(), lambda status, reason: None
+            self._handle,
+            _LIMITS,
+            lambda status, reason: None,
+            resources=dataclasses.replace(
+                resources,
+                descriptors=resources.descriptors.part(MAX_CONNECTIONS),
+            ),
         )
 
     async def listen(self, host: str, port: int) -> None:
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -55,6 +55,11 @@
             ' answered, by what ended them',
             'reason',
         )
+        self._limited_clients = self._counter(
+            'basilpond_limited_clients',
+            'Clients that met a limit on memory, connections, size or time',
+            'way',
+        )
         self._grants = self._counter(
             'basilpond_grants', 'Requests for tokens by result', 'result'
         )
@@ -119,6 +124,13 @@
                     'unstored_streams',
                     'Streams whose versions the log does not contain yet',
                 ),
+                (
+                    'client_memory_bytes',
+                    'Accounted memory that clients make the router hold',
+                ),
+                ('client_memory_limit_bytes', 'Limit on it'),
+                ('client_connections', 'Open connections of callers'),
+                ('client_connections_limit', 'Limit on them'),
                 ('limited_endpoints', 'Endpoints that name a request limit'),
                 ('log_lines_dropped', 'Log lines that were not written'),
                 (
@@ -161,6 +173,10 @@
         """Count a connection that ended with unanswered requests."""
         self._unanswered.labels(reason).inc()
 
+    def count_limited_client(self, way: str) -> None:
+        """Count a client that met a limit."""
+        self._limited_clients.labels(way).inc()
+
     def count_send(self, service: str, result: str) -> None:
         """Count a send to an endpoint."""
         self._sends.labels(service, result).inc()
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -10,7 +10,10 @@
 import random
 
 from ..http1 import CallerServer
+from ..http1 import ClientResources
 from ..http1 import ConnectionLimits
+from ..http1 import DescriptorBudget
+from ..http1 import MemoryBudget
 from ..http1 import UnansweredClose
 from ..routing import UNKNOWN_VERSION
 from ..routing import Catalogue
@@ -18,6 +21,7 @@
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ._budgets import BudgetTask
+from ._client_log import ClientLog
 from ._configuration_fetcher import ConfigurationFetcher
 from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
@@ -85,6 +89,12 @@
         self._decisions = decisions
         self._stopping = False
         self._metrics = NodeMetrics()
+        self._client_log = ClientLog(self._metrics, decisions)
+        self._resources = ClientResources(
+            MemoryBudget.of_process(settings.memory_bytes),
+            DescriptorBudget.of_process(settings.max_fds),
+            on_limited=self._client_log.record_limited,
+        )
         self._watch: SettingsWatch | None = None
         self.holder = new_holder(settings.node_id, os.urandom(6).hex())
         self.configuration = ConfigurationState(
@@ -193,6 +203,7 @@
             self.peers,
             decisions,
             are_routers_known=fleet.synced.is_set,
+            resources=self._resources,
         )
         endpoints = TopicFollower(
             log,
@@ -219,12 +230,15 @@
         self._callers = CallerServer(
             self.dispatcher.handle,
             ConnectionLimits(),
-            self._log_malformed_request,
+            self._client_log.record_malformed,
             self._log_unanswered,
+            self._resources,
         )
         self._ready_path = codec.ready_path
-        self._ready = InternalServer(self._respond_ready)
-        self._metrics_server = InternalServer(self._respond_metrics)
+        self._ready = InternalServer(self._respond_ready, self._resources)
+        self._metrics_server = InternalServer(
+            self._respond_metrics, self._resources
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._announcement: asyncio.Task[None] | None = None
 
@@ -355,15 +369,12 @@
                 limits.idle_timeout_s,
             )
 
-    def _log_malformed_request(self, status: int, reason: str) -> None:
-        self._decisions.event(
-            'request_malformed', status=status, reason=reason
-        )
-
     def _log_unanswered(self, close: UnansweredClose) -> None:
         self._metrics.count_unanswered(close.reason)
         self._decisions.event(
             'connection_unanswered',
+            # A crowd of clients that stop half-way must not displace others.
+            routine=not close.whole_requests,
             reason=close.reason,
             requests=close.whole_requests or None,
             partial=close.is_partial or None,
@@ -414,6 +425,13 @@
             ('active_requests', self._callers.active),
             ('live_routers', self.peers.live_routers()),
             ('configuration_version', self._configuration_version()),
+            ('client_memory_bytes', self._resources.memory.held_bytes),
+            ('client_memory_limit_bytes', self._resources.memory.limit_bytes),
+            ('client_connections', self._resources.descriptors.open),
+            (
+                'client_connections_limit',
+                self._resources.descriptors.max_connections,
+            ),
             ('endpoints', len(self.directory)),
             ('leaving_endpoints', len(self.directory.leaving())),
             ('quiet_endpoints', self.dispatcher.quiet_endpoints),
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -15,6 +15,7 @@
 # Same as in the deployment file, where operators' tools look it up.
 METRICS_PORT = 9464
 _BYTES_PER_MBIT = 125_000
+_BYTES_PER_MB = 1_000_000
 # Numbers of the settings are finite and not negative.
 _Number = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
@@ -35,7 +36,7 @@
 class _Limits(msgspec.Struct):
     # Per process: memory, and number of open file descriptors.
     memory_mb: _Number = 0.0
-    max_fds: int = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
     # Bandwidth of the VM's link; 0 if unknown.
     link_mbps: _Number = 0.0
 
@@ -138,6 +139,8 @@
             link_bytes_per_s=file.limits.link_mbps * _BYTES_PER_MBIT
             or float('inf'),
             is_first_start=file.bootstrap,
+            memory_bytes=file.limits.memory_mb * _BYTES_PER_MB,
+            max_fds=file.limits.max_fds,
         )
     except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f'{path}: {error}') from error
