Keep uploads of chat completions within the memory budget

Each upload was limited alone, so that many of them together could exceed the memory of the VM, and connections had no limit at all.

Account for what uploads hold until their requests end, refuse those with the most bytes times seconds with code 2003 when the budget is short, and close the connections that have been idle for the longest when there are too many. The settings limits.memory_mb and limits.max_fds are new and 0 by default, which stands for 256 MiB and 10,000 connections.

Heads, pipelined requests and unread responses are limited by aiohttp for each connection alone and are not part of the budget.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -11,6 +11,7 @@
 from ._fields import end_to_end_fields
 from ._fields import find
 from ._fields import find_all
+from ._memory_budget import Account
 from ._memory_budget import DescriptorBudget
 from ._memory_budget import MemoryBudget
 from ._server import CallerRequest
@@ -22,6 +23,7 @@
 from ._server import UnansweredClose
 
 __all__ = [
+    'Account',
     'ResponseHead',
     'CallerRequest',
     'CallerServer',
--- a/src/basilpond/settings/_router.py
+++ b/src/basilpond/settings/_router.py
@@ -104,6 +104,9 @@
     stored_answer_s: Annotated[int, msgspec.Meta(ge=1, le=86_400)] = 600
     attempts: Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
     rerun_limit: Annotated[int, msgspec.Meta(ge=0, le=100)] = 3
+    # Of the process; 0 if unknown.
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=10_000_000)] = 0
 
 
 class TelemetrySection(
--- a/src/basilpond/tasks/callers/_gateway.py
+++ b/src/basilpond/tasks/callers/_gateway.py
@@ -18,6 +18,8 @@
 from ...core import RefusalError
 from ...core import ResultCode
 from ...core import key_sha256
+from ...http1 import DescriptorBudget
+from ...http1 import MemoryBudget
 from ...settings import LimitsSection
 from ...telemetry import extract_context
 from ...telemetry import hop_span
@@ -30,6 +32,9 @@
 from ..requests import refusal_response
 from ..requests import states_first_attempt
 from ..requests import stop_refusal
+from ._body_account import BodyAccount
+from ._body_account import BodyTooLargeError
+from ._body_account import MemoryShortError
 from ._http_server import HTTP_SERVER_ERROR
 from ._http_server import HttpServer
 
@@ -38,6 +43,7 @@
 # Time for the handlers of requests that do not end when they are told to, for
 # example because their callers do not read.
 SHUTDOWN_TIMEOUT_S = 1.0
+_BYTES_PER_MB = 1_000_000
 
 
 class CallHandler(Protocol):
@@ -72,6 +78,7 @@
     ----------
     request_id : str
     end : RequestEnd
+    body : BodyAccount
     organisation : str
         Id of the caller's organisation; empty before authentication.
     call : CallerRequest or None
@@ -80,6 +87,7 @@
 
     request_id: str
     end: RequestEnd
+    body: BodyAccount
     organisation: str = ''
     call: CallerRequest | None = None
 
@@ -112,6 +120,10 @@
         self.services = services
         self.log = log
         self.open_requests = 0
+        self._memory = MemoryBudget.of_process(
+            limits.memory_mb * _BYTES_PER_MB
+        )
+        self._descriptors = DescriptorBudget.of_process(limits.max_fds)
         self._stopping = False
         # Of the open requests.
         self._time_limits: set[asyncio.Timeout] = set()
@@ -124,7 +136,10 @@
     async def start(self, host: str, port: int) -> None:
         """Listen for connections of callers."""
         self._server = HttpServer(
-            self._handle, _refuse_invalid, self.limits.body_bytes
+            self._handle,
+            _refuse_invalid,
+            self.limits.body_bytes,
+            self._descriptors,
         )
         self._runner = web.ServerRunner(
             self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
@@ -182,7 +197,9 @@
         self.open_requests += 1
         self._idle.clear()
         state = _RequestState(
-            request_id, RequestEnd(asyncio.get_running_loop().time())
+            request_id,
+            RequestEnd(asyncio.get_running_loop().time()),
+            BodyAccount(self._memory),
         )
         try:
             with hop_span('accept', extract_context(request.headers)) as span:
@@ -193,6 +210,7 @@
                     span.set_attribute('basilpond.code', int(end.code))
                 return response
         finally:
+            state.body.close()
             self.log.write_end(
                 state.end,
                 _safe_header(state.request_id),
@@ -261,7 +279,7 @@
         else:
             raise not_run(ResultCode.UNKNOWN_PATH, 'no such path', 404)
         self.log.metrics.count('requests.accepted')
-        body = await self._read_body(request)
+        body = await self._read_body(request, state.body)
         self._check_stopping(request)
         state.call = call = CallerRequest.create(
             request, body, organisation, index, state.request_id, state.end
@@ -274,7 +292,9 @@
                 request, ResultCode.DRAINING, 'the router stops'
             )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(
+        self, request: web.BaseRequest, account: BodyAccount
+    ) -> bytes:
         if request.headers.get('Expect', '').lower() == '100-continue':
             await request.writer.write(b'HTTP/1.1 100 Continue\r\n\r\n')
             # The interim response must not count as output, by which
@@ -282,12 +302,25 @@
             request.writer.output_size = 0
         try:
             async with asyncio.timeout(self.limits.upload_timeout_ms / 1000):
-                return await request.read()
+                return await account.read(
+                    request.content, self.limits.body_bytes
+                )
         except TimeoutError:
             raise not_run(
                 ResultCode.SLOW_UPLOAD, 'the upload took too long', 408
             ) from None
-        except web.HTTPRequestEntityTooLarge:
+        except MemoryShortError:
+            self.log.metrics.count('requests.memory_short')
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'memory is short: refused an upload of %s',
+                1,
+                request.remote,
+            )
+            raise _unavailable(
+                request, ResultCode.QUEUE_FULL, 'the router is short of memory'
+            ) from None
+        except BodyTooLargeError:
             raise not_run(
                 ResultCode.BODY_TOO_LARGE,
                 f'the body exceeds {self.limits.body_bytes} bytes',
--- a/src/basilpond/tasks/callers/_http_server.py
+++ b/src/basilpond/tasks/callers/_http_server.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from absl import logging
 from aiohttp import web
 
+from ...http1 import DescriptorBudget
+
 HTTP_SERVER_ERROR = 500
 # Time for which the rest of a refused upload is read. If the connection were
 # closed immediately, a caller that is still sending could miss the refusal;
@@ -26,11 +29,37 @@
     server : HttpServer
     """
 
-    __slots__ = ('_refuse',)
+    __slots__ = ('_is_counted', '_owner', '_refuse', 'used_s')
 
     def __init__(self, server: HttpServer, **options) -> None:
         super().__init__(server, **options)
         self._refuse = server.refuse
+        self._owner = server
+        self._is_counted = False
+        # Time of the beginning, or of the last response.
+        self.used_s = self._loop.time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection, and close another if there are too many."""
+        super().connection_made(transport)
+        self._owner.descriptors.open += 1
+        self._is_counted = True
+        self._owner.make_room(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop counting the connection."""
+        self._release()
+        super().connection_lost(exc)
+
+    def close_surplus(self) -> None:
+        """Close at once, as there are too many connections."""
+        self._release()
+        self.force_close()
+
+    def _release(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._owner.descriptors.open -= 1
 
     def handle_error(
         self,
@@ -68,6 +97,8 @@
         error.
     body_bytes : int
         Maximum size of a request body.
+    descriptors : DescriptorBudget or None
+        Limit on the connections.
     """
 
     def __init__(
@@ -75,9 +106,23 @@
         handler: Handler,
         refuse: Callable[[int], web.Response],
         body_bytes: int,
+        descriptors: DescriptorBudget | None = None,
     ) -> None:
+        self.descriptors = descriptors or DescriptorBudget()
+        # Connections with a request in progress.
+        self._busy: set[object] = set()
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            connection = request.protocol
+            self._busy.add(connection)
+            try:
+                return await handler(request)
+            finally:
+                self._busy.discard(connection)
+                connection.used_s = self._loop.time()
+
         super().__init__(
-            handler,
+            handle,
             request_factory=self._create_request,
             # A request is cancelled when its caller disconnects, so that the
             # endpoint does not continue to generate unread output.
@@ -98,6 +143,29 @@
             lingering_time=LINGERING_S,
         )
 
+    def make_room(self, new: _Connection) -> None:
+        """Close idle connections if there are more than the limit.
+
+        If all others have a request in progress, the new one is closed.
+        """
+        count = self.descriptors.excess
+        if not count:
+            return
+        idle = [
+            connection
+            for connection in self.connections
+            if connection is not new and connection not in self._busy
+        ]
+        idle.sort(key=lambda connection: connection.used_s)
+        for connection in idle[:count] or [new]:
+            connection.close_surplus()
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            'too many connections: closed %d',
+            1,
+            len(idle[:count]) or 1,
+        )
+
     def _create_request(
         self, message, payload, protocol, writer, task
     ) -> web.BaseRequest:
