--- a/src/basilpond/http1/_memory_budget.py
+++ b/src/basilpond/http1/_memory_budget.py
@@ -49,10 +49,10 @@
     Attributes
     ----------
     held_bytes : int
-    since_s : float
-        Since when it holds more than an idle connection does.
     is_sheddable : bool
         Whether `shed` would free memory now.
+    since_s : float
+        Time since which it is.
     """
 
     __slots__ = ('held_bytes', 'is_sheddable', 'shed', 'since_s')
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -47,6 +47,9 @@
 # Copies of a body while its request is in progress: the encoded request, and
 # what the endpoint's connection has not taken yet.
 _BODY_COPIES = 2
+# Buffered of a stream at the endpoint's connection while the caller does not
+# read, see MAX_BUFFERED_BYTES of the client.
+_RELAY_BYTES = 262_144
 # Bytes outside of heads and bodies: chunk sizes with extensions, and trailers.
 # Each part of a body may have so many, its framing takes 5.
 _PART_OVERHEAD_BYTES = 256
@@ -419,6 +422,7 @@
         self._queued_bytes = 0
         self._running_bytes = 0
         self._unread_bytes = 0
+        self._relay_bytes = 0
         self._written_bytes = 0
         # Checks whether the caller reads, while it has much to read.
         self._read_check: asyncio.TimerHandle | None = None
@@ -484,6 +488,7 @@
         if self._read_check is not None:
             self._read_check.cancel()
             self._read_check = None
+        self._relay_bytes = 0
         self._record_unread()
         self._resume()
 
@@ -721,7 +726,13 @@
         """Wait while the connection is congested."""
         if self.is_congested:
             self._drained = self._loop.create_future()
-            await self._drained
+            self._relay_bytes = _RELAY_BYTES
+            if not self._record_unread():
+                self._abort_unread()
+            try:
+                await self._drained
+            finally:
+                self._relay_bytes = 0
 
     def close(self, reason: str = 'closed') -> None:
         """Close after the written data has been sent."""
@@ -835,6 +846,8 @@
         return bool(poll.poll(0))
 
     def _abort_unread(self) -> None:
+        if self.close_reason == 'responses not read':
+            return
         self._resources.on_limited('responses not read', self._address)
         self.abort('responses not read')
 
@@ -851,14 +864,15 @@
             return True
         account = self._account
         now_s = self._loop.time()
-        if account.held_bytes <= _CONNECTION_BYTES:
-            account.since_s = now_s
-        account.is_sheddable = bool(
+        is_sheddable = bool(
             self._reading
             or self._queued_requests
             or self._pending
             or self._unread_bytes
         )
+        if is_sheddable and not account.is_sheddable:
+            account.since_s = now_s
+        account.is_sheddable = is_sheddable
         held_bytes = (
             _CONNECTION_BYTES
             + self._header_bytes
@@ -868,6 +882,7 @@
             + self._queued_bytes
             + self._running_bytes
             + self._unread_bytes
+            + self._relay_bytes
         )
         return self._resources.memory.update(account, held_bytes, now_s)
 
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -165,6 +165,32 @@
     assert crowd.limited == ['responses not read']
 
 
+@on_paused_clock
+async def test_streams_that_are_not_read_are_ended_when_memory_is_short():
+    """Guards against the buffers of streams for callers that read nothing.
+
+    The endpoint's connection buffers 256 KiB of each stream as well.
+    """
+
+    async def stream(request, responder):
+        responder.start_stream(200, [])
+        responder.send(b'a' * 100_000)
+        await responder.drain()
+
+    crowd = Crowd(stream)
+    crowd_size = 12
+    readers = [crowd.connect() for _ in range(crowd_size)]
+    for transport in readers:
+        transport.is_read = False
+        transport.protocol.data_received(GET)
+        transport.protocol.pause_writing()
+        await asyncio.sleep(0.1)
+        assert crowd.resources.memory.held_bytes <= BUDGET_BYTES
+    ended = sum(t.aborted for t in readers)
+    assert ended == crowd.limited.count('responses not read')
+    assert 0 < ended < crowd_size
+
+
 @on_paused_clock
 async def test_body_in_tiny_chunks_takes_its_turn():
     """Guards against 1,110 MB and no answers during chunks of one byte."""
--- a/src/basilpond/node/_internal_server.py
+++ b/src/basilpond/node/_internal_server.py
@@ -12,14 +12,8 @@
 from ..http1 import Header
 from ..http1 import Responder
 
-# Requests to these servers have a few short fields and no body; load balancers
-# and scrapers reuse a connection within some seconds.
-_LIMITS = ConnectionLimits(
-    header_bytes=16_384,
-    body_bytes=4_096,
-    header_timeout_s=3.0,
-    idle_timeout_s=15.0,
-)
+# Requests to these servers have a few short fields and no body.
+_LIMITS = ConnectionLimits(header_bytes=16_384, body_bytes=4_096)
 # Connections to one of these servers: load balancers, scrapers and the
 # routers that fetch a configuration at once.
 MAX_CONNECTIONS = 64
--- a/src/basilpond/platform/tests/test_settings.py
+++ b/src/basilpond/platform/tests/test_settings.py
@@ -41,6 +41,14 @@
     assert settings.retry_slack == 56
 
 
+@pytest.mark.parametrize('limits', ['', 'limits: {memory_mb: 160.5}\n'])
+def test_limits_of_the_machine_are_optional(tmp_path, limits):
+    """Guards against budgets that ignore the VM or need its limits."""
+    settings = load(tmp_path, TEXT + limits)
+    assert settings.memory_bytes == (160_500_000 if limits else 0)
+    assert settings.max_fds == 0
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'named'),
     [
--- a/src/basilpond/tasks/callers/_body_account.py
+++ b/src/basilpond/tasks/callers/_body_account.py
@@ -23,6 +23,10 @@
     """The memory budget does not allow the body."""
 
 
+def _ignore() -> None:
+    pass
+
+
 class BodyAccount:
     """What one request holds of the memory budget, until it is closed.
 
@@ -35,15 +39,20 @@
         self._memory = memory
         self._account = Account(self._shed)
         self._reading: asyncio.Timeout | None = None
+        self._is_shed = False
         memory.open(self._account)
 
     async def read(
-        self, content: aiohttp.StreamReader, limit_bytes: int
+        self,
+        content: aiohttp.StreamReader,
+        limit_bytes: int,
+        timeout_s: float,
     ) -> bytes:
         """Read a body.
 
         Raises
         ------
+        TimeoutError
         BodyTooLargeError
         MemoryShortError
             The request is refused, or was while it was read.
@@ -53,16 +62,16 @@
         account.since_s = loop.time()
         account.is_sheddable = True
         body = bytearray()
-        self._reading = reading = asyncio.timeout(None)
+        self._reading = asyncio.timeout(timeout_s)
         try:
-            async with reading:
+            async with self._reading:
                 while part := await content.readany():
                     body += part
                     if len(body) > limit_bytes:
                         raise BodyTooLargeError
                     self._hold(len(body))
         except TimeoutError:
-            if reading.expired():
+            if self._is_shed:
                 raise MemoryShortError from None
             raise
         finally:
@@ -74,6 +83,8 @@
     def close(self) -> None:
         """Return what the request holds."""
         self._memory.close(self._account)
+        # Without a reference cycle, no garbage collection is needed.
+        self._account.shed = _ignore
 
     def _hold(self, body_bytes: int) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -83,6 +94,7 @@
 
     def _shed(self) -> None:
         if self._reading is not None and not self._reading.expired():
+            self._is_shed = True
             self._reading.reschedule(asyncio.get_running_loop().time())
         self._account.is_sheddable = False
         # The body is freed in this iteration of the event loop.
--- a/src/basilpond/tasks/callers/_gateway.py
+++ b/src/basilpond/tasks/callers/_gateway.py
@@ -301,10 +301,11 @@
             # `HttpServer` detects that a response was started.
             request.writer.output_size = 0
         try:
-            async with asyncio.timeout(self.limits.upload_timeout_ms / 1000):
-                return await account.read(
-                    request.content, self.limits.body_bytes
-                )
+            return await account.read(
+                request.content,
+                self.limits.body_bytes,
+                self.limits.upload_timeout_ms / 1000,
+            )
         except TimeoutError:
             raise not_run(
                 ResultCode.SLOW_UPLOAD, 'the upload took too long', 408
