--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -47,14 +47,16 @@
         None where operators evacuate none.
     cpu_share : float
         Share of a core that the process may use; 0 if unknown.
-    memory_bytes : float
-        Memory that the process may use; infinite if unknown.
     admission_control : bool
         Whether less urgent prompts wait at the router while endpoints have no
         room.
     cold_over, cold_slack : float
         Requests to a cold endpoint that all routers may send in a second: a
         multiple of the limit of its service plus the slack.
+    memory_bytes : float
+        Memory that the process may use; 0 if unknown.
+    max_fds : int
+        Descriptors that the process may open; 0 if unknown.
     """
 
     node_id: str
@@ -78,10 +80,11 @@
     store_partitions: int = 1
     evacuate_s: float | None = None
     cpu_share: float = 0.0
-    memory_bytes: float = float('inf')
     admission_control: bool = False
     cold_over: float = 1.5
     cold_slack: float = 5.0
+    memory_bytes: float = 0.0
+    max_fds: int = 0
 
 
 class LogUnavailableError(Exception):
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -36,7 +36,7 @@
 class _Limits(msgspec.Struct):
     # Per process: memory, and number of open file descriptors.
     memory_mb: _Number = 0.0
-    max_fds: int = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
     # Bandwidth of the VM's link; 0 if unknown.
     link_mbps: _Number = 0.0
     # Share of a core; 0 if unknown.
@@ -155,9 +155,10 @@
             link_bytes_per_s=file.limits.link_mbps * _BYTES_PER_MBIT
             or float('inf'),
             cpu_share=file.limits.cpu_share,
-            memory_bytes=file.limits.memory_mb * _BYTES_PER_MB or float('inf'),
             is_first_start=file.bootstrap,
             admission_control=file.admission_control,
+            memory_bytes=file.limits.memory_mb * _BYTES_PER_MB,
+            max_fds=file.limits.max_fds,
         )
     except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f'{path}: {error}') from error
--- a/src/basilpond/platform/tests/test_settings.py
+++ b/src/basilpond/platform/tests/test_settings.py
@@ -50,6 +50,14 @@
     assert load(tmp_path, text).cold_over == 2.0
 
 
+@pytest.mark.parametrize('limits', ['', 'limits: {memory_mb: 160.5}\n'])
+def test_limits_of_the_machine_are_optional(tmp_path, limits):
+    """Guards against budgets that ignore the VM or need its limits."""
+    settings = load(tmp_path, TEXT + limits)
+    assert settings.memory_bytes == (160_500_000 if limits else 0)
+    assert settings.max_fds == 0
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'named'),
     [
@@ -77,7 +85,8 @@
     """Guards against a router that takes a share of a core for a core."""
     settings = load(tmp_path, TEXT)
     assert settings.cpu_share == 0
-    assert settings.memory_bytes == settings.link_bytes_per_s == float('inf')
+    assert settings.memory_bytes == 0
+    assert settings.link_bytes_per_s == float('inf')
     limits = 'limits: {cpu_share: 0.39, memory_mb: 160, link_mbps: 5}\n'
     settings = load(tmp_path, TEXT + limits)
     assert settings.cpu_share == 0.39
