Move the load of an endpoint out of the choice

The load will learn the speed of its endpoint, and the choice will weigh outdated reports; each gets its module first. No behaviour changes.

--- a/src/basilpond/routing/placement/__init__.py
+++ b/src/basilpond/routing/placement/__init__.py
@@ -2,12 +2,12 @@
 
 from ._endpoint_history import EndpointHistory
 from ._endpoint_history import EntryVerdict
+from ._endpoint_load import EndpointLoad
+from ._endpoint_load import InFlightRequest
+from ._endpoint_load import PeerReport
+from ._endpoint_load import prefill_cost
 from ._placement import Choice
-from ._placement import EndpointLoad
-from ._placement import InFlightRequest
-from ._placement import PeerReport
 from ._placement import choose_endpoint
-from ._placement import prefill_cost
 from ._placement import sample_loads
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prompt_prefixes
