Learn the speeds of endpoints and spread work by them

Cause: forecasts assumed 65,000 tokens/s for every endpoint, and all routers chose the same endpoints by reports that are 0.5 to 1 s old. Change: EndpointSpeeds estimates the prefill speed of each endpoint process; with outdated reports, the choice spreads work as this router sent its own. Time limits are not shorter than before.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -14,6 +14,7 @@
 from ..routing import Endpoint
 from ..routing import EndpointHistory
 from ..routing import EndpointLoad
+from ..routing import EndpointSpeeds
 from ..routing import EntryVerdict
 from ..routing import LeavingIncarnations
 from ..routing import long_prompt_endpoints
@@ -41,6 +42,9 @@
 # without a report. The last report is up to one interval old when an outage of
 # the store begins, so no entry lapses in a shorter outage.
 _MIN_LAPSE_S = 2.4
+# Mean use of the endpoints of a service from which the busiest of them is
+# compared to the mean; with less, chance decides.
+_MIN_BUSY = 0.05
 # Longest time to learn from the store whether an endpoint was replaced, before
 # a stream goes on there.
 _READ_AHEAD_TIMEOUT_S = 0.3
@@ -175,12 +179,23 @@
 
     __slots__ = ('endpoint', 'incarnation_number', 'load', 'number', 'pool')
 
-    def __init__(self, endpoint: Endpoint, cache_retention_s: float) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        cache_retention_s: float,
+        speeds: EndpointSpeeds | None = None,
+    ) -> None:
         self.endpoint = endpoint
         self.number = endpoint_number(endpoint.id)
         # The same for its process, as it may start again under its id.
         self.incarnation_number = endpoint_number(repr(endpoint.incarnation))
-        self.load = EndpointLoad(endpoint, cache_retention_s)
+        if speeds is not None:
+            speeds.track(
+                self.incarnation_number, endpoint.service, endpoint.version
+            )
+        self.load = EndpointLoad(
+            endpoint, cache_retention_s, speeds, self.incarnation_number
+        )
         self.pool = ConnectionPool(
             endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
         )
@@ -213,6 +228,7 @@
         # Called when an endpoint is added.
         self.on_added: Callable[[], None] = lambda: None
         self._cache_retention_s = cache_retention_s
+        self.speeds = EndpointSpeeds()
         self._entries: dict[str, EndpointEntry] = {}
         self._by_service: dict[str, dict[str, EndpointEntry]] = {}
         self._by_number: dict[int, EndpointEntry] = {}
@@ -256,6 +272,21 @@
             if not entry.endpoint.leaving
         ]
 
+    def busiest_ratio(self) -> float:
+        """Return the work of the busiest endpoint of a service by the mean.
+
+        Weighted by speed, as an average over half a minute; of the service
+        with the largest ratio, and 0 without load.
+        """
+        ratios = [0.0]
+        for service in self._by_service:
+            busy = [
+                entry.load.busy_average for entry in self.candidates(service)
+            ]
+            if busy and sum(busy) > _MIN_BUSY * len(busy):
+                ratios.append(len(busy) * max(busy) / sum(busy))
+        return max(ratios)
+
     def is_replaced(self, entry: EndpointEntry) -> bool:
         """Whether another process has started under the id of an endpoint."""
         present = self._entries.get(entry.endpoint.id, entry)
@@ -496,7 +527,7 @@
                 known.load.endpoint = endpoint
                 return
             self._remove(endpoint.id, 'started again')
-        entry = EndpointEntry(endpoint, self._cache_retention_s)
+        entry = EndpointEntry(endpoint, self._cache_retention_s, self.speeds)
         self._entries[endpoint.id] = entry
         self._by_number[entry.number] = entry
         service = self._by_service.setdefault(endpoint.service, {})
@@ -555,6 +586,7 @@
         self._by_service[entry.endpoint.service].pop(endpoint_id, None)
         self._by_number.pop(entry.number, None)
         entry.pool.close()
+        self.speeds.forget(entry.incarnation_number)
         self._history.record_departure(
             endpoint_id, asyncio.get_running_loop().time(), listed=listed
         )
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -625,11 +625,13 @@
     ) -> float:
         tokens = context.metadata.prompt_tokens
         if not tokens:
-            return entry.load.forecast_s(0.0)
+            return entry.load.limit_forecast_s(0.0, now_s)
         cached_tokens = entry.load.cache.cached_tokens(
             context.prompt_prefixes[:-1], now_s
         )
-        return entry.load.forecast_s(prefill_cost(tokens, cached_tokens))
+        return entry.load.limit_forecast_s(
+            prefill_cost(tokens, cached_tokens), now_s
+        )
 
     def _is_poison(self, context: RequestContext, now_s: float) -> bool:
         return self._crashes.is_stopped(context.digest, context.digest, now_s)
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -272,7 +272,9 @@
         started = False
         sent_s = loop.time()
         events_before = context.events.count
-        response_timer = ResponseTimer(context, choice.forecast_s, may_cancel)
+        response_timer = ResponseTimer(
+            context, choice.limit_forecast_s, may_cancel
+        )
         try:
             if connection is None:
                 connection = await entry.pool.connect()
--- a/src/basilpond/node/tests/test_silent_streams.py
+++ b/src/basilpond/node/tests/test_silent_streams.py
@@ -11,7 +11,7 @@
 from basilpond.node.tests.platform_world import world
 from basilpond.routing import CrashingParts
 from basilpond.routing import Quarantine
-from basilpond.routing.placement._placement import PREFILL_TOKENS_PER_S
+from basilpond.routing.placement._endpoint_speed import PREFILL_TOKENS_PER_S
 
 # Pause of the endpoints, which callers put up with: they leave after 2.4 s.
 SILENCE_S = 2.0
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -55,10 +55,12 @@
 from .placement import Choice
 from .placement import EndpointHistory
 from .placement import EndpointLoad
+from .placement import EndpointSpeeds
 from .placement import EntryVerdict
 from .placement import InFlightRequest
 from .placement import PeerReport
 from .placement import PromptCache
+from .placement import SpeedReport
 from .placement import choose_endpoint
 from .placement import prefill_cost
 from .placement import prompt_prefixes
@@ -82,6 +84,7 @@
     'EndpointHistory',
     'EndpointLimits',
     'EndpointLoad',
+    'EndpointSpeeds',
     'EntryVerdict',
     'EraRecovery',
     'EraStatement',
@@ -112,6 +115,7 @@
     'SendResult',
     'ServiceVersion',
     'SoftwareVersions',
+    'SpeedReport',
     'UNKNOWN_VERSION',
     'VersionCheck',
     'WaitingRequest',
--- a/src/basilpond/routing/placement/__init__.py
+++ b/src/basilpond/routing/placement/__init__.py
@@ -6,6 +6,8 @@
 from ._endpoint_load import InFlightRequest
 from ._endpoint_load import PeerReport
 from ._endpoint_load import prefill_cost
+from ._endpoint_speed import EndpointSpeeds
+from ._endpoint_speed import SpeedReport
 from ._placement import Choice
 from ._placement import choose_endpoint
 from ._placement import sample_loads
@@ -16,10 +18,12 @@
     'Choice',
     'EndpointHistory',
     'EndpointLoad',
+    'EndpointSpeeds',
     'EntryVerdict',
     'InFlightRequest',
     'PeerReport',
     'PromptCache',
+    'SpeedReport',
     'choose_endpoint',
     'prefill_cost',
     'prompt_prefixes',
--- a/src/basilpond/routing/placement/_placement.py
+++ b/src/basilpond/routing/placement/_placement.py
@@ -16,7 +16,6 @@
 from .._long_prompts import LONG_PROMPT_TOKENS
 from .._outlier_detection import MAX_EJECTED_SHARE
 from .._reachability import Reachability
-from ._endpoint_load import PREFILL_TOKENS_PER_S
 from ._endpoint_load import EndpointLoad
 from ._endpoint_load import prefill_cost
 
@@ -37,6 +36,12 @@
 _FAILURE_PENALTY_S = 2.0
 # Endpoints compared for one request, besides those that cache its prompt.
 _MAX_COMPARED = 16
+# The same with outdated reports, by which they cannot all be the same few.
+_MAX_COMPARED_OUTDATED = 32
+# Weight of the mean wait at endpoints to which this router sent its share of
+# recent work, where reports are outdated. With 1, the fastest endpoints got
+# a third more than the mean of the work; with 10, waits grew.
+_SPREAD_WEIGHT = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,6 +53,8 @@
     load : EndpointLoad
     forecast_s : float
         Expected time to the first byte.
+    limit_forecast_s : float
+        The same for time limits, see `EndpointLoad.limit_forecast_s`.
     cached_tokens : int
         Prompt tokens that the endpoint has probably cached.
     prefill_cost : float
@@ -58,6 +65,7 @@
 
     load: EndpointLoad
     forecast_s: float
+    limit_forecast_s: float
     cached_tokens: int
     prefill_cost: float
     candidates: int
@@ -83,15 +91,46 @@
         prefix are always included.
     rng : random.Random
     """
-    if len(loads) <= _MAX_COMPARED:
+    compared = _MAX_COMPARED
+    if loads and loads[0].outdated:
+        compared = _MAX_COMPARED_OUTDATED
+    if len(loads) <= compared:
         return loads
-    sample = rng.sample(loads, _MAX_COMPARED)
+    sample = rng.sample(loads, compared)
     if len(prefixes) > 1:
         key = prefixes[-2][0]
         sample += [load for load in loads if load.cache.has(key)]
     return list(dict.fromkeys(sample))
 
 
+def _spread_waits_s(
+    loads: list[EndpointLoad], now_s: float
+) -> dict[EndpointLoad, float]:
+    # Outdated reports tell how much work lies at all endpoints together, but
+    # no longer where: if all routers chose by them, they would choose the same
+    # endpoints, or the same data centre, until the next reports. The other
+    # routers spread their work as this one does, so it counts where this one
+    # sent its own.
+    if not loads or not loads[0].outdated:
+        return {}
+    speeds = [load.tokens_per_s(now_s) for load in loads]
+    recent_s = [
+        load.recent_cost(now_s) / speed
+        for load, speed in zip(loads, speeds, strict=True)
+    ]
+    mean_s = sum(recent_s) / len(loads)
+    if not mean_s:
+        return {}
+    wait_s = sum(load.reported_cost for load in loads) / sum(speeds)
+    # While most endpoints are idle, prompts need not wait.
+    busy = sum(load.reported_cost > 0 for load in loads) / len(loads)
+    weight = _SPREAD_WEIGHT * loads[0].outdated * busy * wait_s / mean_s
+    return {
+        load: weight * own_s
+        for load, own_s in zip(loads, recent_s, strict=True)
+    }
+
+
 def choose_endpoint(
     loads: Iterable[EndpointLoad],
     *,
@@ -144,24 +183,31 @@
     outliers = [load for load in loads if load.outlier.is_ejected(now_s)]
     if len(outliers) > MAX_EJECTED_SHARE * len(loads):
         outliers = []
+    spread_s = _spread_waits_s(loads, now_s) if prompt_tokens else {}
     for load in loads:
         candidates += 1
         cached = load.cache.cached_tokens(prefixes[:-1], now_s)
         added_cost = (
             prefill_cost(prompt_tokens, cached) if prompt_tokens else 0.0
         )
-        forecast_s = load.forecast_s(added_cost)
+        forecast_s = load.forecast_s(added_cost, now_s)
         if is_long:
             interference_s = _PAUSED_STREAM_PENALTY_S * load.running
         else:
             interference_s = (
                 _LONG_PROMPT_INTERFERENCE_S * load.for_long_prompts
             )
+        repeated_s = 0.0
+        if shared_tokens > cached:
+            repeated_s = (
+                _REPEATED_PREFILL_WEIGHT
+                * (shared_tokens - cached)
+                / load.tokens_per_s(now_s)
+            )
         cost_s = (
             forecast_s
-            + _REPEATED_PREFILL_WEIGHT
-            * (shared_tokens - cached)
-            / PREFILL_TOKENS_PER_S
+            + repeated_s
+            + spread_s.get(load, 0.0)
             + load.stalled_s(now_s)
             + _FAILURE_PENALTY_S * load.failure_share(now_s)
             + load.endpoint.slow_start_s * 0.1
@@ -177,9 +223,12 @@
             or reachability.is_avoided(load.endpoint.data_centre, now_s)
         )
         if best is None or (ejected, cost_s) < (best_ejected, best_cost_s):
-            best = Choice(load, forecast_s, cached, added_cost, 0)
+            best = Choice(load, forecast_s, 0.0, cached, added_cost, 0)
             best_cost_s = cost_s
             best_ejected = ejected
     if best is not None:
         best.candidates = candidates
+        best.limit_forecast_s = best.load.limit_forecast_s(
+            best.prefill_cost, now_s
+        )
     return best
