Share the observed speeds of endpoints between routers

Cause: with 82 routers each sees few prompts of each endpoint. Change: reports carry an optional field with at most 16 observations of 8 bytes; two gauges show the accuracy of forecasts and the busiest/mean ratio weighted by speed.

--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -129,6 +129,16 @@
                     'peer_sent_bytes',
                     'Bytes of datagrams sent to other routers',
                 ),
+                (
+                    'accurate_forecast_share',
+                    'Share of recent first tokens that took half to twice'
+                    ' their forecast',
+                ),
+                (
+                    'busiest_endpoint_ratio',
+                    'Work of the busiest endpoint of a service by the mean,'
+                    ' weighted by speed; 0 without load',
+                ),
             )
         }
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -115,6 +115,7 @@
             self._configuration_version,
             data_centre=settings.data_centre,
             link_bytes_per_s=settings.link_bytes_per_s,
+            speeds=self.directory.speeds,
         )
         self.budgets.request_from_peers = self.peers.request_tokens
         self.budgets.live_holders = self.peers.live_holders
@@ -427,6 +428,8 @@
             ('log_lines_dropped', self._decisions.dropped_total),
             ('peer_report_interval_seconds', self.peers.report_interval_s),
             ('peer_sent_bytes', self.peers.sent_bytes),
+            ('accurate_forecast_share', self.directory.speeds.accurate_share),
+            ('busiest_endpoint_ratio', self.directory.busiest_ratio()),
         ):
             self._metrics.set_gauge(name, value)
 
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -19,6 +19,7 @@
 from ..routing import CrashingParts
 from ..routing import Donors
 from ..routing import EndpointLimits
+from ..routing import EndpointSpeeds
 from ..routing import EscrowAccount
 from ..routing import FleetClock
 from ..routing import PeerReport
@@ -41,6 +42,8 @@
 from ._peer_records import encode_evidence
 from ._peer_records import encode_loads
 from ._peer_records import encode_prefixes
+from ._speed_records import decode_speeds
+from ._speed_records import encode_speeds
 
 # Shortest time between two reports; requests to an engine arrive about every
 # 100 ms and occupy it for as long.
@@ -126,6 +129,8 @@
         Data centre of this router.
     link_bytes_per_s : float
         Bandwidth of the VM's link.
+    speeds : EndpointSpeeds or None
+        Speeds of the endpoints; None if they are not shared.
     """
 
     def __init__(
@@ -142,7 +147,9 @@
         *,
         data_centre: str = '',
         link_bytes_per_s: float = float('inf'),
+        speeds: EndpointSpeeds | None = None,
     ) -> None:
+        self._speeds = EndpointSpeeds() if speeds is None else speeds
         self._data_centre = data_centre
         self._report_bytes_per_s = _LINK_SHARE * link_bytes_per_s
         self._router_id = router_id
@@ -309,7 +316,9 @@
                 expired_s = loop.time()
                 self._limits.set_routers(self.live_router_ids(), expired_s)
                 for entry in self._directory:
-                    entry.load.expire_reports(expired_s)
+                    entry.load.expire_reports(
+                        expired_s, self.report_interval_s
+                    )
 
     def _interval_s(self, data: bytes, count: int) -> float:
         interval_s = max(
@@ -322,6 +331,8 @@
 
     def _prepare_report(self, now_s: float) -> tuple[bytes, list[_Peer]]:
         report, unchanged = self._build_report(now_s)
+        speeds = encode_speeds(self._speeds.reports(now_s)) or None
+        unchanged = unchanged and speeds is None
         live_interval_s = _IDLE_INTERVAL_S if unchanged else 0.0
         due = [
             peer
@@ -335,7 +346,7 @@
         ]
         for peer in due:
             peer.last_sent_s = now_s
-        return self._encode(report=report), due
+        return self._encode(report=report, endpoint_speeds=speeds), due
 
     def _build_report(self, now_s: float) -> tuple[object, bool]:
         # Returns a report and whether it contains no changes.
@@ -462,6 +473,7 @@
             )
             cleared = decode_cleared(datagram.cleared_parts or b'', now_s)
             limits = decode_limits(datagram.endpoint_limits or b'', now_s)
+            speeds = decode_speeds(datagram.endpoint_speeds or b'')
         except ValueError as error:
             self._decisions.event(
                 'peer_unreadable', routine=True, reason=str(error)
@@ -492,6 +504,8 @@
             self._parts.clear(key, begun_s)
         for limit in limits:
             self._limits.apply_report(limit, now_s)
+        for speed in speeds:
+            self._speeds.apply_report(datagram.router, speed, now_s)
         self.announce_news()
         if datagram.request is not None:
             self._handle_allotment_request(datagram.request, peer)
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -69,5 +69,7 @@
   8: optional binary endpoint_limits,
   9: optional AccountStatement account_statement,
   // Number of a statement whose accounts the sender remembers.
-  10: optional i64 known_statement
+  10: optional i64 known_statement,
+  // Speeds of endpoints that the sender observed; see _speed_records.py.
+  11: optional binary endpoint_speeds
 }
--- a/src/basilpond/node/tests/test_peer_reports.py
+++ b/src/basilpond/node/tests/test_peer_reports.py
@@ -2,6 +2,7 @@
 import itertools
 import random
 
+import pytest
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import serialize
 
@@ -15,6 +16,7 @@
 from basilpond.routing import CrashingParts
 from basilpond.routing import Endpoint
 from basilpond.routing import EndpointLimits
+from basilpond.routing import EndpointSpeeds
 from basilpond_testkit.paused_clock import on_paused_clock
 
 # The slowest links of the large sites: 5 Mbit/s.
@@ -71,6 +73,7 @@
 
 
 def make_task(name, endpoints, link_bytes_per_s=LINK_BYTES_PER_S):
+    speeds = EndpointSpeeds()
     budgets = BudgetTask(
         f'{name}~1', None, NullDecisionLog(), lambda: ClockReading(0, 0)
     )
@@ -79,7 +82,7 @@
         endpoint = Endpoint(
             f'i-{i:010x}', None, 's', '10.0.0.1', 80, 'dc', 12, False, 0.0
         )
-        directory[endpoint.id] = EndpointEntry(endpoint, 10.0)
+        directory[endpoint.id] = EndpointEntry(endpoint, 10.0, speeds)
     task = PeerTask(
         name,
         f'{name}~0123456789ab',
@@ -91,6 +94,7 @@
         NullDecisionLog(),
         lambda: 1,
         link_bytes_per_s=link_bytes_per_s,
+        speeds=speeds,
     )
     task._transport = Socket()
     return task, directory
@@ -163,6 +167,48 @@
     assert seen_busy.load.running == 0
 
 
+@on_paused_clock
+async def test_reports_share_the_speeds_of_endpoints():
+    """Guards against routers that each learn from few prompts of their own."""
+    sender, sending = make_task('n', 2)
+    receiver, receiving = make_task('m00', 2)
+    add_peers(sender, 1)
+    sender._transport.receivers[1000] = receiver
+    entry, _ = sending
+    seen, untried = receiving
+
+    async def prompt():
+        for _ in range(10):
+            in_flight = entry.load.add_request(8_000, loop.time())
+            await asyncio.sleep(0.03 + 8_000 / 160_000)
+            entry.load.record_first_byte(in_flight, loop.time())
+            entry.load.remove_request(in_flight)
+            await asyncio.sleep(0.1)
+
+    loop = asyncio.get_running_loop()
+    await run_for(sender, prompt())
+    for load in (seen.load, untried.load):
+        learnt = load.tokens_per_s(loop.time())
+        assert learnt == pytest.approx(160_000, rel=0.1)
+        # The median of the service is computed once a second.
+        await asyncio.sleep(1.0)
+
+
+@on_paused_clock
+async def test_speeds_are_a_bounded_part_of_a_datagram():
+    """Guards against reports that grow with the number of endpoints."""
+    task, directory = make_task('n', 200)
+    add_peers(task, 1)
+    for entry in directory:
+        in_flight = entry.load.add_request(8_000, 0.0)
+        entry.load.record_first_byte(in_flight, 0.1)
+        entry.load.remove_request(in_flight)
+    await run_for(task, asyncio.sleep(2.0))
+    sizes = [size for _, size, _ in task._transport.sent]
+    # A load is 10 bytes, a speed 8.
+    assert max(sizes) - min(sizes) <= 16 * 8 + 200 * 10 + 10
+
+
 @on_paused_clock
 async def test_prefix_in_use_is_announced_again():
     """Guards against a shared prefix that expires at peers while in use."""
