Set the forecast of a stop's test by prefills instead of slowness

Cause: the test set EndpointLoad.slowness, which learnt speeds replace. Change: it puts three seconds of prefills before the request; the forecast of 3 s and all assertions are the same.

--- a/src/basilpond/node/tests/test_planned_stops.py
+++ b/src/basilpond/node/tests/test_planned_stops.py
@@ -10,6 +10,7 @@
 from basilpond.node.tests.platform_world import configuration
 from basilpond.node.tests.platform_world import route
 from basilpond.node.tests.platform_world import world
+from basilpond.routing.placement._endpoint_speed import PREFILL_TOKENS_PER_S
 
 # A tenth of the times of a router with the default grace of 8 s.
 GRACE_S = 0.8
@@ -336,8 +337,8 @@
     """Guards against a send whose response is due after the stop."""
     async with stopping_world() as (system, stop):
         for entry in stop.node.directory.candidates('llm'):
-            # A first event is forecast after 3 s.
-            entry.load.slowness = 100.0
+            # A first event is forecast after 3 s, as prefills lie before it.
+            entry.load.prefill_cost += 3.0 * PREFILL_TOKENS_PER_S
         for server in system.servers.values():
             server.prefill_s = 3.0
         stop.signal()
