--- a/src/basilpond/node/_admission.py
+++ b/src/basilpond/node/_admission.py
@@ -274,12 +274,14 @@
                 entry
                 for entry in meant
                 if entry.load.cache.has(key)
-                and _pending_s(entry.load) <= limit_s
+                and _pending_s(entry.load, now_s) <= limit_s
             ] or meant
         least = min(entry.load.prefill_cost for entry in meant)
         meant = [e for e in meant if e.load.prefill_cost <= least]
         is_long = context.metadata.prompt_tokens >= LONG_PROMPT_TOKENS
-        weights = [_weight(entry.load, is_long=is_long) for entry in meant]
+        weights = [
+            _weight(entry.load, now_s, is_long=is_long) for entry in meant
+        ]
         return self._rng.choices(meant, weights)
 
     def _meant(
@@ -401,7 +403,8 @@
                 or state.stalled_s(now_s)
             ):
                 continue
-            load.tokens_per_s += PREFILL_TOKENS_PER_S
+            speed = state.tokens_per_s(now_s)
+            load.tokens_per_s += speed
             load.own_cost += state.prefill_cost
             load.peer_cost += state.pending_prefill_cost - state.prefill_cost
             load.running += state.running
@@ -409,9 +412,7 @@
             if now_s - state.queued_at_s < _OBSERVED_S:
                 observed.append(state.queued_s)
             lateness = [
-                now_s
-                - in_flight.started_s
-                - in_flight.prefill_cost / PREFILL_TOKENS_PER_S
+                now_s - in_flight.started_s - in_flight.prefill_cost / speed
                 for in_flight in state.in_flight
                 if in_flight.prefilling and in_flight.prefill_cost
             ]
@@ -549,12 +550,12 @@
         )
 
 
-def _pending_s(load: EndpointLoad) -> float:
-    return load.pending_prefill_cost / PREFILL_TOKENS_PER_S
+def _pending_s(load: EndpointLoad, now_s: float) -> float:
+    return load.pending_prefill_cost / load.tokens_per_s(now_s)
 
 
-def _weight(load: EndpointLoad, *, is_long: bool) -> float:
-    weight = 1 / (_EVEN_S + _pending_s(load)) / load.slowness
+def _weight(load: EndpointLoad, now_s: float, *, is_long: bool) -> float:
+    weight = load.tokens_per_s(now_s) / (_EVEN_S + _pending_s(load, now_s))
     if is_long and load.for_long_prompts:
         weight *= _LONG_PROMPT_FACTOR
     return weight
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -183,6 +183,16 @@
                 ),
                 ('router_full', 'Whether the router refuses for its load'),
                 ('held_requests', 'Requests that wait for the link'),
+                (
+                    'accurate_forecast_share',
+                    'Share of recent first tokens that took half to twice'
+                    ' their forecast',
+                ),
+                (
+                    'busiest_endpoint_ratio',
+                    'Work of the busiest endpoint of a service by the mean,'
+                    ' weighted by speed; 0 without load',
+                ),
             )
         }
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -153,6 +153,7 @@
             self._configuration_version,
             data_centre=settings.data_centre,
             link_bytes_per_s=settings.link_bytes_per_s,
+            speeds=self.directory.speeds,
         )
         evacuations.on_change = lambda data_centre: (
             self._cold.suspect_data_centre(data_centre, 'evacuation')
@@ -531,6 +532,8 @@
             ('router_delay_seconds', self.load.delay_s(now_s)),
             ('router_full', int(self.load.is_full(now_s))),
             ('held_requests', len(self.load.held)),
+            ('accurate_forecast_share', self.directory.speeds.accurate_share),
+            ('busiest_endpoint_ratio', self.directory.busiest_ratio()),
         ):
             self._metrics.set_gauge(name, value)
 
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -63,10 +63,12 @@
 from .placement import Choice
 from .placement import EndpointHistory
 from .placement import EndpointLoad
+from .placement import EndpointSpeeds
 from .placement import EntryVerdict
 from .placement import InFlightRequest
 from .placement import PeerReport
 from .placement import PromptCache
+from .placement import SpeedReport
 from .placement import choose_endpoint
 from .placement import prefill_cost
 from .placement import prompt_prefixes
@@ -93,6 +95,7 @@
     'EndpointHistory',
     'EndpointLimits',
     'EndpointLoad',
+    'EndpointSpeeds',
     'EntryVerdict',
     'EraRecovery',
     'EraStatement',
@@ -128,6 +131,7 @@
     'SendResult',
     'ServiceVersion',
     'SoftwareVersions',
+    'SpeedReport',
     'UNKNOWN_VERSION',
     'VersionCheck',
     'WaitingRequest',
--- a/src/basilpond/routing/placement/__init__.py
+++ b/src/basilpond/routing/placement/__init__.py
@@ -2,13 +2,15 @@
 
 from ._endpoint_history import EndpointHistory
 from ._endpoint_history import EntryVerdict
-from ._placement import PREFILL_TOKENS_PER_S
+from ._endpoint_load import EndpointLoad
+from ._endpoint_load import InFlightRequest
+from ._endpoint_load import PeerReport
+from ._endpoint_load import prefill_cost
+from ._endpoint_speed import PREFILL_TOKENS_PER_S
+from ._endpoint_speed import EndpointSpeeds
+from ._endpoint_speed import SpeedReport
 from ._placement import Choice
-from ._placement import EndpointLoad
-from ._placement import InFlightRequest
-from ._placement import PeerReport
 from ._placement import choose_endpoint
-from ._placement import prefill_cost
 from ._placement import sample_loads
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prompt_prefixes
@@ -17,11 +19,13 @@
     'Choice',
     'EndpointHistory',
     'EndpointLoad',
+    'EndpointSpeeds',
     'EntryVerdict',
     'InFlightRequest',
     'PREFILL_TOKENS_PER_S',
     'PeerReport',
     'PromptCache',
+    'SpeedReport',
     'choose_endpoint',
     'prefill_cost',
     'prompt_prefixes',
