Mend what the review of the merged parts found

Cause and change: * A connection that started a queued request could be chosen to free memory and refuse it with 503, and then run it: it is no longer chosen at that moment. * The parser kept all fields of the last head: only framing fields are kept. * A last request without memory was never answered if bytes followed it. * A refused upload kept its body and could be refused twice; stalled uploads counted as load; a stop cut refusals short. * A router with a lagging event loop took itself for paused and had no slots at cold endpoints: views are updated between the steps of a report. * A wrong time in an entry hid that the endpoint leaves or started again, and a wrong limit of a service kept back the whole version. * Cold endpoints: gone processes no longer use up the table, state does not expire in an outage of the store, slots that become free in time count.

--- a/src/basilpond/http1/_request_parser.py
+++ b/src/basilpond/http1/_request_parser.py
@@ -49,12 +49,12 @@
     events : RequestEvents
     """
 
-    __slots__ = ('_declined', '_events', '_head', '_in_head', '_parser')
+    __slots__ = ('_declined', '_events', '_framing', '_in_head', '_parser')
 
     def __init__(self, events: RequestEvents) -> None:
         self._events = events
         self._parser = httptools.HttpRequestParser(self)
-        self._head: list[_fields.Header] = []
+        self._framing: list[_fields.Header] = []
         # Whether a head is parsed for the first time.
         self._in_head = False
         # Whether a head is fed again after an offer of another protocol.
@@ -93,8 +93,7 @@
 
     def _replay_head(self) -> None:
         method, version = self.get_method(), self.get_http_version()
-        framing = [field for field in self._head if field[0] in _FRAMING]
-        framing.append((b'connection', b'close'))
+        framing = [*self._framing, (b'connection', b'close')]
         self._parser = httptools.HttpRequestParser(self)
         # Without a body, the request is complete within the head.
         self._parser.feed_data(
@@ -107,7 +106,7 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         if not self._declined:
-            self._head = []
+            self._framing = []
             self._in_head = True
             self._events.on_message_begin()
 
@@ -119,7 +118,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Pass on a header field; trailer fields are ignored."""
         if self._in_head:
-            self._head.append((name.lower(), value))
+            if name.lower() in _FRAMING:
+                self._framing.append((name, value))
             self._events.on_header(name, value)
 
     def on_headers_complete(self) -> None:
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -133,6 +133,8 @@
         Event loop time of the first byte.
     received_bytes, missing_bytes : int
         Of the body.
+    progress_s : float
+        Event loop time of the last part of the body.
     """
 
     target: bytes
@@ -140,6 +142,7 @@
     started_s: float
     received_bytes: int
     missing_bytes: int
+    progress_s: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -385,7 +388,7 @@
         """Close connections as soon as they have no request in progress."""
         self.closing_idle = True
         for connection in list(self.connections):
-            if not connection.busy:
+            if not connection.busy and not connection.is_refusing:
                 connection.close_unless_read('router stops')
 
     def make_room(self, new: CallerConnection) -> None:
@@ -439,6 +442,10 @@
         self._queued_requests: list[CallerRequest] = []
         # Whether bytes that arrive are ignored, after a refusal.
         self._lingering = False
+        # Whether the rest of a body is left unread.
+        self._upload_refused = False
+        # Whether a request is about to be passed to the handler.
+        self._starting = False
         self._keep_alive = True
         # Refusal of what follows the requests that were received.
         self._rejection: tuple[int, str] | None = None
@@ -587,11 +594,9 @@
             # What follows a CONNECT would be of another protocol.
             self._keep_alive = False
         except httptools.HttpParserError as error:
-            if not self._keep_alive:
-                # RFC 9112, section 9.6: nothing follows the request with
-                # which the caller announced the end.
-                return
-            if self._rejection is None:
+            # RFC 9112, section 9.6: nothing follows the request with which
+            # the caller announced the end.
+            if self._keep_alive and self._rejection is None:
                 self._rejection = (400, str(error))
         limit_bytes = self._server.limits.header_bytes + _MAX_OVERHEAD_BYTES
         if self._overhead_bytes > limit_bytes and self._rejection is None:
@@ -640,7 +645,11 @@
                 else limits.header_timeout_s
             )
         self._feed(memoryview(rest))
-        if not self._pending and not self._transport.is_closing():
+        if (
+            not self._pending
+            and not self._upload_refused
+            and not self._transport.is_closing()
+        ):
             self._transport.resume_reading()
 
     # Parser callbacks.
@@ -745,6 +754,7 @@
             self._started_s,
             len(self._body),
             self._declared_bytes - len(self._body),
+            self._progress_s,
         )
 
     def _check_upload(self) -> None:
@@ -763,9 +773,12 @@
         # What is not read stays with the caller instead of using the link.
         assert self._transport is not None
         self._transport.pause_reading()
+        self._upload_refused = True
         self._lingering = True
-        self._reading = False
         self._keep_alive = False
+        self._pending = b''
+        self._reset()
+        self._update_account()
         Responder(self).respond(503, fields)
         self._set_timer(LINGER_S)
 
@@ -794,6 +807,11 @@
             and self._transport.get_write_buffer_size() > 0
         )
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the caller still has time to read a refusal."""
+        return self._lingering
+
     def keeps_open(self) -> bool:
         """Whether the connection stays open after the current response."""
         return (
@@ -868,7 +886,7 @@
 
     def shed(self) -> None:
         """Free memory: refuse what has not been handled, or stop sending."""
-        if self._is_closing():
+        if self._is_closing() or self._starting:
             return
         if self._reading or self._queued_requests or self._pending:
             self._refuse_rest()
@@ -1027,7 +1045,12 @@
         self._running_bytes = (
             _request_bytes(request) + _BODY_COPIES * body_bytes
         )
-        if not self._update_account():
+        # The account may choose this connection to free memory, whose
+        # refusal would take the place of the response to this request.
+        self._starting = True
+        allowed = self._update_account()
+        self._starting = False
+        if not allowed:
             # It was not passed on to the handler.
             self._running_bytes = 0
             self._rejection = _MEMORY_SHORT
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -270,3 +270,77 @@
     await asyncio.sleep(2.0)
     for transport in running:
         assert transport.sent.startswith(b'HTTP/1.1 200 ')
+
+
+@on_paused_clock
+async def test_request_is_not_refused_as_it_starts():
+    """Guards against a 503 for a request that then runs.
+
+    The account of a connection grows as its next request starts, and the same
+    connection may be chosen to free memory.
+    """
+
+    async def handle(request, responder):
+        crowd.handled.append(request.target)
+        await asyncio.sleep(0.1)
+        responder.respond(200, [(b'x-target', request.target)])
+
+    def post(target, size):
+        head = b'POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
+        return head % (target, size) + size * b'a'
+
+    crowd = Crowd(handle)
+    transport = crowd.connect()
+    await crowd.send(
+        transport,
+        post(b'/a', 10),
+        post(b'/b', 50_000),
+        post(b'/c', 350_000),
+        post(b'/d', 100_000)[:-1],
+    )
+    await asyncio.sleep(2.0)
+    refusal = transport.sent.find(b'HTTP/1.1 503 ')
+    assert refusal > 0
+    # What runs is answered, and nothing is answered after the refusal.
+    assert transport.sent.find(b'HTTP/1.1 200 ', refusal) == -1
+    assert transport.sent.count(b'HTTP/1.1 503 ') == 1
+    assert transport.sent.count(b'HTTP/1.1 200 ') == len(crowd.handled)
+
+
+@on_paused_clock
+async def test_idle_connection_keeps_no_head():
+    """Guards against 323 kB that a head of many fields left behind."""
+    crowd = Crowd()
+    transport = crowd.connect()
+    await crowd.send(
+        transport,
+        b'GET / HTTP/1.1\r\nHost: h\r\n' + 3_000 * b'a:b\r\n' + b'\r\n',
+    )
+    assert not transport.protocol._parser._framing
+
+
+@on_paused_clock
+async def test_last_request_without_memory_is_refused_despite_more_bytes():
+    """Guards against a request that is never answered."""
+    crowd = Crowd()
+    for _ in range(30):
+        await crowd.send(crowd.connect(), sized(100_000) + b'a' * 99_999)
+    transport = crowd.connect()
+    head = sized(900_000)[:-2] + b'Connection: close\r\n\r\n'
+    await crowd.send(transport, head + 900_000 * b'a' + b'more')
+    await asyncio.sleep(2.0)
+    assert transport.sent.startswith(b'HTTP/1.1 503 ')
+    assert transport.closed
+
+
+@on_paused_clock
+async def test_refused_upload_is_answered_once():
+    """Guards against a second refusal, and a body that stays in memory."""
+    crowd = Crowd()
+    crowd.server.check_upload = lambda upload: []
+    transport = crowd.connect()
+    await crowd.send(transport, sized(500_000) + 100_000 * b'a')
+    transport.protocol.shed()
+    assert transport.sent.count(b'HTTP/1.1 503 ') == 1
+    assert b'connection: close' in transport.sent
+    assert crowd.resources.memory.held_bytes < 100_000
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -161,6 +161,7 @@
             era=self._era,
             routes=len(configuration.routes),
             organisations=len(configuration.organisations or ()),
+            problems=list(configuration.problems) or None,
         )
         self._on_change(self.catalogue)
 
@@ -428,7 +429,7 @@
                     record.key, record.value
                 )
             except ValueError as error:
-                if not self._ignores(record.key, error):
+                if not self._ignores_time(record.key, error):
                     self._schedule_removal(
                         record.key, f'unreadable entry: {error}'
                     )
@@ -437,15 +438,19 @@
                 endpoint = dataclasses.replace(endpoint, leaving=True)
             self._add_or_update(endpoint)
 
-    def _ignores(self, endpoint_id: str, error: ValueError) -> bool:
-        # A wrong time must not remove an endpoint in use.
+    def _ignores_time(self, endpoint_id: str, error: ValueError) -> bool:
+        # A wrong time must not remove an endpoint in use, nor hide that it
+        # leaves or has started again.
         known = self._entries.get(endpoint_id)
         if (
             known is None
             or not isinstance(error, ColdTimeError)
             or not self.limits_cold(known.endpoint.service)
+            or known.endpoint.incarnation != error.endpoint.incarnation
         ):
             return False
+        if error.endpoint.leaving and not known.endpoint.leaving:
+            self._update(dataclasses.replace(known.endpoint, leaving=True))
         self._log_endpoint('cold_time_ignored', known.endpoint, str(error))
         return True
 
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -247,7 +247,18 @@
 
 
 class ColdTimeError(ValueError):
-    """Only the time for which an endpoint is cold is invalid in its entry."""
+    """Only the time for which an endpoint is cold is invalid in its entry.
+
+    Parameters
+    ----------
+    reason : str
+    endpoint : Endpoint
+        The rest of the entry.
+    """
+
+    def __init__(self, reason: str, endpoint: Endpoint) -> None:
+        super().__init__(reason)
+        self.endpoint = endpoint
 
 
 class RequestMetadataError(ValueError):
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -198,6 +198,7 @@
         # report.
         self._last_announced: tuple[object, ...] = ()
         self._crashes_sent_s = float('-inf')
+        self._expired_s = float('-inf')
         # For metrics; longer than usual where reports would use too much of
         # the link.
         self.report_interval_s = REPORT_INTERVAL_S
@@ -324,7 +325,6 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         loop = asyncio.get_running_loop()
-        expired_s = loop.time()
         synchronised_s = loop.time()
         while True:
             data, due = self._prepare_report(loop.time())
@@ -336,19 +336,23 @@
                 for peer in due[step::steps]:
                     self._send(data, peer)
                 await asyncio.sleep(interval_s / steps)
+                # A full round takes seconds while the event loop lags, and
+                # late updates would count as a pause of this process.
+                self._expire_if_due(loop.time())
             self._budgets.allotments.routers = self.live_routers()
             if loop.time() - synchronised_s >= _SYNCHRONISATION_INTERVAL_S:
                 synchronised_s = loop.time()
                 self._synchronise(synchronised_s)
-            if loop.time() - expired_s >= _EXPIRY_INTERVAL_S:
-                expired_s = loop.time()
-                live = self.live_router_ids()
-                self._limits.set_routers(live, expired_s)
-                self.on_routers(live, expired_s)
-                for entry in self._directory:
-                    entry.load.expire_reports(
-                        expired_s, self.report_interval_s
-                    )
+
+    def _expire_if_due(self, now_s: float) -> None:
+        if now_s - self._expired_s < _EXPIRY_INTERVAL_S:
+            return
+        self._expired_s = now_s
+        live = self.live_router_ids()
+        self._limits.set_routers(live, now_s)
+        self.on_routers(live, now_s)
+        for entry in self._directory:
+            entry.load.expire_reports(now_s, self.report_interval_s)
 
     def _interval_s(self, data: bytes, count: int) -> float:
         interval_s = max(
--- a/src/basilpond/node/_router_overload.py
+++ b/src/basilpond/node/_router_overload.py
@@ -43,6 +43,9 @@
 _SETTLE_S = 0.2
 # Time for which the rate of an upload says nothing: the first round trips.
 _YOUNG_UPLOAD_S = 0.25
+# Time without a part after which an upload takes nothing of the link. On a
+# link of 5 Mbit/s one that had stalled had others refused for 15 s.
+_STALLED_UPLOAD_S = 0.5
 
 
 class RouterOverload:
@@ -324,6 +327,8 @@
 
 def _progress(upload: Upload, now_s: float) -> UploadProgress:
     age_s = now_s - upload.started_s
+    if now_s - upload.progress_s >= _STALLED_UPLOAD_S:
+        return UploadProgress(upload.missing_bytes, 0.0)
     if age_s < _YOUNG_UPLOAD_S:
         return UploadProgress(upload.missing_bytes, float('inf'))
     return UploadProgress(upload.missing_bytes, upload.received_bytes / age_s)
--- a/src/basilpond/node/tests/test_cold_endpoints.py
+++ b/src/basilpond/node/tests/test_cold_endpoints.py
@@ -268,6 +268,15 @@
         assert not entry.endpoint.leaving
 
 
+async def test_leaving_endpoint_with_a_wrong_time_gets_no_requests():
+    """Guards against a wrong time that hides that an endpoint leaves."""
+    async with world(cold_configuration(), apps=1) as system:
+        put_entry(system, 'app-0', seq=2, cold_left_ms=-5, state='draining')
+        await system.until(
+            lambda: system.nodes[0].directory.find('app-0').endpoint.leaving
+        )
+
+
 async def test_service_without_a_limit_is_served_as_before():
     """Guards against other deployments that are served otherwise."""
     async with world(nodes=2, apps=1) as system:
--- a/src/basilpond/node/tests/test_router_overload_replay.py
+++ b/src/basilpond/node/tests/test_router_overload_replay.py
@@ -14,6 +14,7 @@
 from basilpond.node._request_context import RefusedError
 from basilpond.node._request_context import RequestContext
 from basilpond.node._router_overload import RouterOverload
+from basilpond.node._router_overload import _progress
 from basilpond.node._router_overload import find_route
 from basilpond.node._router_watch import LinkMeter
 from basilpond.node._router_watch import RouterWatch
@@ -139,6 +140,7 @@
             request.started_s,
             received,
             request.missing_bytes,
+            asyncio.get_running_loop().time(),
         )
 
     async def receive(self):
@@ -370,3 +372,14 @@
         await asyncio.sleep(0.05)
         waiting_bytes = meter.waiting_bytes(loop.time())
     assert waiting_bytes == pytest.approx(300_100, rel=0.01)
+
+
+@on_paused_clock
+async def test_stalled_upload_does_not_count():
+    """Guards against one silent sender that has uploads of others refused."""
+    now_s = asyncio.get_running_loop().time() + 5.0
+    for silent_s, rate in ((0.1, 2_500_000 / 5), (0.5, 0.0)):
+        stalled = Upload(
+            b'/x', [], now_s - 5.0, 2_500_000, 1_500_000, now_s - silent_s
+        )
+        assert _progress(stalled, now_s).bytes_per_s == pytest.approx(rate)
--- a/src/basilpond/platform/_records.py
+++ b/src/basilpond/platform/_records.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import re
 from typing import Annotated
 from typing import Literal
@@ -90,9 +93,10 @@
 class _Service(msgspec.Struct):
     name: str
     # Time for which a server is cold after its start, and requests a second
-    # that it takes meanwhile from all routers; 0: no limit.
-    cold_start_s: _ColdSeconds = 0.0
-    cold_per_s: _ColdRate = 0.0
+    # that it takes meanwhile from all routers; 0: no limit. Checked apart, as
+    # a wrong value must not keep back the rest of a version.
+    cold_start_s: object = 0.0
+    cold_per_s: object = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -181,14 +185,34 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
-        cold_limits=tuple(
-            (service.name, ColdLimit(service.cold_start_s, service.cold_per_s))
-            for service in config.services
-            if service.cold_start_s and service.cold_per_s
-        ),
+        cold_limits=tuple(_decode_cold_limits(config.services)),
+        problems=tuple(_cold_limit_problems(config.services)),
     )
 
 
+def _decode_cold_limit(service: _Service) -> ColdLimit | None:
+    start_s = msgspec.convert(service.cold_start_s, _ColdSeconds)
+    per_s = msgspec.convert(service.cold_per_s, _ColdRate)
+    return ColdLimit(start_s, per_s) if start_s and per_s else None
+
+
+def _decode_cold_limits(
+    services: Iterable[_Service],
+) -> Iterator[tuple[str, ColdLimit]]:
+    for service in services:
+        with contextlib.suppress(msgspec.ValidationError):
+            if limit := _decode_cold_limit(service):
+                yield service.name, limit
+
+
+def _cold_limit_problems(services: Iterable[_Service]) -> Iterator[str]:
+    for service in services:
+        try:
+            _decode_cold_limit(service)
+        except msgspec.ValidationError as error:
+            yield f'service {service.name}: limit of cold servers: {error}'
+
+
 def _decode_route(route: _Route) -> Route:
     return Route(
         name=route.name,
@@ -266,8 +290,16 @@
         server = _decode(_server_decoder, data)
     except RecordError as error:
         # Raises again unless only the time is wrong.
-        _decode(_server_base_decoder, data)
-        raise RecordTimeError(str(error)) from error
+        base = _decode(_server_base_decoder, data)
+        raise RecordTimeError(
+            str(error), _decode_server(endpoint_id, base, 0.0)
+        ) from error
+    return _decode_server(endpoint_id, server, server.cold_left_ms / 1000)
+
+
+def _decode_server(
+    endpoint_id: str, server: _ServerBase, cold_s: float
+) -> Endpoint:
     try:
         host, port = split_address(server.address)
     except ValueError as error:
@@ -281,7 +313,7 @@
         data_centre=server.zone,
         slots=max(1, server.slots),
         leaving=server.state == 'draining',
-        slow_start_s=server.cold_left_ms / 1000,
+        slow_start_s=cold_s,
         sequence=server.seq,
         version=server.version,
     )
--- a/src/basilpond/routing/_types.py
+++ b/src/basilpond/routing/_types.py
@@ -180,6 +180,8 @@
         None leaves the current limits unchanged.
     cold_limits : tuple of (str, ColdLimit)
         By service; others send cold endpoints as many requests as warm ones.
+    problems : tuple of str
+        What was left out of the version, to be logged.
     """
 
     version: int
@@ -188,6 +190,7 @@
     services: frozenset[str]
     limits: CallerLimits | None
     cold_limits: tuple[tuple[str, ColdLimit], ...] = ()
+    problems: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/basilpond/routing/capacity/_cold_endpoints.py
+++ b/src/basilpond/routing/capacity/_cold_endpoints.py
@@ -239,7 +239,8 @@
             self._views.append((self._views_count, view, now_s))
         self._drop_views(now_s)
         for incarnation, endpoint in list(self._endpoints.items()):
-            if now_s - endpoint.seen_s >= _EXPIRY_S:
+            # Without the store, nothing is read of those in use either.
+            if endpoint.is_gone and now_s - endpoint.seen_s >= _EXPIRY_S:
                 del self._endpoints[incarnation]
 
     def _stood_still(self, now_s: float) -> bool:
@@ -299,7 +300,7 @@
         endpoint = self._endpoints.get(incarnation)
         is_new = endpoint is None
         if endpoint is None:
-            if len(self._endpoints) >= _MAX_ENDPOINTS:
+            if not self._make_room():
                 return
             endpoint = self._endpoints[incarnation] = _Endpoint(service)
         endpoint.seen_s = now_s
@@ -321,6 +322,16 @@
         if is_newer and not is_delayed and since_s >= _READ_DELAY_S:
             endpoint.is_suspect = False
 
+    def _make_room(self) -> bool:
+        # Endpoints that crash again and again leave many processes behind.
+        if len(self._endpoints) < _MAX_ENDPOINTS:
+            return True
+        gone = [i for i, e in self._endpoints.items() if e.is_gone]
+        if not gone:
+            return False
+        del self._endpoints[min(gone, key=lambda i: self._endpoints[i].seen_s)]
+        return True
+
     def record_told(
         self,
         incarnation: int,
@@ -486,9 +497,16 @@
         slots = self.slots(incarnation, now_s)
         if not slots:
             return 0
-        rounds = max(0.0, until_s - now_s) / self._interval_of(endpoint)
+        interval_s = self._interval_of(endpoint)
         free = slots - min(slots, self._recent(endpoint, now_s))
-        return free + int(rounds * slots)
+        # Slots in use are free an interval after their requests.
+        times_s = sorted((*endpoint.sent_s, *endpoint.reserved_s))[-slots:]
+        starts_s = [now_s] * free + [t + interval_s for t in times_s]
+        return sum(
+            1 + int((until_s - start_s) / interval_s)
+            for start_s in starts_s[:slots]
+            if start_s <= until_s
+        )
 
     def record_sent(self, incarnation: int, now_s: float) -> None:
         """Record a request that is sent now, or as soon as it may be.
--- a/src/basilpond/routing/capacity/tests/test_cold_endpoints.py
+++ b/src/basilpond/routing/capacity/tests/test_cold_endpoints.py
@@ -374,3 +374,58 @@
     assert cold.wait_s(ENDPOINT, 0.0) == 0.0
     assert cold.confirm_sent(ENDPOINT, 0.0)
     assert cold.sends_until(ENDPOINT, 9.0, 0.0) is None
+
+
+def cold_alone(incarnation=ENDPOINT, now_s=10.0):
+    """Return the state of a lone router that knows one cold endpoint."""
+    cold = ColdEndpoints('r-1', over=OVER, slack=SLACK)
+    cold.set_limits({SERVICE: LIMIT})
+    cold.set_routers(['r-1'], now_s)
+    cold.set_routers(['r-1'], now_s + 0.5)
+    cold.record_entry(
+        incarnation, SERVICE, cold_s=30.0, sequence=1, now_s=now_s
+    )
+    return cold
+
+
+def test_slots_that_become_free_in_time_count_as_capacity():
+    """Guards against refusals of requests that a slot admits in time."""
+    cold = cold_alone()
+    cold.set_routers(['r-1'], 12.5)
+    cold.set_routers(['r-1'], 14.0)
+    slots = cold.slots(ENDPOINT, 14.0)
+    for _ in range(slots):
+        cold.record_sent(ENDPOINT, 14.0)
+        cold.confirm_sent(ENDPOINT, 14.0)
+    wait_s = cold.wait_s(ENDPOINT, 14.9)
+    assert 0 < wait_s < 0.5
+    assert cold.sends_until(ENDPOINT, 14.9 + wait_s / 2, 14.9) == 0
+    assert cold.sends_until(ENDPOINT, 14.9 + 0.5, 14.9) == slots
+
+
+def test_new_endpoint_is_limited_beside_many_that_are_gone():
+    """Guards against a crash loop that leaves no room for the limit."""
+    cold = cold_alone()
+    for number in range(1_100):
+        cold.record_entry(
+            100 + number, SERVICE, cold_s=0.0, sequence=1, now_s=11.0
+        )
+        cold.record_gone(100 + number)
+    cold.record_entry(9_999, SERVICE, cold_s=3.0, sequence=1, now_s=11.0)
+    assert cold.is_cold(9_999, 11.1)
+
+
+def test_endpoint_stays_limited_in_a_long_outage_of_the_store():
+    """Guards against a limit that ends because nothing can be read."""
+    cold = cold_alone()
+    cold.record_entry(
+        ENDPOINT,
+        SERVICE,
+        cold_s=0.0,
+        sequence=2,
+        now_s=41.0,
+        is_out_of_use=True,
+    )
+    for now_s in range(42, 800):
+        cold.set_routers(['r-1'], float(now_s))
+    assert cold.is_cold(ENDPOINT, 800.0)
