State in reports that a router is full

A router that is full for long may only leave the load balancer's rotation beside peers with room, and nothing tells which routers of its data centre are full.

Reports carry an optional field `router_full` and, where links are limited, the data centre in each report. Reports without the field, or with an odd value of it, are read.

--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -67,6 +67,9 @@
 _REANNOUNCE_INTERVAL_S = 1.0
 # A router that sent nothing for this long is not counted as live.
 LIVENESS_TIMEOUT_S = 5.0
+# Age of the last datagram from which on the load of a router is unknown: two
+# reports at the longest interval.
+_SILENT_S = 2 * _MAX_INTERVAL_S
 # Interval of datagrams to routers that are not live, which may return.
 _PROBE_INTERVAL_S = 1.0
 _MAX_DATAGRAM_BYTES = 60_000
@@ -96,6 +99,9 @@
     last_sent_s: float = float('-inf')
     holder: str = ''
     configuration_version: int = -1
+    # Of its reports; only known where links are limited.
+    data_centre: str = ''
+    is_full: bool = False
 
 
 def _parse_address(value: bytes) -> tuple[str, int]:
@@ -161,6 +167,9 @@
         self.on_evacuations: Callable[[object, str], None] = (
             lambda report, router: None
         )
+        # Returns whether this router is full; None where links are not
+        # limited.
+        self.states_full: Callable[[], bool] | None = None
         self._decisions = decisions
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -285,6 +294,22 @@
         """Return the holders of the other live routers."""
         return [peer.holder for peer in self._live_peers()]
 
+    def count_data_centre(self) -> tuple[int, int]:
+        """Return the other live routers of the data centre, and full ones.
+
+        Those whose reports are missing count as full.
+        """
+        now_s = asyncio.get_running_loop().time()
+        peers = [
+            p
+            for p in self._live_peers()
+            if p.data_centre and p.data_centre == self._data_centre
+        ]
+        full = sum(
+            p.is_full or now_s - p.last_seen_s > _SILENT_S for p in peers
+        )
+        return len(peers), full
+
     def _live_peers(self) -> list[_Peer]:
         return [p for p in self._peers.values() if self._is_live(p)]
 
@@ -364,11 +389,14 @@
             if (item := entry.load.outlier.evidence(now_s)) is not None
         ]
         evacuations = self.evacuations(now_s)
+        states_load = self.states_full is not None
+        router_full = self.states_full is not None and self.states_full()
         announced = (
             [crash[:2] for crash in crashes],
             leaving,
             version,
             evacuations,
+            router_full,
         )
         changed = announced != self._last_announced
         self._last_announced = announced
@@ -390,8 +418,9 @@
             runs=encode_prefixes(prefixes),
             # Left out of most reports, whose size counts for slow links.
             evidence=encode_evidence(evidence) if evidence else None,
-            data_centre=self._data_centre if evidence else None,
+            data_centre=self._data_centre if evidence or states_load else None,
             evacuations=evacuations,
+            router_full=router_full or None,
         )
         unchanged = not (loads or prefixes or crashes or evidence or changed)
         return report, unchanged
@@ -520,6 +549,8 @@
     ) -> None:
         report = datagram.report
         peer.configuration_version = report.configuration_version or -1
+        peer.data_centre = report.data_centre or peer.data_centre
+        peer.is_full = bool(report.router_full)
         if report.wall_ms:
             self._clock.record(
                 datagram.router,
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -35,9 +35,12 @@
   8: binary runs,
   // Endpoints at which the sender's requests break off, or no longer do.
   9: binary evidence,
+  // With evidence, and in all reports where links are limited.
   10: string data_centre,
   // While there are evacuations, and for a while after the last one.
-  11: optional Evacuations evacuations
+  11: optional Evacuations evacuations,
+  // Whether the sender refuses requests because of its own load.
+  12: optional bool router_full
 }
 
 // Request for tokens by a router that cannot get them from the log.
--- a/src/basilpond/node/tests/test_odd_datagrams.py
+++ b/src/basilpond/node/tests/test_odd_datagrams.py
@@ -65,6 +65,7 @@
             evidence=b'',
             data_centre='dc',
             evacuations=evacuations(),
+            router_full=True,
         ),
         'request': messages.AllotmentRequest(
             number=1, organisation='org', tokens=1, percent=1
@@ -146,6 +147,17 @@
         decode_datagram(full_datagram(**changes))
 
 
+@pytest.mark.parametrize(
+    'field', [b'\x02\x00\x0c\x07', b'\x08\x00\x0c' + bytes(4), b'']
+)
+def test_odd_or_missing_state_of_a_router_is_readable(field):
+    """Guards against reports of other versions that are lost as a whole."""
+    text = b'\x0b\x00%c\x00\x00\x00\x01a'
+    report = b'\x0c\x00\x03' + field + b'\x00'
+    datagram = decode_datagram(text % 1 + text % 2 + report + b'\x00')
+    assert datagram.report.router_full in (None, True, False)
+
+
 @hypothesis.settings(max_examples=500)
 @hypothesis.given(
     st.lists(
