Lead callers away from a full incoming link

Bodies that callers have sent queue before the link of a router, and the responses of endpoints to new connections behind them. The connections time out, so the router ejects sound endpoints, marks data centres as unreachable and goes on accepting. Outgoing bytes show little of it.

The bytes received in the last 0.5 s are compared with the bandwidth. While they use 0.8 of it and connections in several places time out within a second, a time-out is the router's own: it ejects nothing, and requests that would only wait for time-outs are refused as not run. A connection that began later and was open within 0.1 s shows that the endpoint is the cause. A router that has been full for 1.5 s answers not ready on the ready path until it has been calm for 2 s, for at most 6 of 12 s, and only while fewer than a quarter of its peers in the data centre are full. Without `limits.link_mbps`, nothing changes.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -11,6 +11,7 @@
 from ._fields import end_to_end_fields
 from ._fields import find
 from ._fields import find_all
+from ._received import RECEIVED
 from ._server import CallerRequest
 from ._server import CallerServer
 from ._server import ConnectionLimits
@@ -20,6 +21,7 @@
 from ._server import Upload
 
 __all__ = [
+    'RECEIVED',
     'ResponseHead',
     'CallerRequest',
     'CallerServer',
--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -13,6 +13,7 @@
 import httptools
 
 from . import _fields
+from ._received import RECEIVED
 from ._unsent import unsent_bytes
 
 # Failures of which a connection remembers the request; it is then closed.
@@ -170,6 +171,7 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed the parser until the response is complete or has failed."""
+        RECEIVED.total += len(data)
         view = memoryview(data)
         while view and self._active and not self._ended():
             self._feed(view[:_FEED_BYTES])
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -11,6 +11,7 @@
 import httptools
 
 from . import _fields
+from ._received import RECEIVED
 from ._request_parser import RequestParser
 from ._unsent import unsent_bytes
 
@@ -379,6 +380,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
+        RECEIVED.total += len(data)
         if self._lingering or not self._keep_alive:
             return
         try:
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -147,6 +147,14 @@
                 ),
                 ('router_full', 'Whether the router refuses for its load'),
                 ('held_requests', 'Requests that wait for the link'),
+                (
+                    'incoming_link_share',
+                    'Share of the link that received bytes use',
+                ),
+                (
+                    'router_out_of_rotation',
+                    'Whether the ready path answers 503 for the load',
+                ),
             )
         }
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 import random
 
+from ..http1 import RECEIVED
 from ..http1 import CallerServer
 from ..http1 import ConnectionLimits
 from ..http1 import UnansweredClose
@@ -20,6 +21,7 @@
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ..routing import Evacuations
+from ..routing.capacity import IncomingLink
 from ..routing.capacity import RouterLoad
 from ._budgets import BudgetTask
 from ._configuration_fetcher import ConfigurationFetcher
@@ -41,6 +43,7 @@
 from ._interfaces import PlatformCodec
 from ._internal_server import InternalResponse
 from ._internal_server import InternalServer
+from ._load_readiness import LoadReadiness
 from ._log_writer import LogWriter
 from ._metrics import CONTENT_TYPE
 from ._metrics import NodeMetrics
@@ -179,7 +182,11 @@
             writes_per_s=settings.store_writes_per_s,
             live_routers=self.peers.live_routers,
         )
-        self.load = RouterLoad(settings.cpu_share, settings.memory_bytes)
+        self.load = RouterLoad(
+            settings.cpu_share,
+            settings.memory_bytes,
+            IncomingLink(settings.link_bytes_per_s, settings.data_centre),
+        )
         overload = RouterOverload(
             self.load,
             codec,
@@ -265,6 +272,13 @@
             decisions,
         )
         overload.confirm_link = self._router_watch.confirm_link
+        self._router_watch.received_bytes = lambda: RECEIVED.total
+        self._load_readiness = LoadReadiness(
+            self.load, self.peers.count_data_centre, decisions
+        )
+        if not math.isinf(settings.link_bytes_per_s):
+            self._router_watch.on_sample = self._load_readiness.update
+            self.peers.states_full = lambda: self._load_readiness.states_full
         self._ready_path = codec.ready_path
         self._ready = InternalServer(self._respond_ready)
         self._metrics_server = InternalServer(self._respond_metrics)
@@ -447,7 +461,14 @@
     def _respond_ready(self, path: bytes) -> InternalResponse:
         if path != self._ready_path:
             return 404, [], b''
-        return (200 if self.is_ready() else 503), [], b''
+        ready = self.is_ready() and self._may_be_ready()
+        return (200 if ready else 503), [], b''
+
+    def _may_be_ready(self) -> bool:
+        if math.isinf(self._settings.link_bytes_per_s):
+            return True
+        now_s = asyncio.get_running_loop().time()
+        return self._load_readiness.update(now_s)
 
     def _respond_metrics(self, path: bytes) -> InternalResponse:
         self._update_gauges()
@@ -484,6 +505,8 @@
             ('router_delay_seconds', self.load.delay_s(now_s)),
             ('router_full', int(self.load.is_full(now_s))),
             ('held_requests', len(self.load.held)),
+            ('incoming_link_share', self.load.incoming.used_share(now_s)),
+            ('router_out_of_rotation', int(not self._load_readiness.is_ready)),
         ):
             self._metrics.set_gauge(name, value)
 
--- a/src/basilpond/node/_router_overload.py
+++ b/src/basilpond/node/_router_overload.py
@@ -165,6 +165,7 @@
             body_bytes=demand.body_bytes,
             lag_s=round(self.load.lag_s(now_s), 4),
             link_wait_s=round(self.load.link_wait_s(now_s), 4),
+            incoming_share=round(self.load.incoming.used_share(now_s), 3),
             held=len(self.load.held),
         )
 
@@ -184,6 +185,7 @@
         if math.isinf(self._link_bytes_per_s):
             return
         now_s = asyncio.get_running_loop().time()
+        self._check_connects(context, now_s)
         self.confirm_link(now_s)
         size_bytes = _size_bytes(context)
         if not self.load.held and self.load.has_room(now_s):
@@ -216,6 +218,19 @@
         )
         raise self._refusal(demand, verdict, now_s)
 
+    def _check_connects(self, context: RequestContext, now_s: float) -> None:
+        # Further connections would time out as well.
+        if (
+            not context.failed_connects
+            or context.possible_runs
+            or context.responder.started
+        ):
+            return
+        demand = _demand(context, now_s)
+        verdict = self.load.connect_verdict(demand, now_s)
+        if verdict is not None:
+            raise self._refusal(demand, verdict, now_s)
+
     async def settle(self, context: RequestContext) -> bool:
         """Wait briefly for the link after an endpoint has been chosen.
 
--- a/src/basilpond/node/_router_watch.py
+++ b/src/basilpond/node/_router_watch.py
@@ -112,6 +112,10 @@
         self._decisions = decisions
         self._full_since_s: float | None = None
         self._measured_s = -math.inf
+        # Returns the bytes that the process has received.
+        self.received_bytes: Callable[[], int] = lambda: 0
+        # Called after each sample.
+        self.on_sample: Callable[[float], object] = lambda now_s: None
 
     async def run(self) -> None:
         """Sample until cancelled."""
@@ -122,7 +126,9 @@
             now_s = loop.time()
             self._load.record_lag(now_s - due_s, now_s)
             self._measure_link(now_s)
+            self._load.incoming.record_received(self.received_bytes(), now_s)
             self._log_change(now_s)
+            self.on_sample(now_s)
 
     def confirm_link(self, now_s: float) -> None:
         """Measure the link again if bytes seem to wait on it.
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -281,7 +281,7 @@
         response_timer = ResponseTimer(context, choice.forecast_s, may_cancel)
         try:
             if connection is None:
-                connection = await entry.pool.connect()
+                connection = await self._connect(entry)
             if not await self._overload.settle(context):
                 raise _WithdrawnError('router full, link')
             self._check_still_wanted(context, entry, connection)
@@ -317,6 +317,9 @@
         if outcome.result is not None and outcome.result.proves_not_run:
             context.possible_runs -= started
         context.failed_connects += not started
+        own_link = False
+        if outcome.result is SendResult.NOT_SENT and outcome.timed_out:
+            own_link = outcome.withdrawn = self._is_own_timeout(entry)
         if not outcome.withdrawn:
             self._record_outcome(context, entry, outcome)
         if outcome.result is not None:
@@ -329,6 +332,7 @@
                 sends=context.sends,
                 runs=context.possible_runs,
                 events=context.events.count or None,
+                own_link=own_link or None,
                 parts=[f'{part.id:x}' for part in context.shared_parts]
                 or None,
             )
@@ -344,6 +348,29 @@
             context.record_send_failed()
         return outcome
 
+    async def _connect(self, entry: EndpointEntry) -> PeerConnection:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        connection = await entry.pool.connect()
+        now_s = loop.time()
+        self._overload.load.incoming.record_connected(now_s - began_s, now_s)
+        return connection
+
+    def _is_own_timeout(self, entry: EndpointEntry) -> bool:
+        # Whether a connection timed out because the router's own link is full,
+        # which says nothing about the endpoint.
+        now_s = asyncio.get_running_loop().time()
+        endpoint = entry.endpoint
+        if self._reachability.is_unreachable(endpoint.data_centre):
+            return False
+        return self._overload.load.incoming.record_timeout(
+            endpoint.data_centre,
+            endpoint.id,
+            entry.pool.connect_timeout_s,
+            now_s,
+            known=endpoint.leaving or entry.load.is_ejected(now_s),
+        )
+
     def _check_still_wanted(
         self,
         context: RequestContext,
--- a/src/basilpond/routing/_reachability.py
+++ b/src/basilpond/routing/_reachability.py
@@ -100,6 +100,11 @@
         ):
             state.avoided_until_s = now_s + _PROBE_S
 
+    def is_unreachable(self, data_centre: str) -> bool:
+        """Whether the data centre counts as unreachable, probes included."""
+        state = self._data_centres.get(data_centre)
+        return state is not None and state.avoided_until_s is not None
+
     def is_avoided(self, data_centre: str, now_s: float) -> bool:
         """Whether requests avoid the data centre now."""
         state = self._data_centres.get(data_centre)
--- a/src/basilpond/routing/capacity/__init__.py
+++ b/src/basilpond/routing/capacity/__init__.py
@@ -3,6 +3,8 @@
 from ._evacuations import EvacuationRecord
 from ._evacuations import EvacuationReport
 from ._evacuations import Evacuations
+from ._incoming_link import IncomingLink
+from ._readiness import Readiness
 from ._router_load import LINK_AHEAD_S
 from ._router_load import SAMPLE_INTERVAL_S
 from ._router_load import LoadVerdict
@@ -19,7 +21,9 @@
     'EvacuationReport',
     'Evacuations',
     'HeldSend',
+    'IncomingLink',
     'LoadVerdict',
+    'Readiness',
     'RequestDemand',
     'RouterLoad',
     'SendQueue',
--- /dev/null
+++ b/src/basilpond/routing/capacity/_readiness.py
@@ -0,0 +1,116 @@
+"""Whether a router that is full for long leaves the load balancer's rotation.
+
+A refusal does not stop the bytes that callers have already sent. Only the load
+balancer can lead new connections to another router.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Time for which the router has to be full. Peers say so in their reports, up
+# to 1 s old, so routers that become full together know of each other.
+_FULL_S = 1.5
+# Pause in which a router that is full counts as full throughout.
+_MAX_PAUSE_S = 0.5
+# Time after the load until the router is ready again. Clients that come back
+# fill a link of 5 Mbit/s within a second.
+_CALM_S = 2.0
+# Longest time out of rotation within a window.
+_WINDOW_S = 12.0
+_MAX_OUT_S = 6.0
+# Time that must be left of it: the load balancer needs 2 s to take a router
+# out, so a shorter time has no effect.
+_MIN_OUT_S = 3.0
+# Share of the peers of the data centre that may be full as well. With more of
+# them, the others have no room for the load.
+_MAX_FULL_SHARE = 0.25
+
+
+class Readiness:
+    """Readiness of one router under its own load.
+
+    The argument `now_s` of the methods is the present time by a monotonic
+    clock, in seconds.
+
+    Examples
+    --------
+    >>> readiness = Readiness()
+    >>> readiness.update(True, peers=4, full_peers=0, now_s=0.0)
+    True
+    >>> readiness.update(True, peers=4, full_peers=0, now_s=1.5)
+    False
+    >>> readiness.update(True, peers=4, full_peers=1, now_s=1.6)
+    True
+    """
+
+    __slots__ = (
+        '_full_seen_s',
+        '_full_since_s',
+        '_lasts',
+        '_outs',
+        'is_ready',
+    )
+
+    def __init__(self) -> None:
+        self.is_ready = True
+        self._full_since_s: float | None = None
+        self._full_seen_s = float('-inf')
+        # Whether the router has been full for long, and not calm since.
+        self._lasts = False
+        # Begin and end of the times out of rotation; the last one goes on
+        # while the router is not ready.
+        self._outs: deque[tuple[float, float]] = deque()
+
+    @property
+    def states_full(self) -> bool:
+        """Whether reports to the peers say that the router is full."""
+        return self._full_since_s is not None
+
+    def update(
+        self, is_full: bool, *, peers: int, full_peers: int, now_s: float
+    ) -> bool:
+        """Return whether the router is ready.
+
+        Parameters
+        ----------
+        is_full : bool
+            Whether the router is full now.
+        peers : int
+            Other live routers of the data centre.
+        full_peers : int
+            Those of them that say that they are full, or say nothing.
+        now_s : float
+        """
+        self._update_full(is_full, now_s)
+        if not self.is_ready:
+            begin_s, _ = self._outs[-1]
+            self._outs[-1] = begin_s, now_s
+        while self._outs and self._outs[0][1] <= now_s - _WINDOW_S:
+            self._outs.popleft()
+        left_s = _MAX_OUT_S - sum(
+            end_s - max(begin_s, now_s - _WINDOW_S)
+            for begin_s, end_s in self._outs
+        )
+        # A router that is out stays so until its time is used up.
+        has_time = left_s >= _MIN_OUT_S if self.is_ready else left_s > 0
+        ready = not (
+            self._lasts and full_peers < _MAX_FULL_SHARE * peers and has_time
+        )
+        if self.is_ready and not ready:
+            self._outs.append((now_s, now_s))
+        self.is_ready = ready
+        return ready
+
+    def _update_full(self, is_full: bool, now_s: float) -> None:
+        if is_full:
+            if self._full_since_s is None:
+                self._full_since_s = now_s
+            self._full_seen_s = now_s
+            if now_s - self._full_since_s >= _FULL_S:
+                self._lasts = True
+            return
+        calm_s = now_s - self._full_seen_s
+        if calm_s >= (_CALM_S if self._lasts else _MAX_PAUSE_S):
+            self._full_since_s = None
+            self._lasts = False
--- a/src/basilpond/routing/capacity/_router_load.py
+++ b/src/basilpond/routing/capacity/_router_load.py
@@ -12,6 +12,7 @@
 import dataclasses
 import math
 
+from ._incoming_link import IncomingLink
 from ._send_queue import SendQueue
 
 # Interval of the samples of the event loop's lag and of the link.
@@ -187,6 +188,7 @@
         Share of a core; 0 if unknown.
     memory_bytes : float
         Memory of the process; infinite if unknown.
+    incoming : IncomingLink, optional
 
     Examples
     --------
@@ -215,11 +217,16 @@
         '_urgent',
         'full_reason',
         'held',
+        'incoming',
     )
 
     def __init__(
-        self, cpu_share: float = 0.0, memory_bytes: float = math.inf
+        self,
+        cpu_share: float = 0.0,
+        memory_bytes: float = math.inf,
+        incoming: IncomingLink | None = None,
     ) -> None:
+        self.incoming = IncomingLink() if incoming is None else incoming
         idle_share = max(0.0, 1.0 - cpu_share) if cpu_share else 0.0
         self._lag_allowance_s = idle_share * _CPU_PERIOD_S
         self._max_body_bytes = _BODY_MEMORY_SHARE * memory_bytes / _BODY_COPIES
@@ -314,6 +321,7 @@
             self._lag_wait_s(now_s)
             + self.link_wait_s(now_s)
             + self.held.total_bytes / self._link_bytes_per_s
+            + self.incoming.wait_s(now_s)
         )
 
     def has_room(self, now_s: float) -> bool:
@@ -365,7 +373,29 @@
             reason = 'router full, link'
         if reason is not None:
             self._enter_full(reason)
-        return LoadVerdict(reason, wait_s, max_wait_s)
+            return LoadVerdict(reason, wait_s, max_wait_s)
+        return self.connect_verdict(demand, now_s) or LoadVerdict(
+            None, wait_s, max_wait_s
+        )
+
+    def connect_verdict(
+        self, demand: RequestDemand, now_s: float
+    ) -> LoadVerdict | None:
+        """Return the refusal of a request whose connections would time out.
+
+        The link serves no connection first, so less urgent requests are
+        refused at shorter waits, as with the processor.
+        """
+        wait_s = self.incoming.wait_s(now_s)
+        if wait_s < _MIN_WAIT_S:
+            return None
+        max_wait_s = min(
+            demand.max_wait_s, self._less_urgent_limit_s(demand, now_s)
+        )
+        if wait_s <= max_wait_s:
+            return None
+        self._enter_full('router full, incoming link')
+        return LoadVerdict('router full, incoming link', wait_s, max_wait_s)
 
     def upload_verdict(
         self,
@@ -408,7 +438,10 @@
         if competing_s >= max(_MIN_WAIT_S, body_s) and wait_s > max_wait_s:
             reason = 'router full, uploads'
             self._enter_full(reason)
-        return LoadVerdict(reason, wait_s, max_wait_s)
+            return LoadVerdict(reason, wait_s, max_wait_s)
+        return self.connect_verdict(demand, now_s) or LoadVerdict(
+            None, wait_s, max_wait_s
+        )
 
     def _lag_wait_s(self, now_s: float) -> float:
         if self._requests < _MIN_REQUESTS:
--- /dev/null
+++ b/src/basilpond/routing/tests/test_readiness.py
@@ -0,0 +1,100 @@
+import pytest
+
+from basilpond.routing.capacity import Readiness
+
+STEP_S = 0.05
+
+
+def play(full, *, for_s, peers=4, full_peers=lambda now_s: 0):
+    """Return the times at which a router is not ready."""
+    readiness = Readiness()
+    outs = []
+    for i in range(round(for_s / STEP_S)):
+        now_s = i * STEP_S
+        if not readiness.update(
+            full(now_s),
+            peers=peers,
+            full_peers=full_peers(now_s),
+            now_s=now_s,
+        ):
+            outs.append(now_s)
+    return outs
+
+
+def test_router_that_is_full_for_long_leaves_until_it_is_calm():
+    """Guards against clients that stay at a full router beside idle ones."""
+    outs = play(lambda now_s: now_s < 3.0, for_s=10.0)
+    assert outs[0] == pytest.approx(1.5)
+    assert outs[-1] == pytest.approx(4.9, abs=2 * STEP_S)
+    # Pauses between refusals are no end of the load.
+    assert play(lambda now_s: now_s < 3.0 and now_s % 0.5 < 0.2, for_s=10.0)
+
+
+def test_short_loads_change_nothing():
+    """Guards against clients that move for a load that refusals can bear."""
+    assert not play(lambda now_s: now_s % 3.0 < 1.4, for_s=60.0)
+
+
+def test_router_is_out_for_half_of_any_window_at_most():
+    """Guards against a router that is out for as long as a load lasts."""
+    outs = play(lambda now_s: True, for_s=60.0)
+    for i in range(round(48.0 / STEP_S)):
+        begin_s = i * STEP_S
+        inside = [t for t in outs if begin_s <= t < begin_s + 12.0]
+        assert len(inside) * STEP_S <= 6.0 + STEP_S
+    assert len(outs) * STEP_S >= 0.3 * 60.0
+    # Never for less than the load balancer needs to notice.
+    ends = [t for t, u in zip(outs, outs[1:], strict=False) if u - t > 0.1]
+    begins = [u for t, u in zip(outs, outs[1:], strict=False) if u - t > 0.1]
+    for begin_s, end_s in zip([outs[0], *begins], ends, strict=False):
+        assert end_s - begin_s >= 2.9
+
+
+@pytest.mark.parametrize(
+    ('peers', 'full_peers', 'leaves'),
+    [
+        (0, 0, False),
+        (1, 0, True),
+        (1, 1, False),
+        (4, 1, False),
+        (20, 4, True),
+        (20, 5, False),
+    ],
+)
+def test_routers_leave_only_beside_peers_with_room(peers, full_peers, leaves):
+    """Guards against a data centre without ready routers."""
+    outs = play(
+        lambda now_s: True,
+        for_s=5.0,
+        peers=peers,
+        full_peers=lambda now_s: full_peers,
+    )
+    assert bool(outs) is leaves
+
+
+def test_router_returns_at_once_when_its_peers_are_full():
+    """Guards against routers that are out while the others are full."""
+    outs = play(
+        lambda now_s: True,
+        for_s=6.0,
+        full_peers=lambda now_s: 2 * (now_s >= 2.0),
+    )
+    assert outs[-1] < 2.0
+
+
+def test_routers_that_become_full_together_stay_ready():
+    """Guards against all routers of a data centre that leave together.
+
+    What they say of each other is 1 s old.
+    """
+    routers = [Readiness() for _ in range(8)]
+    said = [[False] * len(routers)] * 20
+    for i in range(400):
+        for number, router in enumerate(routers):
+            assert router.update(
+                True,
+                peers=len(routers) - 1,
+                full_peers=sum(said[-20]) - said[-20][number],
+                now_s=i * STEP_S,
+            )
+        said.append([router.states_full for router in routers])
