--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -14,6 +14,7 @@
 from ._memory_budget import Account
 from ._memory_budget import DescriptorBudget
 from ._memory_budget import MemoryBudget
+from ._received import RECEIVED
 from ._server import CallerRequest
 from ._server import CallerServer
 from ._server import ClientResources
@@ -25,6 +26,7 @@
 
 __all__ = [
     'Account',
+    'RECEIVED',
     'ResponseHead',
     'CallerRequest',
     'CallerServer',
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -20,6 +20,7 @@
 from ._memory_budget import DescriptorBudget
 from ._memory_budget import MemoryBudget
 from ._read_throttle import ReadThrottle
+from ._received import RECEIVED
 from ._request_parser import RequestParser
 from ._unsent import unsent_bytes
 
@@ -563,6 +564,7 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed the parser, or keep the data while requests are queued."""
+        RECEIVED.total += len(data)
         if self._pending:
             self._pending += data
             self._update_account()
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -193,6 +193,14 @@
                     'Work of the busiest endpoint of a service by the mean,'
                     ' weighted by speed; 0 without load',
                 ),
+                (
+                    'incoming_link_share',
+                    'Share of the link that received bytes use',
+                ),
+                (
+                    'router_out_of_rotation',
+                    'Whether the ready path answers 503 for the load',
+                ),
             )
         }
 
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 import random
 
+from ..http1 import RECEIVED
 from ..http1 import CallerServer
 from ..http1 import ClientResources
 from ..http1 import ConnectionLimits
@@ -24,6 +25,7 @@
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ..routing import Evacuations
+from ..routing.capacity import IncomingLink
 from ..routing.capacity import RouterLoad
 from ._budgets import BudgetTask
 from ._client_log import ClientLog
@@ -47,6 +49,7 @@
 from ._interfaces import PlatformCodec
 from ._internal_server import InternalResponse
 from ._internal_server import InternalServer
+from ._load_readiness import LoadReadiness
 from ._log_writer import LogWriter
 from ._metrics import CONTENT_TYPE
 from ._metrics import NodeMetrics
@@ -208,7 +211,9 @@
             live_routers=self.peers.live_routers,
         )
         self.load = RouterLoad(
-            settings.cpu_share, settings.memory_bytes or math.inf
+            settings.cpu_share,
+            settings.memory_bytes or math.inf,
+            IncomingLink(settings.link_bytes_per_s, settings.data_centre),
         )
         overload = RouterOverload(
             self.load,
@@ -303,6 +308,13 @@
             decisions,
         )
         overload.confirm_link = self._router_watch.confirm_link
+        self._router_watch.received_bytes = lambda: RECEIVED.total
+        self._load_readiness = LoadReadiness(
+            self.load, self.peers.count_data_centre, decisions
+        )
+        if not math.isinf(settings.link_bytes_per_s):
+            self._router_watch.on_sample = self._load_readiness.update
+            self.peers.states_full = lambda: self._load_readiness.states_full
         self._ready_path = codec.ready_path
         self._ready = InternalServer(self._respond_ready, self._resources)
         self._metrics_server = InternalServer(
@@ -485,7 +497,14 @@
     def _respond_ready(self, path: bytes) -> InternalResponse:
         if path != self._ready_path:
             return 404, [], b''
-        return (200 if self.is_ready() else 503), [], b''
+        ready = self.is_ready() and self._may_be_ready()
+        return (200 if ready else 503), [], b''
+
+    def _may_be_ready(self) -> bool:
+        if math.isinf(self._settings.link_bytes_per_s):
+            return True
+        now_s = asyncio.get_running_loop().time()
+        return self._load_readiness.update(now_s)
 
     def _respond_metrics(self, path: bytes) -> InternalResponse:
         self._update_gauges()
@@ -534,6 +553,8 @@
             ('held_requests', len(self.load.held)),
             ('accurate_forecast_share', self.directory.speeds.accurate_share),
             ('busiest_endpoint_ratio', self.directory.busiest_ratio()),
+            ('incoming_link_share', self.load.incoming.used_share(now_s)),
+            ('router_out_of_rotation', int(not self._load_readiness.is_ready)),
         ):
             self._metrics.set_gauge(name, value)
 
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -35,11 +35,14 @@
   8: binary runs,
   // Endpoints at which the sender's requests break off, or no longer do.
   9: binary evidence,
+  // With evidence, and in all reports where links are limited.
   10: string data_centre,
   // While there are evacuations, and for a while after the last one.
   11: optional Evacuations evacuations,
   // Endpoints that the sender knows to be cold; see _cold_records.py.
-  12: optional binary cold
+  12: optional binary cold,
+  // Whether the sender refuses requests because of its own load.
+  13: optional bool router_full
 }
 
 // Request for tokens by a router that cannot get them from the log.
