--- a/src/basilpond/routing/capacity/_cold_endpoints.py
+++ b/src/basilpond/routing/capacity/_cold_endpoints.py
@@ -392,8 +392,16 @@
         return endpoint is not None and self._is_cold(endpoint, now_s)
 
     def _is_cold(self, endpoint: _Endpoint, now_s: float) -> bool:
-        return endpoint.service in self._limits and (
-            endpoint.is_suspect
+        limit = self._limits.get(endpoint.service)
+        if limit is None:
+            return False
+        # The store lists an entry again only if more than its number changes,
+        # so that of a warm endpoint may never come.
+        suspected_until_s = (
+            endpoint.suspected_s + limit.start_s + _READ_DELAY_S
+        )
+        return (
+            (endpoint.is_suspect and now_s < suspected_until_s)
             or endpoint.is_gone
             or self._stood_still(now_s)
             or now_s < max(endpoint.cold_until_s, endpoint.peer_until_s)
