Register the counter of uploads refused for memory

Cause: the counter was sent and documented, but not in the table of metrics, so test_docs_list_every_metric failed. Result: the test passes.

--- a/src/basilpond/telemetry/_metrics.py
+++ b/src/basilpond/telemetry/_metrics.py
@@ -13,6 +13,10 @@
     'requests.not_run': ('counter', 'refusals of requests that did not run'),
     'requests.failed': ('counter', 'requests that ran and failed'),
     'requests.unknown': ('counter', 'requests with an unknown outcome'),
+    'requests.memory_short': (
+        'counter',
+        'uploads refused because the memory budget was short',
+    ),
     'requests.in_progress': ('gauge', 'requests being served'),
     'requests.first_token_ms': ('timing', 'time to the first token'),
     'requests.retries': ('counter', 'attempts after the first one'),
