Keep routers that are full again and again out of rotation

Cause: the load balancer leads one large client, by its hash, back to the router that just left the rotation, which was out for at most 6 of 12 s.

Change: in data centres with eight routers or more for each one that is out, a router that is full again soon after its return stays out for 8, 16, 32 s and so on, as long as its peers have room; responses of a router that is out end their connections; a router whose incoming link is full does not choose from a list of endpoints that is older than 0.75 of drain_ms.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -342,6 +342,9 @@
         self.on_reject = on_reject
         self.on_unanswered = on_unanswered
         self.stopping = False
+        # Whether each connection ends with its next response, so that its
+        # caller is led to another router.
+        self.closes_after_response = False
         # Whether connections without a request are closed.
         self.closing_idle = False
         self.connections: set[CallerConnection] = set()
@@ -820,7 +823,11 @@
             bool(self._queued_requests)
             or bool(self._pending)
             or self._rejection is not None
-            or (self._keep_alive and not self._server.stopping)
+            or (
+                self._keep_alive
+                and not self._server.stopping
+                and not self._server.closes_after_response
+            )
         )
 
     def write(self, data: bytes) -> None:
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -216,6 +216,18 @@
     assert caller.transport.closed
 
 
+@on_paused_clock
+async def test_router_out_of_rotation_ends_connections_with_responses():
+    """Guards against callers that stay at a router which is out of rotation.
+
+    A load balancer leads only new connections elsewhere.
+    """
+    caller = Caller(echo)
+    caller.server.closes_after_response = True
+    assert b'connection: close' in await caller.send(GET)
+    assert caller.transport.closed
+
+
 @on_paused_clock
 async def test_large_response_is_not_truncated():
     """Guards against a limit on unread bytes that truncates one response.
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -104,6 +104,8 @@
         self._unlogged_failures = 0
         self._last_failure_log_s = float('-inf')
         self.synced = asyncio.Event()
+        # Event loop time as of which all records have been applied.
+        self.current_as_of_s = float('-inf')
 
     def restart(self, sent_before_s: float) -> None:
         """Restart a read that was sent while the log was unavailable.
@@ -246,6 +248,8 @@
             # A record that cannot be applied is not read again.
             self._offset = page.records[-1].offset + 1
             self._state.apply(page.records, self._offset)
+        if self._offset >= page.end:
+            self.current_as_of_s = self._started_s
 
     async def _read_newest(self) -> None:
         records: list[Record] = []
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -54,6 +54,7 @@
 from ._metrics import CONTENT_TYPE
 from ._metrics import NodeMetrics
 from ._peers import PeerTask
+from ._router_overload import LIST_AGE_SHARE
 from ._router_overload import RouterOverload
 from ._router_watch import LinkMeter
 from ._router_watch import RouterWatch
@@ -308,12 +309,16 @@
             decisions,
         )
         overload.confirm_link = self._router_watch.confirm_link
+        overload.list_age_s = lambda: (
+            asyncio.get_running_loop().time() - endpoints.current_as_of_s
+        )
+        overload.max_list_age_s = LIST_AGE_SHARE * settings.drain_s
         self._router_watch.received_bytes = lambda: RECEIVED.total
         self._load_readiness = LoadReadiness(
             self.load, self.peers.count_data_centre, decisions
         )
         if not math.isinf(settings.link_bytes_per_s):
-            self._router_watch.on_sample = self._load_readiness.update
+            self._router_watch.on_sample = self._update_load_readiness
             self.peers.states_full = lambda: self._load_readiness.states_full
         self._ready_path = codec.ready_path
         self._ready = InternalServer(self._respond_ready, self._resources)
@@ -503,8 +508,13 @@
     def _may_be_ready(self) -> bool:
         if math.isinf(self._settings.link_bytes_per_s):
             return True
-        now_s = asyncio.get_running_loop().time()
-        return self._load_readiness.update(now_s)
+        return self._update_load_readiness(asyncio.get_running_loop().time())
+
+    def _update_load_readiness(self, now_s: float) -> bool:
+        ready = self._load_readiness.update(now_s)
+        # Callers with open connections would stay with this router.
+        self._callers.closes_after_response = not ready
+        return ready
 
     def _respond_metrics(self, path: bytes) -> InternalResponse:
         self._update_gauges()
--- a/src/basilpond/node/_router_overload.py
+++ b/src/basilpond/node/_router_overload.py
@@ -41,6 +41,13 @@
 # it gives the choice up. It only occurs if the link filled up while the
 # router connected.
 _SETTLE_S = 0.2
+# Share of the time for which a leaving endpoint may still get requests. While
+# the incoming link is full, responses of the store wait behind the bodies of
+# callers, and the list of endpoints is not used once it is older. The rest of
+# the time is for connecting and for the bytes on the way out.
+LIST_AGE_SHARE = 0.75
+# Interval in which a request that an endpoint may have begun waits for it.
+_LIST_POLL_S = 0.05
 # Time for which the rate of an upload says nothing: the first round trips.
 _YOUNG_UPLOAD_S = 0.25
 # Time without a part after which an upload takes nothing of the link. On a
@@ -84,6 +91,10 @@
         self._timer: asyncio.TimerHandle | None = None
         # Returns the uploads in progress.
         self.uploads: Callable[[], list[Upload]] = list
+        # Returns the age of the list of endpoints, and the longest one that
+        # is used while the incoming link is full.
+        self.list_age_s: Callable[[], float] = lambda: 0.0
+        self.max_list_age_s = math.inf
         # Measures the link again before a request is held or refused.
         self.confirm_link: Callable[[float], None] = _ignore_time
         load.record_link(0, link_bytes_per_s, 0.0)
@@ -187,6 +198,7 @@
         """
         if math.isinf(self._link_bytes_per_s):
             return
+        await self._wait_for_list(context)
         now_s = asyncio.get_running_loop().time()
         self._check_connects(context, now_s)
         self.confirm_link(now_s)
@@ -234,6 +246,35 @@
         if verdict is not None:
             raise self._refusal(demand, verdict, now_s)
 
+    def has_outdated_list(self) -> bool:
+        """Whether endpoints may have left without this router's knowledge.
+
+        Only the router's own link counts as a reason: in an outage of the
+        store, the last known list holds.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return (
+            self.list_age_s() > self.max_list_age_s
+            and self.load.incoming.is_full(now_s)
+        )
+
+    async def _wait_for_list(self, context: RequestContext) -> None:
+        # A request that no endpoint has begun is better off at another
+        # router; the others are continued here or not at all.
+        loop = asyncio.get_running_loop()
+        begun = context.possible_runs > 0 or context.responder.started
+        while self.has_outdated_list():
+            now_s = loop.time()
+            if not begun or now_s + _LIST_POLL_S >= context.wait_until_s:
+                demand = _demand(context, now_s)
+                verdict = LoadVerdict(
+                    'router full, list of endpoints outdated',
+                    self.list_age_s(),
+                    self.max_list_age_s,
+                )
+                raise self._refusal(demand, verdict, now_s)
+            await asyncio.sleep(_LIST_POLL_S)
+
     async def settle(self, context: RequestContext) -> bool:
         """Wait briefly for the link after an endpoint has been chosen.
 
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -391,6 +391,8 @@
         # Nothing is awaited between this check and the send.
         if entry.endpoint.leaving:
             raise _WithdrawnError('endpoint leaves')
+        if self._overload.has_outdated_list():
+            raise _WithdrawnError('list of endpoints outdated')
         if self._directory.is_evacuated(entry):
             raise _WithdrawnError('data centre evacuated')
         if self._directory.find(entry.endpoint.id) is None:
--- a/src/basilpond/node/tests/test_full_incoming_link.py
+++ b/src/basilpond/node/tests/test_full_incoming_link.py
@@ -177,6 +177,44 @@
     router.watching.cancel()
 
 
+@on_paused_clock
+async def test_outdated_list_of_endpoints_is_not_used_by_a_full_router():
+    """Guards against requests to endpoints that left long ago.
+
+    On one day a router whose reads of the list waited behind the bodies of
+    callers sent requests 3.6 s after the departure of their endpoint.
+    """
+    router, contexts = await send_to_all(0.95)
+    router.overload.max_list_age_s = 2.25
+    router.overload.list_age_s = lambda: 3.0
+    context = contexts[-1]
+    context.failed_connects = 0
+    with pytest.raises(RefusedError) as caught:
+        await router.overload.wait_to_send(context)
+    assert caught.value.status == 503
+    assert caught.value.reason == 'router full, list of endpoints outdated'
+    # A request that may run already waits for the list.
+    context.possible_runs = 1
+    began_s = asyncio.get_running_loop().time()
+    context.wait_until_s = began_s + 4.0
+    router.overload.list_age_s = lambda: (
+        3.0 if asyncio.get_running_loop().time() < began_s + 0.2 else 0.1
+    )
+    await router.overload.wait_to_send(context)
+    assert asyncio.get_running_loop().time() - began_s >= 0.2
+    router.watching.cancel()
+
+
+@on_paused_clock
+async def test_list_of_endpoints_stays_in_use_in_an_outage_of_the_store():
+    """Guards against refusals by routers that are not full."""
+    router, contexts = await send_to_all(0.5)
+    router.overload.max_list_age_s = 2.25
+    router.overload.list_age_s = lambda: 30.0
+    await router.overload.wait_to_send(contexts[-1])
+    router.watching.cancel()
+
+
 @on_paused_clock
 async def test_cut_data_centre_beside_a_busy_link_is_unreachable():
     """Guards against cuts that a busy router takes for its own load."""
@@ -261,6 +299,7 @@
         await system.until(lambda: status() == 503)
         assert first.is_ready()
         assert (await system.call('/look/x')).status == 200
+        assert first._callers.closes_after_response
         text = first._respond_metrics(b'/')[2].decode()
         assert 'basilpond_router_out_of_rotation 1.0' in text
         second._load_readiness._load = FullLoad()
--- a/src/basilpond/routing/capacity/_readiness.py
+++ b/src/basilpond/routing/capacity/_readiness.py
@@ -2,6 +2,12 @@
 
 A refusal does not stop the bytes that callers have already sent. Only the load
 balancer can lead new connections to another router.
+
+The load balancer chooses by a hash of the client, so the load of one large
+client comes back whole as soon as its router is ready again. In a data centre
+with many routers, a router that becomes full again soon after its return
+therefore stays out for longer each time, until the load has found a router
+that can carry it.
 """
 
 from __future__ import annotations
@@ -22,6 +28,14 @@
 # Time that must be left of it: the load balancer needs 2 s to take a router
 # out, so a shorter time has no effect.
 _MIN_OUT_S = 3.0
+# Share of the routers of the data centre that may be out for longer than that:
+# the platform expects seven eighths of the routers to be ready.
+_LONG_OUT_SHARE = 1 / 8
+# First and longest time out of rotation for these routers. Routers with links
+# of 10 Mbit/s that came back after 6 s were full again within 2 s, as the
+# load of a large client lasts for ten seconds and more.
+_FIRST_OUT_S = 8.0
+_LONGEST_OUT_S = 64.0
 # Share of the peers of the data centre that may be full as well. With more of
 # them, the others have no room for the load.
 _MAX_FULL_SHARE = 0.25
@@ -48,7 +62,10 @@
         '_full_seen_s',
         '_full_since_s',
         '_lasts',
+        '_out_s',
+        '_out_until_s',
         '_outs',
+        '_returned_s',
         'is_ready',
     )
 
@@ -61,11 +78,19 @@
         # Begin and end of the times out of rotation; the last one goes on
         # while the router is not ready.
         self._outs: deque[tuple[float, float]] = deque()
+        # Shortest time of the present or last stay out of rotation, the end
+        # of the present one, and when the router was last ready again.
+        self._out_s = 0.0
+        self._out_until_s = float('-inf')
+        self._returned_s = float('-inf')
 
     @property
     def states_full(self) -> bool:
-        """Whether reports to the peers say that the router is full."""
-        return self._full_since_s is not None
+        """Whether reports to the peers say that the router is full.
+
+        It counts as full until it is ready again, as its load would return.
+        """
+        return self._full_since_s is not None or not self.is_ready
 
     def update(
         self, is_full: bool, *, peers: int, full_peers: int, now_s: float
@@ -92,16 +117,33 @@
             end_s - max(begin_s, now_s - _WINDOW_S)
             for begin_s, end_s in self._outs
         )
-        # A router that is out stays so until its time is used up.
-        has_time = left_s >= _MIN_OUT_S if self.is_ready else left_s > 0
-        ready = not (
-            self._lasts and full_peers < _MAX_FULL_SHARE * peers and has_time
-        )
+        if full_peers + 1 <= _LONG_OUT_SHARE * (peers + 1):
+            ready = not (self._lasts or now_s < self._out_until_s)
+        else:
+            # A router that is out stays so until its time is used up.
+            has_time = left_s >= _MIN_OUT_S if self.is_ready else left_s > 0
+            ready = not (
+                self._lasts
+                and full_peers < _MAX_FULL_SHARE * peers
+                and has_time
+            )
         if self.is_ready and not ready:
-            self._outs.append((now_s, now_s))
+            self._begin_out(now_s)
+        elif ready and not self.is_ready:
+            self._returned_s = now_s
+            self._out_until_s = now_s
         self.is_ready = ready
         return ready
 
+    def _begin_out(self, now_s: float) -> None:
+        self._outs.append((now_s, now_s))
+        # The load came back with the router.
+        if now_s - self._returned_s < self._out_s:
+            self._out_s = min(_LONGEST_OUT_S, 2 * self._out_s)
+        else:
+            self._out_s = _FIRST_OUT_S
+        self._out_until_s = now_s + self._out_s
+
     def _update_full(self, is_full: bool, now_s: float) -> None:
         if is_full:
             if self._full_since_s is None:
--- a/src/basilpond/routing/tests/test_readiness.py
+++ b/src/basilpond/routing/tests/test_readiness.py
@@ -98,3 +98,48 @@
                 now_s=i * STEP_S,
             )
         said.append([router.states_full for router in routers])
+
+
+def test_load_that_comes_back_keeps_a_router_out_for_longer_each_time():
+    """Guards against a router that is full whenever it is in rotation.
+
+    In a large data centre the load of one client returned with each return
+    of its router, which then lost its callers' connections for seconds.
+    """
+    router = Readiness()
+    outs, ready_since_s = [], 0.0
+    for i in range(round(120.0 / STEP_S)):
+        now_s = i * STEP_S
+        # The client's requests arrive 0.5 s after the return, and stop 2 s
+        # after the router is out.
+        arrives = (
+            now_s - ready_since_s > 0.5
+            if router.is_ready
+            else now_s - outs[-1][0] < 2.0
+        )
+        was_ready = router.is_ready
+        router.update(arrives, peers=20, full_peers=0, now_s=now_s)
+        if was_ready and not router.is_ready:
+            outs.append((now_s, now_s))
+        elif not was_ready:
+            outs[-1] = (outs[-1][0], now_s)
+            ready_since_s = now_s
+    lengths = [end_s - begin_s for begin_s, end_s in outs]
+    assert lengths[:3] == pytest.approx([8.0, 16.0, 32.0], abs=2 * STEP_S)
+
+
+def test_long_absence_ends_when_peers_are_full():
+    """Guards against routers that stay out while the others lack room."""
+    readiness = Readiness()
+    for i in range(round(4.0 / STEP_S)):
+        readiness.update(
+            i * STEP_S < 2.0, peers=20, full_peers=0, now_s=i * STEP_S
+        )
+    assert not readiness.is_ready
+    assert readiness.states_full
+    assert readiness.update(False, peers=20, full_peers=4, now_s=4.5)
+    # A load that has ended in the meantime begins with the shortest absence.
+    for i in range(round(10.0 / STEP_S)):
+        now_s = 30.0 + i * STEP_S
+        readiness.update(now_s < 32.0, peers=20, full_peers=0, now_s=now_s)
+    assert readiness.is_ready
