Keep long times out of rotation from ending each other

Change: a long time out ends early only if a quarter of the peers are full, a load that does not end is left to the short rule, the evidence is kept while the link stays busy, for lists of up to 10 s, and connections are ended only 3 s after the router left.

--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -104,7 +104,7 @@
         self._unlogged_failures = 0
         self._last_failure_log_s = float('-inf')
         self.synced = asyncio.Event()
-        # Event loop time as of which all records have been applied.
+        # Event loop time as of which all records have been read.
         self.current_as_of_s = float('-inf')
 
     def restart(self, sent_before_s: float) -> None:
@@ -286,6 +286,8 @@
             records, page.end, snapshot=page.end == first_end
         )
         self._offset = first_end
+        if page.end == first_end:
+            self.current_as_of_s = self._started_s
         self.synced.set()
 
     def _log_failure(self, reason: str) -> None:
--- a/src/basilpond/node/_load_readiness.py
+++ b/src/basilpond/node/_load_readiness.py
@@ -8,6 +8,10 @@
 from ..routing.capacity import RouterLoad
 from ._decision_log import DecisionLog
 
+# Time after which the load balancer leads new connections elsewhere: two
+# polls, a second apart, and a third in part.
+_LED_AWAY_S = 3.0
+
 
 class LoadReadiness:
     """Decides whether the load balancer should lead callers elsewhere.
@@ -38,6 +42,10 @@
         """Whether the router was ready at the last update."""
         return self._readiness.is_ready
 
+    def leads_elsewhere(self, now_s: float) -> bool:
+        """Whether new connections of callers reach other routers."""
+        return not self.is_ready and now_s - self._out_since_s >= _LED_AWAY_S
+
     @property
     def states_full(self) -> bool:
         """Whether reports to the peers say that the router is full."""
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -312,6 +312,7 @@
         overload.list_age_s = lambda: (
             asyncio.get_running_loop().time() - endpoints.current_as_of_s
         )
+        self._overload = overload
         overload.max_list_age_s = LIST_AGE_SHARE * settings.drain_s
         self._router_watch.received_bytes = lambda: RECEIVED.total
         self._load_readiness = LoadReadiness(
@@ -497,6 +498,7 @@
             retry_window_s=settings.retry_window_s,
             prompt_reuse_s=settings.prompt_reuse_s,
         )
+        self._overload.max_list_age_s = LIST_AGE_SHARE * settings.drain_s
         self.dispatcher.apply_settings(self._settings)
 
     def _respond_ready(self, path: bytes) -> InternalResponse:
@@ -513,7 +515,9 @@
     def _update_load_readiness(self, now_s: float) -> bool:
         ready = self._load_readiness.update(now_s)
         # Callers with open connections would stay with this router.
-        self._callers.closes_after_response = not ready
+        self._callers.closes_after_response = (
+            self._load_readiness.leads_elsewhere(now_s)
+        )
         return ready
 
     def _respond_metrics(self, path: bytes) -> InternalResponse:
--- a/src/basilpond/node/_router_overload.py
+++ b/src/basilpond/node/_router_overload.py
@@ -46,7 +46,10 @@
 # callers, and the list of endpoints is not used once it is older. The rest of
 # the time is for connecting and for the bytes on the way out.
 LIST_AGE_SHARE = 0.75
-# Interval in which a request that an endpoint may have begun waits for it.
+# Age beyond which the link is not the cause: responses wait behind bodies for
+# a few seconds. The store is away then, and the last known list holds.
+_MAX_EXPLAINED_AGE_S = 10.0
+# Interval in which the age is checked while a request waits for a newer list.
 _LIST_POLL_S = 0.05
 # Time for which the rate of an upload says nothing: the first round trips.
 _YOUNG_UPLOAD_S = 0.25
@@ -95,6 +98,9 @@
         # is used while the incoming link is full.
         self.list_age_s: Callable[[], float] = lambda: 0.0
         self.max_list_age_s = math.inf
+        # Whether the list grew old while the link was full. Connections, whose
+        # time-outs tell of a full link, are not opened from then on.
+        self._link_delays_list = False
         # Measures the link again before a request is held or refused.
         self.confirm_link: Callable[[float], None] = _ignore_time
         load.record_link(0, link_bytes_per_s, 0.0)
@@ -111,6 +117,8 @@
         now_s = asyncio.get_running_loop().time()
         self.confirm_link(now_s)
         demand = _demand(context, now_s)
+        if self.has_outdated_list():
+            raise self._outdated_refusal(demand, now_s)
         verdict = self.load.verdict(demand, now_s)
         if verdict.reason is not None:
             raise self._refusal(demand, verdict, now_s)
@@ -144,12 +152,15 @@
             catalogue.find_organisation(metadata.key),
             now_s,
         )
-        verdict = self.load.upload_verdict(
-            demand, [_progress(other, now_s) for other in others], now_s
-        )
-        if verdict.reason is None:
-            return None
-        refusal = self._refusal(demand, verdict, now_s)
+        if self.has_outdated_list():
+            refusal = self._outdated_refusal(demand, now_s)
+        else:
+            verdict = self.load.upload_verdict(
+                demand, [_progress(other, now_s) for other in others], now_s
+            )
+            if verdict.reason is None:
+                return None
+            refusal = self._refusal(demand, verdict, now_s)
         self._decisions.event(
             'refused',
             request=metadata.request_id,
@@ -252,11 +263,26 @@
         Only the router's own link counts as a reason: in an outage of the
         store, the last known list holds.
         """
+        incoming = self.load.incoming
         now_s = asyncio.get_running_loop().time()
-        return (
-            self.list_age_s() > self.max_list_age_s
-            and self.load.incoming.is_full(now_s)
+        if not (
+            self.max_list_age_s < self.list_age_s() <= _MAX_EXPLAINED_AGE_S
+            and incoming.is_busy(now_s)
+        ):
+            self._link_delays_list = False
+        elif incoming.is_full(now_s):
+            self._link_delays_list = True
+        return self._link_delays_list
+
+    def _outdated_refusal(
+        self, demand: RequestDemand, now_s: float
+    ) -> RefusedError:
+        verdict = LoadVerdict(
+            'router full, list of endpoints outdated',
+            self.list_age_s(),
+            self.max_list_age_s,
         )
+        return self._refusal(demand, verdict, now_s)
 
     async def _wait_for_list(self, context: RequestContext) -> None:
         # A request that no endpoint has begun is better off at another
@@ -266,13 +292,7 @@
         while self.has_outdated_list():
             now_s = loop.time()
             if not begun or now_s + _LIST_POLL_S >= context.wait_until_s:
-                demand = _demand(context, now_s)
-                verdict = LoadVerdict(
-                    'router full, list of endpoints outdated',
-                    self.list_age_s(),
-                    self.max_list_age_s,
-                )
-                raise self._refusal(demand, verdict, now_s)
+                raise self._outdated_refusal(_demand(context, now_s), now_s)
             await asyncio.sleep(_LIST_POLL_S)
 
     async def settle(self, context: RequestContext) -> bool:
--- a/src/basilpond/node/_send_outcome.py
+++ b/src/basilpond/node/_send_outcome.py
@@ -17,7 +17,7 @@
     result : SendResult or None
         None if the caller received the complete response.
     reason : str
-    head : AnswerHead or None
+    head : ResponseHead or None
         Head of an error response of the endpoint.
     body : bytes
     broken : bool
--- a/src/basilpond/routing/capacity/_incoming_link.py
+++ b/src/basilpond/routing/capacity/_incoming_link.py
@@ -137,10 +137,14 @@
             (last_s - first_s) * self._bytes_per_s
         )
 
+    def is_busy(self, now_s: float) -> bool:
+        """Whether what callers send uses most of the link."""
+        return self.used_share(now_s) >= _BUSY_SHARE
+
     def is_full(self, now_s: float) -> bool:
         """Whether connections time out because of the link."""
         self._expire(now_s)
-        if not self._timeouts or self.used_share(now_s) < _BUSY_SHARE:
+        if not self._timeouts or not self.is_busy(now_s):
             return False
         zones = {zone for _, _, zone, _ in self._timeouts}
         own = {
--- a/src/basilpond/routing/capacity/_readiness.py
+++ b/src/basilpond/routing/capacity/_readiness.py
@@ -61,9 +61,10 @@
     __slots__ = (
         '_full_seen_s',
         '_full_since_s',
+        '_helps',
+        '_is_long',
         '_lasts',
-        '_out_s',
-        '_out_until_s',
+        '_long_out_s',
         '_outs',
         '_returned_s',
         'is_ready',
@@ -78,11 +79,14 @@
         # Begin and end of the times out of rotation; the last one goes on
         # while the router is not ready.
         self._outs: deque[tuple[float, float]] = deque()
-        # Shortest time of the present or last stay out of rotation, the end
-        # of the present one, and when the router was last ready again.
-        self._out_s = 0.0
-        self._out_until_s = float('-inf')
+        # Whether the present time out of rotation is a long one, the shortest
+        # length of the last long one, and when the router came back from it.
+        self._is_long = False
+        self._long_out_s = 0.0
         self._returned_s = float('-inf')
+        # Whether the load leaves with the rotation. Not so if the load
+        # balancer uses all routers, or the router is full for another cause.
+        self._helps = True
 
     @property
     def states_full(self) -> bool:
@@ -113,40 +117,66 @@
             self._outs[-1] = begin_s, now_s
         while self._outs and self._outs[0][1] <= now_s - _WINDOW_S:
             self._outs.popleft()
-        left_s = _MAX_OUT_S - sum(
-            end_s - max(begin_s, now_s - _WINDOW_S)
-            for begin_s, end_s in self._outs
-        )
-        if full_peers + 1 <= _LONG_OUT_SHARE * (peers + 1):
-            ready = not (self._lasts or now_s < self._out_until_s)
+        peers_have_room = full_peers < _MAX_FULL_SHARE * peers
+        if self.is_ready:
+            may_be_long = self._helps and full_peers + 1 <= _LONG_OUT_SHARE * (
+                peers + 1
+            )
+            if self._lasts and (
+                may_be_long
+                or (peers_have_room and self._left_s(now_s) >= _MIN_OUT_S)
+            ):
+                self._begin_out(now_s, is_long=may_be_long)
+        elif self._is_long:
+            self._continue_long(peers_have_room, now_s)
         else:
             # A router that is out stays so until its time is used up.
-            has_time = left_s >= _MIN_OUT_S if self.is_ready else left_s > 0
-            ready = not (
-                self._lasts
-                and full_peers < _MAX_FULL_SHARE * peers
-                and has_time
+            self.is_ready = not (
+                self._lasts and peers_have_room and self._left_s(now_s) > 0
             )
-        if self.is_ready and not ready:
-            self._begin_out(now_s)
-        elif ready and not self.is_ready:
-            self._returned_s = now_s
-            self._out_until_s = now_s
-        self.is_ready = ready
-        return ready
-
-    def _begin_out(self, now_s: float) -> None:
+        return self.is_ready
+
+    def _left_s(self, now_s: float) -> float:
+        # Time for which the router may be out of rotation in this window.
+        return _MAX_OUT_S - sum(
+            end_s - max(begin_s, now_s - _WINDOW_S)
+            for begin_s, end_s in self._outs
+        )
+
+    def _begin_out(self, now_s: float, *, is_long: bool) -> None:
+        self.is_ready = False
         self._outs.append((now_s, now_s))
-        # The load came back with the router.
-        if now_s - self._returned_s < self._out_s:
-            self._out_s = min(_LONGEST_OUT_S, 2 * self._out_s)
+        self._is_long = is_long
+        if not is_long:
+            return
+        if now_s - self._returned_s < self._long_out_s:
+            # The load came back with the router.
+            self._long_out_s = min(_LONGEST_OUT_S, 2 * self._long_out_s)
         else:
-            self._out_s = _FIRST_OUT_S
-        self._out_until_s = now_s + self._out_s
+            self._long_out_s = _FIRST_OUT_S
+
+    def _continue_long(self, peers_have_room: bool, now_s: float) -> None:
+        # A long time out ends early only if the peers need the router: that
+        # one of them is full, as the load has moved there, is no reason.
+        if not peers_have_room:
+            self._long_out_s = 0.0
+            self.is_ready = True
+            return
+        begin_s, _ = self._outs[-1]
+        if now_s - begin_s < self._long_out_s:
+            return
+        self._helps = not self._lasts
+        self._returned_s = now_s
+        self.is_ready = True
 
     def _update_full(self, is_full: bool, now_s: float) -> None:
         if is_full:
-            if self._full_since_s is None:
+            if (
+                self._full_since_s is None
+                # Nothing is known of a pause of the process.
+                or now_s - max(self._full_since_s, self._full_seen_s)
+                > _MAX_PAUSE_S
+            ):
                 self._full_since_s = now_s
             self._full_seen_s = now_s
             if now_s - self._full_since_s >= _FULL_S:
@@ -156,3 +186,4 @@
         if calm_s >= (_CALM_S if self._lasts else _MAX_PAUSE_S):
             self._full_since_s = None
             self._lasts = False
+            self._helps = True
