Run the tests of planned stops on the loopback clock

test_stream_in_a_stop_ends_truthfully sends requests 10 ms before the router begins to refuse. The request is now sent 0.03 s later, still before the router refuses. The bounds are the same; they now hold for the times that the router waits, as the clock stands still during work.

The tests still fail without the refusal of first sends, without the end of requests at the end of the grace time, and with a release that takes twice as long.

--- a/src/basilpond/node/tests/test_planned_stops.py
+++ b/src/basilpond/node/tests/test_planned_stops.py
@@ -11,6 +11,7 @@
 from basilpond.node.tests.platform_world import route
 from basilpond.node.tests.platform_world import world
 from basilpond.routing.placement._endpoint_speed import PREFILL_TOKENS_PER_S
+from basilpond_testkit.loopback_clock import on_loopback_clock
 
 # A tenth of the times of a router with the default grace of 8 s.
 GRACE_S = 0.8
@@ -106,6 +107,7 @@
 
 
 @pytest.mark.parametrize('work_s', [0.05, LONG_S])
+@on_loopback_clock
 async def test_each_tenth_of_a_stop_is_answered(work_s):
     """Guards against requests that a stop ends without an answer."""
     async with stopping_world() as (system, stop):
@@ -144,6 +146,7 @@
         (LONG_S, 0.0, 504, True),
     ],
 )
+@on_loopback_clock
 async def test_stream_in_a_stop_ends_truthfully(
     prefill_s, gap_s, status, complete
 ):
@@ -177,6 +180,7 @@
         assert {c.reason for c in stop.unanswered} <= {'response cut'}
 
 
+@on_loopback_clock
 async def test_requests_behind_one_that_outlasts_a_stop_are_refused():
     """Guards against a pipelined request that is cut without an answer."""
     async with stopping_world() as (system, stop):
@@ -232,6 +236,7 @@
         (wait_for_tokens, '/digest/x', PROMPT),
     ],
 )
+@on_loopback_clock
 async def test_request_that_waits_for_a_send_is_refused(hinder, path, headers):
     """Guards against a first send when the end of the stop is near."""
     config = configuration(
@@ -271,6 +276,7 @@
         assert system.runs('app') + system.runs('llm') == runs
 
 
+@on_loopback_clock
 async def test_request_that_arrives_slowly_in_a_stop_is_refused():
     """Guards against a stop that closes on a caller that still sends."""
     head = (
@@ -310,6 +316,7 @@
         assert system.runs('app') == 0
 
 
+@on_loopback_clock
 async def test_slow_body_that_ends_in_a_stop_is_refused_or_served():
     """Guards against a body that ends late in a stop and is passed on."""
     async with stopping_world() as (system, stop):
@@ -333,6 +340,7 @@
         assert (was_run(system, 'early'), was_run(system, 'late')) == (1, 0)
 
 
+@on_loopback_clock
 async def test_request_that_cannot_begin_within_a_stop_is_refused():
     """Guards against a send whose response is due after the stop."""
     async with stopping_world() as (system, stop):
@@ -357,6 +365,7 @@
         await stop.wait_end()
 
 
+@on_loopback_clock
 async def test_stop_while_the_log_is_silent_ends_in_time():
     """Guards against answers that wait for the log until SIGKILL."""
     async with stopping_world() as (system, stop):
@@ -383,6 +392,7 @@
         assert system.runs('llm') == 0
 
 
+@on_loopback_clock
 async def test_no_first_send_follows_a_refusal_by_an_endpoint():
     """Guards against a first send when the end of the stop is near."""
     async with stopping_world(apps=2) as (system, stop):
@@ -397,13 +407,15 @@
         for server in servers:
             server._server.handler = refuse_late
         stop.signal()
-        reply = await call_at(system, stop, 0.05, '/look/x')
+        # The refusal precedes the time limit of the send, which is 0.3 s.
+        reply = await call_at(system, stop, 0.08, '/look/x')
         assert len(refused) == 1
         assert reply.status == 503
         assert reply.headers['retry-after'] == '0.100'
         await stop.wait_end()
 
 
+@on_loopback_clock
 async def test_request_that_waits_for_its_retry_is_answered():
     """Guards against a failed request that is cut while it waits."""
     config = configuration(
