Make two tests of silent streams independent of arrival times

test_streams_stay_where_they_are_if_all_endpoints_are_silent sent prompts with a common prefix and required that both endpoints got some.

In test_late_streams_do_not_all_take_the_same_place, only the router was told of the limit. The response to the first stream that moved named none, which ended the limit, and a stream that was late 7 ms later moved as well. The endpoint now names the limit.

All tests of the file run on the loopback clock; the checks are the same. They still fail if late streams move to silent endpoints or beyond a limit.

--- a/src/basilpond/node/tests/test_silent_streams.py
+++ b/src/basilpond/node/tests/test_silent_streams.py
@@ -12,6 +12,7 @@
 from basilpond.routing import CrashingParts
 from basilpond.routing import Quarantine
 from basilpond.routing.placement._endpoint_speed import PREFILL_TOKENS_PER_S
+from basilpond_testkit.loopback_clock import on_loopback_clock
 
 # Pause of the endpoints, which callers put up with: they leave after 2.4 s.
 SILENCE_S = 2.0
@@ -21,6 +22,15 @@
     return [s for s in system.servers.values() if s.service == 'llm']
 
 
+def separate_prompt(number):
+    """Return the fields of a prompt that shares no part with others."""
+    return (
+        ('X-Model', 'm'),
+        ('X-Token-Count', '300,60'),
+        ('X-Prompt-Prefix', f'{number}a:100,{number}b:150,{number}c:50'),
+    )
+
+
 async def start_streams(system, count):
     """Start streams at one endpoint and return their tasks."""
     (first, second) = models(system)
@@ -41,6 +51,7 @@
     return first, second, streams
 
 
+@on_loopback_clock
 async def test_late_streams_are_cancelled_only_if_all_may_be_retried():
     """Guards against streams that are cut as the retry budget runs out.
 
@@ -65,6 +76,7 @@
 
 
 @pytest.mark.parametrize('mode', ['refuses', 'limited'])
+@on_loopback_clock
 async def test_late_stream_is_not_cancelled_without_another_endpoint(mode):
     """Guards against streams that are cancelled for no other endpoint.
 
@@ -97,6 +109,7 @@
         assert len(silent.requests) == 2
 
 
+@on_loopback_clock
 async def test_endpoint_that_is_silent_for_a_second_keeps_its_streams():
     """Guards against streams that leave an endpoint which goes on at once.
 
@@ -112,6 +125,7 @@
         assert system.runs('llm') == 4
 
 
+@on_loopback_clock
 async def test_streams_stay_where_they_are_if_all_endpoints_are_silent():
     """Replays a network cut of 1.3 s between a router and most endpoints.
 
@@ -123,8 +137,12 @@
         servers = models(system)
         for server in servers:
             server.event_gap_s = 0.5
+        # Prompts that share a prefix may all go where it is cached.
         streams = [
-            asyncio.create_task(system.prompt('/chat/x')) for _ in range(6)
+            asyncio.create_task(
+                system.prompt('/chat/x', headers=separate_prompt(i))
+            )
+            for i in range(6)
         ]
         await system.until(lambda: system.runs('llm') == 6)
         assert all(server.requests for server in servers)
@@ -138,6 +156,7 @@
         assert system.runs('llm') == 6
 
 
+@on_loopback_clock
 async def test_late_stream_does_not_join_a_queue_beyond_its_callers_patience():
     """Replays streams of many routers that moved to the same endpoint.
 
@@ -157,6 +176,7 @@
         assert not other.requests
 
 
+@on_loopback_clock
 async def test_late_streams_do_not_all_take_the_same_place():
     """Guards against streams that are given up for one place.
 
@@ -174,6 +194,8 @@
             sent_s=loop.time(),
             now_s=loop.time(),
         )
+        # A response without the limit would end it.
+        other.limit_per_s = 1.0
         silent.event_gap_s = SILENCE_S
         await asyncio.sleep(SILENCE_S)
         silent.event_gap_s = 0.002
@@ -183,6 +205,7 @@
         assert len(silent.requests) == 4
 
 
+@on_loopback_clock
 async def test_late_stream_does_not_wait_behind_other_requests():
     """Guards against streams that are given up and then refused.
 
@@ -205,6 +228,7 @@
 
 
 @pytest.mark.parametrize('mode', ['attempts', 'crashing part', 'cut'])
+@on_loopback_clock
 async def test_late_stream_stays_if_no_retry_can_follow(mode, monkeypatch):
     """Guards against streams that are given up and may not be sent again.
 
