Keep requests of other processes from endpoints that cut heads

The failures of test_refusal_after_a_cut_head_is_not_passed_on had two sends that were answered 421 at once: something else had taken the cut head. Connections to closed ports of 127.0.0.1 fail about four times a second on a busy machine, and a port may meanwhile belong to an endpoint of the test. Whose request it was in the recorded failures remains unknown.

The endpoints now listen on a loopback address that depends on the process, and the test checks that each request they got was its own.

--- a/src/basilpond/node/tests/test_cut_heads.py
+++ b/src/basilpond/node/tests/test_cut_heads.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import ipaddress
+import os
 import socket
 import struct
 
@@ -11,8 +13,11 @@
 from basilpond.node.tests.platform_world import configuration
 from basilpond.node.tests.platform_world import route
 from basilpond.node.tests.platform_world import world
-from basilpond_testkit.platform_stand_in import HOST
 
+# Loopback address of this process. Other processes on the machine send to
+# ports of 127.0.0.1 that were closed meanwhile; where an endpoint had such a
+# port, their request would take a response of its plan.
+HOST = str(ipaddress.IPv4Address('127.64.0.0') + os.getpid())
 SIGNED = b'X-Request-Id: %s\r\nX-Response-Stamp: s\r\n'
 OK = b'HTTP/1.1 200 OK\r\n' + SIGNED
 EVENTS = OK + b'Content-Type: text/event-stream\r\n'
@@ -63,7 +68,12 @@
         self._plan = plan
         self._server = None
         self._tasks = set()
-        self.requests = 0
+        # Targets of the requests.
+        self.targets = []
+
+    @property
+    def requests(self):
+        return len(self.targets)
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -88,7 +98,7 @@
                     for line in head.split(b'\r\n')[1:-2]
                 )
                 await reader.readexactly(int(fields.get(b'content-length', 0)))
-                self.requests += 1
+                self.targets.append(head.split(b' ', 2)[1].decode())
                 response, end = self._plan[0]
                 del self._plan[: len(self._plan) > 1]
                 request_id = fields[b'x-request-id']
@@ -300,5 +310,8 @@
     service = 'app' if path == '/look/1' else 'llm'
     async with cutting_world(service, plan, plan) as (system, endpoints):
         reply = await system.prompt(path)
-        assert sum(endpoint.requests for endpoint in endpoints) >= 2
+        targets = [t for endpoint in endpoints for t in endpoint.targets]
+        # The first response was for this request and not for another one.
+        assert set(targets) == {path}
+        assert len(targets) >= 2
     assert (reply.status, reply.body) == (502, b'')
