Run the stop in tenths of a router's tasks on the loopback clock

test_each_tenth_of_a_stop_is_answered sends calls 30 ms after the router begins to refuse, on connections that it keeps. The time of the calls counts from the signal and that of the refusal from the start of the notice.

The clock now stands still during work; the checks are the same. The test still fails if late calls are not refused, or if open ones are not ended.

--- a/src/basilpond/tasks/tests/test_planned_stops.py
+++ b/src/basilpond/tasks/tests/test_planned_stops.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import time
 
 import aiohttp
@@ -10,6 +11,7 @@
 from basilpond.tasks.tests.small_system import chat
 from basilpond.tasks.tests.small_system import running_system
 from basilpond.tasks.tests.small_system import uuid7
+from basilpond_testkit.loopback_clock import on_loopback_clock
 
 NOTICE_S = 0.25
 DRAIN_S = 0.45
@@ -79,17 +81,25 @@
         )
 
 
-@pytest.fixture
-async def connections():
+@contextlib.asynccontextmanager
+async def open_connections():
     opened = []
 
     def connect(port):
         opened.append(Connection(port))
         return opened[-1]
 
-    yield connect
-    for connection in opened:
-        await connection.session.close()
+    try:
+        yield connect
+    finally:
+        for connection in opened:
+            await connection.session.close()
+
+
+@pytest.fixture
+async def connections():
+    async with open_connections() as connect:
+        yield connect
 
 
 def outcome(reply):
@@ -109,12 +119,16 @@
 
 
 @pytest.mark.parametrize('delay_ms', [20, LONG_MS])
-async def test_each_tenth_of_a_stop_is_answered(connections, delay_ms):
+@on_loopback_clock
+async def test_each_tenth_of_a_stop_is_answered(delay_ms):
     """Guards against requests that a stop ends without an answer.
 
     Each is sent on a connection that was kept from before the stop.
     """
-    async with running_system(limits=PATIENT) as system:
+    async with (
+        running_system(limits=PATIENT) as system,
+        open_connections() as connections,
+    ):
         port = system.routers[0].settings.router.caller_port
         calls = [
             (connections(port), kind, after_s)
