Check what routers own instead of what their accounts state

test_routers_share_a_budget read an owned sum of 3,654 of 3,600 once. It added up the accounts in the log, which contain raises before they are granted and until denied ones are lowered again; the routers do not own these tokens.

The test now checks at each grant that the granted tokens of all routers are within the budget, and at the end that each router's are within its account, that the consumption is within the budget, and that the accounts come back to it. A new test does so with a slow log, where raises overlap.

--- a/src/basilpond/node/tests/test_node.py
+++ b/src/basilpond/node/tests/test_node.py
@@ -1,6 +1,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import urllib.request
 
 import pytest
@@ -11,7 +12,9 @@
 from basilpond.node.tests.platform_world import configuration
 from basilpond.node.tests.platform_world import route
 from basilpond.node.tests.platform_world import world
+from basilpond.routing import Allotments
 from basilpond.routing._escrow_accounts import OUTAGE_S
+from basilpond_testkit.loopback_clock import on_loopback_clock
 
 
 def header(request, name):
@@ -19,7 +22,7 @@
 
 
 def owned_sum(system):
-    """Return the sum of the tokens owned by all accounts in the log."""
+    """Return the sum of all accounts in the log, pending raises included."""
     return sum(
         int(value.split()[0])
         for key, value in system.log.newest('keyed.fleet').items()
@@ -174,18 +177,91 @@
         assert (await system.prompt()).status == 200
 
 
-async def test_routers_share_a_budget():
+def watch_grants(system, monkeypatch):
+    """Return a list that gets the tokens that all routers own at each grant.
+
+    Accounts in the log may add up to more: a raise is a part of its account
+    before it is granted, and until its holder lowers the account again if it
+    is denied.
+    """
+    sums = []
+    confirm = Allotments.confirm_raise
+
+    def confirm_raise(self, *args):
+        confirmed = confirm(self, *args)
+        sums.append(sum(allotment.granted for _, allotment in owners(system)))
+        return confirmed
+
+    monkeypatch.setattr(Allotments, 'confirm_raise', confirm_raise)
+    return sums
+
+
+def owners(system):
+    """Return the names of the holders of `org`, and what they own."""
+    return [
+        (node.holder, node.budgets.allotments._allotments['org'])
+        for node in system.nodes
+    ]
+
+
+def check_owned(system, budget):
+    """Check that no token is spent twice or owned without an account."""
+    records = system.log.newest('keyed.fleet')
+    for holder, allotment in owners(system):
+        account = records.get(f'budget/org/{holder}', b'0')
+        assert allotment.granted <= int(account.split()[0])
+    assert sum(a.local_use for _, a in owners(system)) <= budget
+
+
+@on_loopback_clock
+async def test_routers_share_a_budget(monkeypatch):
     """Guards against two routers that spend the same tokens."""
     tenant = {'name': 'org', 'api_keys': ['key'], 'prepaid': 3_600}
     config = configuration(tenants=[tenant])
     async with world(config, nodes=3) as system:
+        sums = watch_grants(system, monkeypatch)
         replies = await asyncio.gather(
             *(system.prompt(node=i % 3) for i in range(24))
         )
         served = sum(reply.status == 200 for reply in replies)
         assert 7 <= served <= 12
         assert {reply.status for reply in replies} <= {200, 402, 503}
-        assert owned_sum(system) <= 3_600
+        assert 0 < max(sums) <= 3_600
+        check_owned(system, 3_600)
+        # No raise beyond the budget stays in the log.
+        await system.until(lambda: owned_sum(system) <= 3_600)
+
+
+@pytest.mark.parametrize('seed', range(4))
+@on_loopback_clock
+async def test_overlapping_raises_grant_no_token_twice(seed, monkeypatch):
+    """Guards against raises that are granted by a state before the others.
+
+    The log is slow, so the routers append raises before they read those of
+    the others. The accounts add up to more than the budget meanwhile.
+    """
+    rng = random.Random(seed)
+    tenant = {'name': 'org', 'api_keys': ['key'], 'prepaid': 3_600}
+    config = configuration(tenants=[tenant])
+    async with world(config, nodes=3) as system:
+        sums = watch_grants(system, monkeypatch)
+        stated = []
+        answer = system.log.handle
+
+        async def answer_late(request, responder):
+            await asyncio.sleep(rng.choice((0.0, 0.01, 0.05, 0.12, 0.3)))
+            await answer(request, responder)
+            stated.append(owned_sum(system))
+
+        system.log._server.handler = answer_late
+        replies = await asyncio.gather(
+            *(system.prompt(node=i % 3) for i in range(24))
+        )
+        assert {reply.status for reply in replies} <= {200, 402, 503}
+        assert max(stated) > 3_600
+        assert 0 < max(sums) <= 3_600
+        check_owned(system, 3_600)
+        await system.until(lambda: owned_sum(system) <= 3_600)
 
 
 @pytest.mark.parametrize('mode', ['silent', 'busy', 'lost', 'late'])
