Prefer endpoints that cache the shared parts of a prompt

With outdated reports, a router spread its prompts by what it had sent itself in the last seconds. One earlier prompt at an endpoint then cost more than a shared part of 4,870 tokens that was known to be cached there, so the part was read again elsewhere, although routers announce what they send where.

Endpoints that are known to cache all shared parts are now exempt from this while the parts are asked for rarely. Where none is known, all routers prefer the same two endpoints by rendezvous hash, weighted by learnt speed.

Nothing changes with fresh reports. The signature of sample_loads has got the time, so tests that call it pass it; they check the same.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -428,6 +428,7 @@
                 [entry.load for entry in entries],
                 context.prompt_prefixes,
                 self._rng,
+                now_s,
             ),
             prompt_tokens=context.metadata.prompt_tokens,
             prefixes=context.prompt_prefixes,
--- a/src/basilpond/node/tests/test_admission_replay.py
+++ b/src/basilpond/node/tests/test_admission_replay.py
@@ -186,7 +186,9 @@
             self.admission.check(context)
             entries = await self.admission.admit(context, self.usable)
         choice = choose_endpoint(
-            sample_loads([e.load for e in entries], [], self.fleet.rng),
+            sample_loads(
+                [e.load for e in entries], [], self.fleet.rng, loop.time()
+            ),
             prompt_tokens=TOKENS[route],
             prefixes=[],
             data_centre='dc',
--- a/src/basilpond/routing/placement/_placement.py
+++ b/src/basilpond/routing/placement/_placement.py
@@ -18,6 +18,9 @@
 from .._reachability import Reachability
 from ._endpoint_load import EndpointLoad
 from ._endpoint_load import prefill_cost
+from ._part_affinity import find_preferred
+from ._part_affinity import is_worth_ranking
+from ._part_affinity import rank_endpoints
 
 # Weight of the prefill of shared prompt parts that are not cached, on top of
 # the wait of the request itself, as it delays the other requests of the
@@ -75,6 +78,7 @@
     loads: list[EndpointLoad],
     prefixes: list[tuple[int, int]],
     rng: random.Random,
+    now_s: float,
 ) -> list[EndpointLoad]:
     """Return the endpoints that are compared for a request.
 
@@ -88,18 +92,25 @@
         Candidates.
     prefixes : list of (int, int)
         From `prompt_prefixes`; endpoints that have read the longest shared
-        prefix are always included.
+        prefix are always included. If there is none and reports are outdated,
+        those that all routers prefer are included.
     rng : random.Random
+    now_s : float
     """
     compared = _MAX_COMPARED
-    if loads and loads[0].outdated:
+    outdated = bool(loads and loads[0].outdated)
+    if outdated:
         compared = _MAX_COMPARED_OUTDATED
     if len(loads) <= compared:
         return loads
     sample = rng.sample(loads, compared)
     if len(prefixes) > 1:
         key = prefixes[-2][0]
-        sample += [load for load in loads if load.cache.has(key)]
+        known = [load for load in loads if load.cache.has(key)]
+        if outdated and is_worth_ranking(prefixes):
+            fresh = [x for x in known if x.cache.is_cached(key, now_s)]
+            known = fresh or rank_endpoints(key, loads, now_s)
+        sample += known
     return list(dict.fromkeys(sample))
 
 
@@ -184,9 +195,19 @@
     if len(outliers) > MAX_EJECTED_SHARE * len(loads):
         outliers = []
     spread_s = _spread_waits_s(loads, now_s) if prompt_tokens else {}
-    for load in loads:
+    shared = prefixes[:-1]
+    cached_tokens = [load.cache.cached_tokens(shared, now_s) for load in loads]
+    preferred = {}
+    if prompt_tokens and loads and loads[0].outdated:
+        preferred = find_preferred(
+            loads,
+            cached_tokens,
+            prompt_tokens=prompt_tokens,
+            prefixes=prefixes,
+            now_s=now_s,
+        )
+    for load, cached in zip(loads, cached_tokens, strict=True):
         candidates += 1
-        cached = load.cache.cached_tokens(prefixes[:-1], now_s)
         added_cost = (
             prefill_cost(prompt_tokens, cached) if prompt_tokens else 0.0
         )
@@ -201,13 +222,14 @@
         if shared_tokens > cached:
             repeated_s = (
                 _REPEATED_PREFILL_WEIGHT
+                * preferred.get(load, 1.0)
                 * (shared_tokens - cached)
                 / load.tokens_per_s(now_s)
             )
         cost_s = (
             forecast_s
             + repeated_s
-            + spread_s.get(load, 0.0)
+            + (0.0 if load in preferred else spread_s.get(load, 0.0))
             + load.stalled_s(now_s)
             + _FAILURE_PENALTY_S * load.failure_share(now_s)
             + load.endpoint.slow_start_s * 0.1
--- a/src/basilpond/routing/placement/tests/prompt_fleet.py
+++ b/src/basilpond/routing/placement/tests/prompt_fleet.py
@@ -122,7 +122,7 @@
         self.place(self.rng.choice(self.routers))
 
     def place(self, router):
-        loads = sample_loads(router.loads, [], self.rng)
+        loads = sample_loads(router.loads, [], self.rng, self.now_s)
         for load in loads:
             i = self.index[load.endpoint.id]
             running, cost = self.totals[i]
--- a/src/basilpond/routing/placement/tests/test_placement.py
+++ b/src/basilpond/routing/placement/tests/test_placement.py
@@ -229,6 +229,6 @@
     loads = make_loads(100)
     prefixes = prompt_prefixes((*SHARED, PromptPart(99, 600)))
     loads[57].cache.touch(prefixes[-2][0], 0.0)
-    sample = sample_loads(loads, prefixes, random.Random(1))
+    sample = sample_loads(loads, prefixes, random.Random(1), 0.0)
     assert loads[57] in sample
     assert len(sample) <= 17
--- a/src/basilpond/routing/tests/test_reachability.py
+++ b/src/basilpond/routing/tests/test_reachability.py
@@ -59,7 +59,7 @@
 
     def _send(self, now_s):
         load = choose_endpoint(
-            sample_loads(self.loads, [], self.rng),
+            sample_loads(self.loads, [], self.rng, now_s),
             prompt_tokens=0,
             prefixes=[],
             data_centre=self.home or 'dc-none',
