--- a/src/basilpond/routing/placement/_part_affinity.py
+++ b/src/basilpond/routing/placement/_part_affinity.py
@@ -25,7 +25,7 @@
 # over where the first has a wait.
 _REPEATED_SHARES = (0.0, 0.5)
 # Tokens that no endpoint has cached from which on endpoints are preferred.
-# Reading fewer takes less than 20 ms, and parts common to a route are short:
+# Reading fewer takes less than 30 ms, and parts common to a route are short:
 # all routers would send to the same endpoint until the first reports.
 _MIN_TOKENS = 1_024
 # Share of an endpoint's speed that the prompts with one part may take. All
