Test accounts with silent reads and kills by a state machine

The state machine of accounts models the routers by hand, so it has neither reads that hang nor routers that write accounts of others. The new one runs the routers' own tasks on a paused clock: silent reads, datagrams that are late and overtake each other, kills of some and of all, and restores of the log.

asyncio runs timers up to a clock resolution early. BudgetTask.hold then waited again until its deadline without end on the paused clock, which now advances by 1 ns after 1,000 rounds.

--- a/src/basilpond_testkit/budget_fleet.py
+++ b/src/basilpond_testkit/budget_fleet.py
@@ -84,6 +84,8 @@
     def __init__(self, store: SimulatedStore) -> None:
         self._store = store
         self.is_cut = False
+        # Whether the channel of the next read goes silent for good.
+        self.is_next_read_silent = False
         self.era = 0
         self.on_new_era: Callable[[], None] = lambda: None
 
@@ -162,6 +164,10 @@
         if partition is not None:
             topic = f'{topic}/{partition}'
         await self._call()
+        if self.is_next_read_silent:
+            self.is_next_read_silent = False
+            await asyncio.sleep(wait_s + _LOG_TIMEOUT_S)
+            raise LogTimeoutError('timed out')
         loop = asyncio.get_running_loop()
         until_s = loop.time() + wait_s
         while True:
@@ -354,6 +360,8 @@
         self.spent_tokens = dict.fromkeys(budgets_tokens, 0)
         self.served = 0
         self.refused = 0
+        # Datagrams overtake each other if it is longer than `_NETWORK_S`.
+        self.max_datagram_delay_s = _NETWORK_S
         self._starts = 0
 
     def next_start(self) -> int:
@@ -423,11 +431,26 @@
                     data, (self.address(sender.name), 1)
                 )
 
-        asyncio.get_running_loop().call_later(_NETWORK_S, deliver)
+        delay_s = _NETWORK_S
+        if self.max_datagram_delay_s > _NETWORK_S:
+            delay_s = self.rng.uniform(_NETWORK_S, self.max_datagram_delay_s)
+        asyncio.get_running_loop().call_later(delay_s, deliver)
 
-    async def request(self, organisation: str, tokens: int) -> None:
-        """Simulate a request that consumes all tokens of its hold."""
-        router = self.rng.choice(list(self.routers.values()))
+    async def request(
+        self, organisation: str, tokens: int, name: str | None = None
+    ) -> None:
+        """Simulate a request that consumes all tokens of its hold.
+
+        Parameters
+        ----------
+        organisation : str
+        tokens : int
+        name : str or None
+            Router that gets the request, if it lives; None for any.
+        """
+        router = self.routers.get(name or '')
+        if router is None:
+            router = self.rng.choice(list(self.routers.values()))
         hold = await router.budgets.hold(organisation, tokens, 2.0)
         if isinstance(hold, HoldRejection) or router.is_ended:
             self.refused += 1
--- a/src/basilpond_testkit/paused_clock.py
+++ b/src/basilpond_testkit/paused_clock.py
@@ -20,6 +20,13 @@
 T = TypeVar('T')
 
 
+# asyncio runs timers up to a clock resolution early. Code that then waits
+# again until its deadline would do so without end, as the clock stands still:
+# after so many rounds it advances, as a real one does.
+_MAX_ROUNDS = 1_000
+_ROUNDS_STEP_S = 1e-9
+
+
 class NothingScheduledError(RuntimeError):
     """Every task waits and no timer is set, so the test cannot proceed."""
 
@@ -30,11 +37,18 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_s = 0.0
+        # Since the clock last advanced.
+        self._rounds = 0
 
     def select(self, timeout: float | None = None) -> list:
         events = super().select(0)
         if events or (timeout is not None and timeout <= 0):
+            self._rounds += 1
+            if self._rounds >= _MAX_ROUNDS:
+                self._rounds = 0
+                self.now_s += _ROUNDS_STEP_S
             return events
+        self._rounds = 0
         if timeout is None:
             raise NothingScheduledError('every task waits and no timer is set')
         self.now_s += timeout
