Write accounts of other routers under a key of the writer

A router whose reads hung wrote an account that it had heard in a datagram over the holder's newer record. After a kill of all routers the holder's successor reduced the older account and freed tokens that had been used.

Such accounts are now written as copies, budget/<organisation>/<mark><digest of the writer><holder>. Only a holder and its successors write its own key. A reader takes the account with the highest revision. Routers of earlier versions count a copy as a further account, so they grant fewer tokens and never more.

--- a/src/basilpond/node/_account_recovery.py
+++ b/src/basilpond/node/_account_recovery.py
@@ -13,6 +13,7 @@
 from ..routing import EscrowAccount
 from ..routing import EscrowAccounts
 from ._decision_log import DecisionLog
+from ._fleet_records import account_copy_record
 from ._fleet_records import budget_record
 from ._fleet_records import era_record
 from ._fleet_records import parse_era
@@ -220,8 +221,11 @@
             holders=sorted({holder for _, holder in keys})[:8],
         )
         await self._append(
-            budget_record(
-                name, holder, self._accounts.account(name, holder)[0]
+            account_copy_record(
+                name,
+                holder,
+                self._accounts.account(name, holder)[0],
+                self._holder,
             )
             for name, holder in keys
         )
--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -21,6 +21,7 @@
 from ._decision_log import DecisionLog
 from ._fleet_records import Heartbeat
 from ._fleet_records import budget_record
+from ._fleet_records import copied_holder
 from ._fleet_records import ended_heartbeat_record
 from ._fleet_records import heartbeat_record
 from ._fleet_records import lost_record
@@ -172,6 +173,14 @@
                 reason=str(error),
             )
             return
+        original = copied_holder(holder)
+        if original is not None:
+            # This router knows its own accounts better than any other.
+            if original != self._holder:
+                self._accounts.apply_copy(
+                    organisation, original, account, offset
+                )
+            return
         self._accounts.apply(organisation, holder, account, offset)
         if holder == self._holder:
             # The decision uses the state right after this record: with later
--- a/src/basilpond/node/_fleet_records.py
+++ b/src/basilpond/node/_fleet_records.py
@@ -31,6 +31,10 @@
 # First character of a digest that stands for a name in a key. Names of
 # organisations have no control characters, so no name begins with it.
 _DIGEST_MARK = '\x7f'
+# First character of the holder in the key of a copy of an account, before a
+# digest of the router that wrote it. Router ids have no control characters.
+_COPY_MARK = '\x7f'
+_COPY_PREFIX_CHARACTERS = 17
 # Names of services and versions come from other writers.
 _MAX_VERSION_BYTES = 2048
 
@@ -88,6 +92,28 @@
     )
 
 
+def account_copy_record(
+    organisation: str, holder: str, account: EscrowAccount, writer: str
+) -> Record:
+    """Return the record of an account that another router remembers.
+
+    Its key is the writer's own: the log may have a newer record of the holder
+    that the writer has not read. Routers of earlier versions count a copy as
+    a further account, so that they grant fewer tokens and never more.
+    """
+    digest = xxhash.xxh3_64_hexdigest(writer.encode())
+    return budget_record(
+        organisation, f'{_COPY_MARK}{digest}{holder}', account
+    )
+
+
+def copied_holder(holder: str) -> str | None:
+    """Return whose account a record copies, or None if it is no copy."""
+    if not holder.startswith(_COPY_MARK):
+        return None
+    return holder[_COPY_PREFIX_CHARACTERS:]
+
+
 def lost_record(organisation: str, holder: str, tokens: int) -> Record:
     """Return the record of the tokens that a killed holder left unused."""
     return _organisation_record(
--- a/src/basilpond/node/tests/test_fleet_records.py
+++ b/src/basilpond/node/tests/test_fleet_records.py
@@ -1,6 +1,8 @@
 import pytest
 
+from basilpond.node._fleet_records import account_copy_record
 from basilpond.node._fleet_records import budget_record
+from basilpond.node._fleet_records import copied_holder
 from basilpond.node._fleet_records import lost_record
 from basilpond.node._fleet_records import parse_account
 from basilpond.node._fleet_records import parse_era
@@ -98,3 +100,24 @@
     """Guards against totals and datagrams that odd numbers break."""
     with pytest.raises(ValueError):
         parse(value)
+
+
+@pytest.mark.parametrize('name', ['org', 'n' * 255])
+def test_copies_of_an_account_have_a_key_for_each_writer(name):
+    """Guards against a copy that replaces the record of the holder."""
+    account = EscrowAccount(5, 4, 3)
+    own_key, _ = budget_record(name, 'a~1', account)
+    keys = set()
+    for writer in ('b~1', 'b~2'):
+        key, value = account_copy_record(name, 'a~1', account, writer)
+        keys.add(key)
+        # What a router of an earlier version reads: an account of a holder
+        # that is no router.
+        organisation, holder, numbers = split_organisation_record(
+            key.removeprefix('budget/'), value
+        )
+        assert organisation == name
+        assert parse_account(numbers) == account
+        assert copied_holder(holder) == 'a~1'
+    assert len(keys | {own_key}) == 3
+    assert copied_holder('a~1') is None
--- a/src/basilpond/routing/_escrow_accounts.py
+++ b/src/basilpond/routing/_escrow_accounts.py
@@ -202,6 +202,28 @@
             return
         self._set(organisation, holder, account, offset)
 
+    def apply_copy(
+        self,
+        organisation: str,
+        holder: str,
+        account: EscrowAccount,
+        offset: int,
+    ) -> None:
+        """Apply a record that another router wrote under a key of its own.
+
+        Parameters
+        ----------
+        organisation, holder : str
+        account : EscrowAccount
+        offset : int
+            Position of the record in the log.
+        """
+        known, known_offset = self.account(organisation, holder)
+        if account.revision > known.revision or (
+            account.revision == known.revision and known_offset < 0
+        ):
+            self._set(organisation, holder, account, offset)
+
     def learn(
         self, organisation: str, holder: str, account: EscrowAccount
     ) -> None:
--- a/src/basilpond/routing/tests/test_escrow_accounts.py
+++ b/src/basilpond/routing/tests/test_escrow_accounts.py
@@ -39,3 +39,18 @@
     accounts.learn(ORG, 'a', OLD)
     assert accounts.total_owned(ORG) == 200
     assert accounts.unwritten() == [(ORG, 'a')]
+
+
+def test_copy_counts_only_if_the_log_has_nothing_newer():
+    """Guards against an older account of a router that has gone on."""
+    accounts = EscrowAccounts()
+    accounts.apply(ORG, 'a', NEW, 1)
+    accounts.apply_copy(ORG, 'a', OLD, 2)
+    assert accounts.account(ORG, 'a') == (NEW, 1)
+    assert accounts.unwritten() == []
+    newer = EscrowAccount(300, 90, 5)
+    accounts.apply_copy(ORG, 'a', newer, 3)
+    assert accounts.account(ORG, 'a') == (newer, 3)
+    accounts.forget_offsets()
+    accounts.apply_copy(ORG, 'a', newer, 4)
+    assert accounts.unwritten() == []
