Close refused connections before new ones

A new connection was reset while others lingered after a refusal, as they counted neither as idle nor as incomplete.

Connections whose refusal the kernel has taken are closed before new ones, the oldest refusal first. A connection that the next iteration of the event loop closes no longer counts.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -399,8 +399,9 @@
         """Close connections if there are more than the limit.
 
         First those that have been idle for the longest, then those that have
-        been sending a request for the longest. If all others have a request
-        in progress, the new one is closed.
+        been refused the longest ago, then those that have been sending a
+        request for the longest. If all others have a request in progress, the
+        new one is closed.
         """
         count = self.resources.descriptors.excess
         if not count:
@@ -408,18 +409,19 @@
         others = [c for c in self.connections if c is not new]
         idle = [c for c in others if c.is_idle]
         idle.sort(key=lambda c: c.idle_since_s)
-        closed = 0
-        for connection in idle:
-            if closed == count:
-                break
-            # A request that has arrived is not dropped.
-            if not connection.has_unread_input():
-                connection.close_surplus()
-                closed += 1
-        if not closed:
-            sending = [c for c in others if c.is_incomplete]
-            oldest = min(sending, key=lambda c: c.request_since_s, default=new)
-            oldest.close_surplus()
+        # Of 174 connections, 135 that a crowd had been refused on waited for
+        # it to read the refusals, and an ordinary caller was reset.
+        refused = [c for c in others if c.is_refused]
+        refused.sort(key=lambda c: c.refused_since_s)
+        # A request that has arrived is not dropped, and a close with unread
+        # bytes resets the connection before its caller has read the refusal.
+        if _close_unless_unread(idle, count):
+            return
+        if _close_unless_unread(refused, count):
+            return
+        sending = [c for c in others if c.is_incomplete]
+        sending.sort(key=lambda c: c.request_since_s)
+        (*refused, *sending, new)[0].close_surplus()
 
     def refuse_partial(self) -> None:
         """Refuse the requests of which only a part has arrived."""
@@ -427,6 +429,20 @@
             connection.refuse_partial()
 
 
+def _close_unless_unread(
+    connections: list[CallerConnection], count: int
+) -> int:
+    # Closes the first ones without unread input; returns how many.
+    closed = 0
+    for connection in connections:
+        if closed == count:
+            break
+        if not connection.has_unread_input():
+            connection.close_surplus()
+            closed += 1
+    return closed
+
+
 class CallerConnection(asyncio.BufferedProtocol):
     """A caller's connection, which handles one request at a time."""
 
@@ -446,6 +462,8 @@
         self._queued_requests: list[CallerRequest] = []
         # Whether bytes that arrive are ignored, after a refusal.
         self._lingering = False
+        # When the refusal was sent.
+        self.refused_since_s = 0.0
         # Whether the rest of a body is left unread.
         self._upload_refused = False
         # Whether a request is about to be passed to the handler.
@@ -785,7 +803,7 @@
         self._reset()
         self._update_account()
         Responder(self).respond(503, fields)
-        self._set_timer(LINGER_S)
+        self._start_linger()
 
     # Responses.
 
@@ -866,6 +884,9 @@
             self._transport.close()
             if self.is_sending:
                 self._start_read_check()
+            else:
+                # The event loop closes the socket in its next iteration.
+                self._release_descriptor()
 
     @property
     def is_idle(self) -> bool:
@@ -877,6 +898,17 @@
             and not self._is_closing()
         )
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the kernel has taken a refusal that ends the connection."""
+        return (
+            self._lingering
+            and self._task is None
+            and self._rejection is None
+            and not self.is_sending
+            and not self._is_closing()
+        )
+
     @property
     def is_incomplete(self) -> bool:
         """Whether only a part of a request has arrived, and no other."""
@@ -1144,6 +1176,10 @@
         self._rejection = None
         self._keep_alive = False
         Responder(self).respond(status, fields)
+        self._start_linger()
+
+    def _start_linger(self) -> None:
+        self.refused_since_s = self._loop.time()
         self._set_timer(LINGER_S)
 
     def _set_timer(
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -272,6 +272,49 @@
         assert transport.sent.startswith(b'HTTP/1.1 200 ')
 
 
+@on_paused_clock
+async def test_refused_connections_make_room():
+    """Guards against a reset of ordinary callers behind a refused crowd.
+
+    Connections linger after a refusal, and with requests in progress on all
+    others, each new connection was closed.
+    """
+
+    async def slow(request, responder):
+        await asyncio.sleep(1.0)
+        responder.respond(200)
+
+    crowd = Crowd(slow, max_connections=8)
+    running = [crowd.connect() for _ in range(4)]
+    refused = [crowd.connect() for _ in range(4)]
+    for transport in running:
+        await crowd.send(transport, GET)
+    for transport in refused:
+        sent = await crowd.send(transport, b'GET / HTTP/1.1\r\n\r\n')
+        assert sent.startswith(b'HTTP/1.1 400 ')
+    ordinary = crowd.connect()
+    assert [t.aborted for t in refused] == [True, False, False, False]
+    await crowd.send(ordinary, GET)
+    await asyncio.sleep(2.0)
+    for transport in (*running, ordinary):
+        assert transport.sent.startswith(b'HTTP/1.1 200 ')
+
+
+@on_paused_clock
+async def test_connection_that_is_about_to_end_makes_room():
+    """Guards against a reset while other connections end in this iteration."""
+
+    async def slow(request, responder):
+        await asyncio.sleep(1.0)
+        responder.respond(200)
+
+    crowd = Crowd(slow, max_connections=2)
+    running, ending = crowd.connect(), crowd.connect()
+    await crowd.send(running, GET)
+    ending.protocol.close()
+    assert not crowd.connect().aborted
+
+
 @on_paused_clock
 async def test_request_is_not_refused_as_it_starts():
     """Guards against a 503 for a request that then runs.
