Read the rest of a refused request before closing

A connection was closed 0.5 s after a refusal, and one with a refused upload was not read meanwhile, so the kernel reset it.

What follows a refusal is read and dropped while it arrives, for at most 7 s and 4 MiB, as RFC 9112 section 9.6 describes. The rest of an upload is still left unread for the first 0.5 s, so that callers that notice the refusal do not use the link for it.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -28,8 +28,14 @@
 # than this are buffered for it. Responses of services are a few kilobytes;
 # streams are paused by backpressure long before.
 MAX_UNREAD_BYTES = 4 * 1024 * 1024
-# Time for a caller to read the refusal before the connection is closed.
+# Time for a caller to read the refusal before the connection is closed, and
+# without further input before it is closed (RFC 9112, section 9.6).
 LINGER_S = 0.5
+# Limits on what is read and dropped after a refusal, so that a caller which
+# sends the whole body first is not reset before it reads the refusal: the
+# largest body allowed by default, which takes 6.7 s on a link of 5 Mbit/s.
+MAX_LINGER_S = 7.0
+MAX_DROPPED_BYTES = 4 * 1024 * 1024
 # Smallest missing part of a body that can be refused before it is received.
 # Senders have as much on the way before the first acknowledgement, so refusing
 # less would save nothing.
@@ -464,7 +470,11 @@
         self._lingering = False
         # When the refusal was sent.
         self.refused_since_s = 0.0
-        # Whether the rest of a body is left unread.
+        # Bytes that were dropped after the refusal, now and when the timer was
+        # set.
+        self._dropped_bytes = 0
+        self._dropped_before_bytes = 0
+        # Whether the rest of a body is left unread for now.
         self._upload_refused = False
         # Whether a request is about to be passed to the handler.
         self._starting = False
@@ -586,6 +596,9 @@
     def data_received(self, data: bytes | memoryview) -> None:
         """Feed the parser, or keep the data while requests are queued."""
         RECEIVED.total += len(data)
+        if self._lingering:
+            self._drop(len(data))
+            return
         if self._pending:
             self._pending += data
             self._update_account()
@@ -793,7 +806,8 @@
                 self._refuse_upload(fields)
 
     def _refuse_upload(self, fields: list[_fields.Header]) -> None:
-        # What is not read stays with the caller instead of using the link.
+        # What is not read stays with the caller instead of using the link, if
+        # the caller reads the refusal while it sends.
         assert self._transport is not None
         self._transport.pause_reading()
         self._upload_refused = True
@@ -1180,8 +1194,34 @@
 
     def _start_linger(self) -> None:
         self.refused_since_s = self._loop.time()
+        self._dropped_before_bytes = self._dropped_bytes
         self._set_timer(LINGER_S)
 
+    def _drop(self, size: int) -> None:
+        self._dropped_bytes += size
+        if self._dropped_bytes > MAX_DROPPED_BYTES and self.is_open:
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def _end_linger(self) -> None:
+        still_sends = self._dropped_bytes > self._dropped_before_bytes
+        if self._upload_refused and self.is_open:
+            # The caller may send all of its body before it reads.
+            assert self._transport is not None
+            self._upload_refused = False
+            still_sends = self.has_unread_input()
+            self._transport.resume_reading()
+        remaining_s = self.refused_since_s + MAX_LINGER_S - self._loop.time()
+        if (
+            still_sends
+            and remaining_s > 0
+            and self._dropped_bytes <= MAX_DROPPED_BYTES
+        ):
+            self._dropped_before_bytes = self._dropped_bytes
+            self._set_timer(min(LINGER_S, remaining_s))
+        else:
+            self.close('refused')
+
     def _set_timer(
         self,
         delay_s: float | None,
@@ -1198,7 +1238,7 @@
     def _on_timer(self) -> None:
         self._timer = None
         if self._lingering:
-            self.close('refused')
+            self._end_linger()
             return
         if not self._reading:
             self._end_idle()
