Check the head before the interim response

The interim response to 'Expect: 100-continue' was sent as soon as the head was complete, and the checks of uploads and of memory came after it, so a caller was asked for a body and then refused. The checks come first now, also for a request behind another one.

--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -635,6 +635,9 @@
             self._check_upload()
         if not self._update_account():
             self.shed()
+        if self._task is None:
+            # What can be refused by its head has been.
+            self._send_interim()
 
     def _feed_piece(self, piece: memoryview) -> None:
         self._overhead_bytes += len(piece)
@@ -753,8 +756,6 @@
         expected = _fields.find(self._headers, b'expect')
         if self._rejection is None and expected is not None:
             self._expects_interim = True
-            if self._task is None:
-                self._send_interim()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
@@ -1163,6 +1164,7 @@
         if self._rejection is not None:
             self._respond_rejection()
         elif self._reading:
+            self._check_upload()
             self._send_interim()
         elif self._server.closing_idle:
             self.close_unless_read('router stops')
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -89,6 +89,16 @@
     assert sent.startswith(b'HTTP/1.1 200 ')
 
 
+@on_paused_clock
+async def test_body_is_not_invited_without_memory():
+    """Guards against an interim response before a refusal for memory."""
+    crowd = Crowd()
+    crowd.resources.memory.limit_bytes = 8_500
+    head = sized(10)[:-2] + b'Expect: 100-continue\r\n\r\n'
+    sent = await crowd.send(crowd.connect(), head)
+    assert sent.startswith(b'HTTP/1.1 503 ')
+
+
 @on_paused_clock
 async def test_requests_sent_ahead_are_left_in_the_kernel():
     """Guards against 126 MB of requests that wait for unread responses."""
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -669,3 +669,29 @@
     assert b'503' not in await caller.send(b'x' * size)
     # Behind a request in progress, a refusal would come out of order.
     assert not caller.server.uploading
+
+
+@pytest.mark.parametrize('is_behind', [False, True])
+def test_refused_upload_is_not_invited(is_behind):
+    """Guards against an interim response before a refusal by the head.
+
+    The caller sends its body after it, only to be refused.
+    """
+
+    @on_paused_clock
+    async def check():
+        caller = Caller(slow_echo)
+        caller.server.check_upload = lambda upload: []
+        expecting = upload(72_000, 0).replace(
+            b'\r\n\r\n', b'\r\nExpect: 100-continue\r\n\r\n'
+        )
+        await caller.send(GET * is_behind + expecting)
+        await asyncio.sleep(1.2)
+        sent = caller.transport.sent
+        assert sent.count(b'HTTP/1.1 200 ') == is_behind
+        assert sent.count(b'HTTP/1.1 503 ') == 1
+        assert b' 100 ' not in sent
+        await asyncio.sleep(1.0)
+        assert caller.transport.closed
+
+    check()
