Account what a congested stream really buffers

A stream whose caller does not read was accounted at 262 KB for the endpoint's connection, whatever that held, so on a VM of 160 MB about 110 of them used up the budget and further ones were cut. The endpoint's connection now reports what it buffers while the caller does not read. In the test, ten streams of 10 KB stay within a budget of 1 MB that ended some of them before.

The account of a connection that is cut is closed at once. It was closed with the transport, in the next iteration of the event loop, and until then all other streams were cut as well.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 import dataclasses
 import enum
 import select
@@ -137,6 +138,8 @@
         self._head: ResponseHead | None = None
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
+        # Called after a part has been buffered, or None.
+        self.on_buffered: Callable[[], None] | None = None
         self._complete = False
         self._error: ExchangeError | None = None
         self._closed = False
@@ -280,6 +283,8 @@
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and self._transport:
             self._transport.pause_reading()
+        if self.on_buffered is not None:
+            self.on_buffered()
         self._notify_waiter()
 
     def on_message_complete(self) -> None:
@@ -449,6 +454,11 @@
         poll.register(sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the body that have not been read."""
+        return self._buffered_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of requests that the network has not taken."""
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import termios
+from typing import Protocol
 
 import httptools
 
@@ -60,9 +61,6 @@
 # Copies of a body while its request is in progress: the encoded request, and
 # what the endpoint's connection has not taken yet.
 _BODY_COPIES = 2
-# Buffered of a stream at the endpoint's connection while the caller does not
-# read, see MAX_BUFFERED_BYTES of the client.
-_RELAY_BYTES = 262_144
 # Bytes outside of heads and bodies: chunk sizes with extensions, and trailers.
 # Each part of a body may have so many, its framing takes 5.
 _PART_OVERHEAD_BYTES = 256
@@ -185,6 +183,23 @@
     idle_timeout_s: float
 
 
+class StreamSource(Protocol):
+    """Connection that buffers a stream while its caller does not read.
+
+    Attributes
+    ----------
+    buffered_bytes : int
+    on_buffered : callable or None
+        Called after more has been buffered.
+    """
+
+    on_buffered: Callable[[], None] | None
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that have not been read."""
+
+
 class Responder:
     """Response to one request; each method writes immediately."""
 
@@ -232,9 +247,15 @@
         if data:
             self._connection.write(b'%x\r\n%s\r\n' % (len(data), data))
 
-    async def drain(self) -> None:
-        """Wait until the caller has read most of the sent data."""
-        await self._connection.drain()
+    async def drain(self, source: StreamSource | None = None) -> None:
+        """Wait until the caller has read most of the sent data.
+
+        Parameters
+        ----------
+        source : StreamSource or None
+            Where the stream comes from; what it buffers is accounted.
+        """
+        await self._connection.drain(source)
 
     @property
     def is_congested(self) -> bool:
@@ -516,7 +537,8 @@
         self._queued_bytes = 0
         self._running_bytes = 0
         self._unread_bytes = 0
-        self._relay_bytes = 0
+        # Endpoint's side of a stream while the caller does not read.
+        self._source: StreamSource | None = None
         self._written_bytes = 0
         # Checks whether the caller reads, while it has much to read.
         self._read_check: asyncio.TimerHandle | None = None
@@ -586,7 +608,6 @@
         if self._read_check is not None:
             self._read_check.cancel()
             self._read_check = None
-        self._relay_bytes = 0
         self._record_unread()
         self._resume()
 
@@ -897,17 +918,26 @@
                 return
             self._abort_unread()
 
-    async def drain(self) -> None:
+    async def drain(self, source: StreamSource | None = None) -> None:
         """Wait while the connection is congested."""
-        if self.is_congested:
-            self._drained = self._loop.create_future()
-            self._relay_bytes = _RELAY_BYTES
-            if not self._record_unread():
-                self._abort_unread()
-            try:
-                await self._drained
-            finally:
-                self._relay_bytes = 0
+        if not self.is_congested:
+            return
+        self._drained = self._loop.create_future()
+        self._source = source
+        if source is not None:
+            source.on_buffered = self._record_buffered
+        self._record_buffered()
+        try:
+            await self._drained
+        finally:
+            self._source = None
+            if source is not None:
+                source.on_buffered = None
+                self._update_account()
+
+    def _record_buffered(self) -> None:
+        if not self._record_unread():
+            self._abort_unread()
 
     def close(self, reason: str = 'closed') -> None:
         """Close after the written data has been sent."""
@@ -1039,6 +1069,9 @@
             return
         self._resources.on_limited('responses not read', self._address)
         self.abort('responses not read')
+        # The next iteration frees the buffers. Until then they would make the
+        # budget shed more streams than needed.
+        self._resources.memory.close(self._account)
 
     def _record_unread(self) -> bool:
         if self._is_closing():
@@ -1071,8 +1104,9 @@
             + self._queued_bytes
             + self._running_bytes
             + self._unread_bytes
-            + self._relay_bytes
         )
+        if self._source is not None:
+            held_bytes += self._source.buffered_bytes
         return self._resources.memory.update(account, held_bytes, now_s)
 
     def _taken_bytes(self) -> int:
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -201,6 +201,60 @@
     assert 0 < ended < crowd_size
 
 
+class Source:
+    """Endpoint's side of a stream."""
+
+    on_buffered = None
+    buffered_bytes = 0
+
+    def buffer(self, size):
+        self.buffered_bytes += size
+        if self.on_buffered:
+            self.on_buffered()
+
+
+@on_paused_clock
+async def test_congested_streams_hold_what_is_buffered():
+    """Guards against streams that are ended although memory is left.
+
+    Each was accounted at 262 KB, so about 110 used up the budget of a VM of
+    160 MB.
+    """
+
+    async def stream(request, responder):
+        source = Source()
+        sources.append(source)
+        responder.start_stream(200, [])
+        responder.send(b'a' * 10_000)
+        await responder.drain(source)
+        responder.end_stream()
+
+    crowd, sources = Crowd(stream), []
+    readers = [crowd.connect() for _ in range(10)]
+    for transport in readers:
+        transport.is_read = False
+        transport.protocol.data_received(GET)
+        transport.protocol.pause_writing()
+        await asyncio.sleep(0.1)
+    held_bytes = crowd.resources.memory.held_bytes
+    assert held_bytes < 10 * 30_000
+    assert not any(t.aborted for t in readers)
+    # What endpoints send meanwhile is accounted as it arrives.
+    sources[0].buffer(100_000)
+    assert crowd.resources.memory.held_bytes == held_bytes + 100_000
+    for source in sources[1:]:
+        source.buffer(100_000)
+        assert crowd.resources.memory.held_bytes <= BUDGET_BYTES
+    await asyncio.sleep(0.1)
+    assert 0 < sum(t.aborted for t in readers) < 10
+    for transport in readers:
+        transport.unread_bytes = 0
+        transport.protocol.resume_writing()
+    await asyncio.sleep(0.1)
+    assert crowd.resources.memory.held_bytes < 10 * 10_000
+    assert not any(source.on_buffered for source in sources)
+
+
 @on_paused_clock
 async def test_body_in_tiny_chunks_takes_its_turn():
     """Guards against 1,110 MB and no answers during chunks of one byte."""
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -581,7 +581,7 @@
                 # Time in which a slow caller reads does not count against the
                 # endpoint.
                 response_timer.stop()
-                await responder.drain()
+                await responder.drain(connection)
                 context.last_part_s = loop.time()
                 response_timer.record_part()
         if context.events.partial.strip():
