Bring accounts up to date before shedding

Up to 64 KiB of a response that the kernel had taken meanwhile stayed accounted until the next event of its connection, as the event loop reports nothing below that. Connections that had read everything could use up the budget, and a large request was refused with 503. Accounts with unread responses are brought up to date before anything is shed.

--- a/src/basilpond/http1/_memory_budget.py
+++ b/src/basilpond/http1/_memory_budget.py
@@ -38,6 +38,10 @@
 _CLOSE_SHARE = 1 / 16
 
 
+def _keep() -> None:
+    pass
+
+
 class Account:
     """What one connection holds.
 
@@ -45,6 +49,9 @@
     ----------
     shed : callable
         Frees what can be freed without breaking the guarantees on requests.
+    refresh : callable
+        Brings the account up to date, as the network takes bytes without
+        notice.
 
     Attributes
     ----------
@@ -55,10 +62,13 @@
         Time since which it is.
     """
 
-    __slots__ = ('held_bytes', 'is_sheddable', 'shed', 'since_s')
+    __slots__ = ('held_bytes', 'is_sheddable', 'refresh', 'shed', 'since_s')
 
-    def __init__(self, shed: Callable[[], None]) -> None:
+    def __init__(
+        self, shed: Callable[[], None], refresh: Callable[[], None] = _keep
+    ) -> None:
         self.shed = shed
+        self.refresh = refresh
         self.held_bytes = 0
         self.since_s = 0.0
         self.is_sheddable = False
@@ -136,11 +146,16 @@
         self._shedding = True
         before_bytes = self.held_bytes
         large_target_bytes = self._large_bytes * _SHED_TO_SHARE
+        sheddable = [a for a in self._accounts if a.is_sheddable]
         try:
+            for account in sheddable:
+                account.refresh()
+            if self.held_bytes <= self._large_bytes:
+                return
             # A client that holds much for long without completing a request
             # makes the least progress for what it holds.
             worst_first = sorted(
-                (a for a in self._accounts if a.is_sheddable),
+                (a for a in sheddable if a.is_sheddable),
                 key=lambda a: a.held_bytes * (now_s - a.since_s + 0.01),
                 reverse=True,
             )
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -523,7 +523,7 @@
         self.idle_since_s = self._accepted_s
         self._address = ''
         self._is_counted = False
-        self._account = Account(self.shed)
+        self._account = Account(self.shed, self._refresh_account)
         # Input that is parsed later, while reading is paused.
         self._pending = b''
         self._is_throttled = False
@@ -1080,6 +1080,10 @@
         self._unread_bytes = self._transport.get_write_buffer_size()
         return self._update_account()
 
+    def _refresh_account(self) -> None:
+        if self._unread_bytes:
+            self._record_unread()
+
     def _update_account(self) -> bool:
         # Returns whether the memory budget allows what is held now.
         if self._is_closing():
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -255,6 +255,31 @@
     assert not any(source.on_buffered for source in sources)
 
 
+@on_paused_clock
+async def test_responses_that_were_read_do_not_use_up_the_budget():
+    """Guards against requests that are refused although memory is left.
+
+    The event loop reports nothing while less than 64 KiB of a response are
+    unread, so they stayed accounted until the caller's next request.
+    """
+
+    async def answer(request, responder):
+        responder.respond(200, [], b'a' * (50_000 if len(idle) < 14 else 1))
+
+    crowd, idle = Crowd(answer), []
+    for _ in range(14):
+        transport = crowd.connect()
+        transport.is_read = False
+        await crowd.send(transport, GET)
+        idle.append(transport)
+    assert crowd.resources.memory.held_bytes > BUDGET_BYTES * 0.75
+    for transport in idle:
+        transport.unread_bytes = 0
+    sent = await crowd.send(crowd.connect(), sized(200_000) + 200_000 * b'a')
+    assert sent.startswith(b'HTTP/1.1 200 ')
+    assert not any(t.aborted for t in idle)
+
+
 @on_paused_clock
 async def test_body_in_tiny_chunks_takes_its_turn():
     """Guards against 1,110 MB and no answers during chunks of one byte."""
