Split the callers' server into modules

It keeps the listener and the choice of connections to close; the others have a job each: messages and limits, transport and close, connection, input and its pauses, parsing, queue of requests, responder, unread responses, lingering close, memory of requests, shared resources. Behaviour and the names of basilpond.http1 are unchanged; tests import internals from their new modules.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -14,15 +14,15 @@
 from ._memory_budget import Account
 from ._memory_budget import DescriptorBudget
 from ._memory_budget import MemoryBudget
+from ._messages import CallerRequest
+from ._messages import ConnectionLimits
+from ._messages import UnansweredClose
+from ._messages import Upload
 from ._received import RECEIVED
-from ._server import CallerRequest
+from ._resources import ClientResources
+from ._responder import Handler
+from ._responder import Responder
 from ._server import CallerServer
-from ._server import ClientResources
-from ._server import ConnectionLimits
-from ._server import Handler
-from ._server import Responder
-from ._server import UnansweredClose
-from ._server import Upload
 
 __all__ = [
     'Account',
--- a/src/basilpond/http1/_memory_budget.py
+++ b/src/basilpond/http1/_memory_budget.py
@@ -73,6 +73,12 @@
         self.since_s = 0.0
         self.is_sheddable = False
 
+    def record_sheddable(self, is_sheddable: bool, now_s: float) -> None:
+        """Record whether `shed` would free memory now."""
+        if is_sheddable and not self.is_sheddable:
+            self.since_s = now_s
+        self.is_sheddable = is_sheddable
+
 
 class MemoryBudget:
     """Limit on the memory that all clients together make the process hold.
--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -7,8 +7,8 @@
 from basilpond.http1 import ConnectionLimits
 from basilpond.http1 import DescriptorBudget
 from basilpond.http1 import MemoryBudget
-from basilpond.http1 import _server
-from basilpond.http1._server import CallerConnection
+from basilpond.http1._connection import CallerConnection
+from basilpond.http1._messages import RATE_GRACE_S
 from basilpond.http1.tests.memory_transport import MemoryTransport
 from basilpond_testkit.paused_clock import on_paused_clock
 
@@ -111,7 +111,7 @@
     transport = crowd.connect()
     await crowd.send(transport, GET * 200)
     assert transport.paused
-    assert len(transport.protocol._queued_requests) < 100
+    assert len(transport.protocol._requests.waiting) < 100
     await asyncio.sleep(250.0)
     # All of them are answered, if the caller waits.
     assert not transport.paused
@@ -170,7 +170,7 @@
     transport = crowd.connect()
     transport.is_read = False
     await crowd.send(transport, GET)
-    await asyncio.sleep(_server.RATE_GRACE_S + 1.0)
+    await asyncio.sleep(RATE_GRACE_S + 1.0)
     assert transport.aborted
     assert crowd.limited == ['responses not read']
 
@@ -312,7 +312,7 @@
     for transport in large:
         transport.protocol.data_received(head)
     # Each head is parsed up to a piece of 2 KiB, with 4 bytes for a field.
-    assert sum(len(t.protocol._headers) for t in large) <= 40 * 512
+    assert sum(len(t.protocol._reader._headers) for t in large) <= 40 * 512
     ordinary = await crowd.send(crowd.connect(), GET)
     assert ordinary.startswith(b'HTTP/1.1 200 ')
     assert len(crowd.handled) == 1
@@ -471,7 +471,7 @@
         transport,
         b'GET / HTTP/1.1\r\nHost: h\r\n' + 3_000 * b'a:b\r\n' + b'\r\n',
     )
-    assert not transport.protocol._parser._framing
+    assert not transport.protocol._reader._parser._framing
 
 
 @on_paused_clock
--- a/src/basilpond/http1/tests/test_lingering_close.py
+++ b/src/basilpond/http1/tests/test_lingering_close.py
@@ -7,8 +7,8 @@
 
 from basilpond.http1 import CallerServer
 from basilpond.http1 import ConnectionLimits
-from basilpond.http1 import _server
-from basilpond.http1._server import CallerConnection
+from basilpond.http1 import _lingering_close
+from basilpond.http1._connection import CallerConnection
 from basilpond.http1.tests.memory_transport import MemoryTransport
 from basilpond_testkit.paused_clock import on_paused_clock
 
@@ -69,7 +69,7 @@
 async def test_sender_is_read_for_a_bounded_time():
     """Guards against connections that are kept open by a slow sender."""
     transport = await refused_transport()
-    for _ in range(int(_server.MAX_LINGER_S / 0.25) - 1):
+    for _ in range(int(_lingering_close.MAX_LINGER_S / 0.25) - 1):
         await asyncio.sleep(0.25)
         transport.protocol.data_received(b'a')
     assert not transport.closed
@@ -85,9 +85,9 @@
     while not transport.paused:
         transport.protocol.data_received(bytes(65_536))
         sent_bytes += 65_536
-        assert sent_bytes <= _server.MAX_DROPPED_BYTES + 65_536
+        assert sent_bytes <= _lingering_close.MAX_DROPPED_BYTES + 65_536
     assert transport.protocol._account.held_bytes < 20_000
-    await asyncio.sleep(_server.LINGER_S + 0.1)
+    await asyncio.sleep(_lingering_close.LINGER_S + 0.1)
     assert transport.closed
 
 
--- a/src/basilpond/http1/tests/test_server.py
+++ b/src/basilpond/http1/tests/test_server.py
@@ -6,8 +6,8 @@
 
 from basilpond.http1 import CallerServer
 from basilpond.http1 import ConnectionLimits
-from basilpond.http1._server import MAX_UNREAD_BYTES
-from basilpond.http1._server import CallerConnection
+from basilpond.http1._connection import CallerConnection
+from basilpond.http1._response_output import MAX_UNREAD_BYTES
 from basilpond.http1.tests.memory_transport import MemoryTransport
 from basilpond_testkit.paused_clock import on_paused_clock
 
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -57,7 +57,7 @@
 
 
 def _connection(server: CallerServer) -> asyncio.Protocol:
-    from basilpond.http1._server import CallerConnection
+    from basilpond.http1._connection import CallerConnection
 
     return CallerConnection(server)
 
