--- a/src/basilpond/http1/tests/test_client_limits.py
+++ b/src/basilpond/http1/tests/test_client_limits.py
@@ -7,8 +7,8 @@
 from basilpond.http1 import ConnectionLimits
 from basilpond.http1 import DescriptorBudget
 from basilpond.http1 import MemoryBudget
-from basilpond.http1 import _server
-from basilpond.http1._server import CallerConnection
+from basilpond.http1._connection import CallerConnection
+from basilpond.http1._messages import RATE_GRACE_S
 from basilpond.http1.tests.memory_transport import MemoryTransport
 from basilpond_testkit.paused_clock import on_paused_clock
 
@@ -89,6 +89,16 @@
     assert sent.startswith(b'HTTP/1.1 200 ')
 
 
+@on_paused_clock
+async def test_body_is_not_invited_without_memory():
+    """Guards against an interim response before a refusal for memory."""
+    crowd = Crowd()
+    crowd.resources.memory.limit_bytes = 8_500
+    head = sized(10)[:-2] + b'Expect: 100-continue\r\n\r\n'
+    sent = await crowd.send(crowd.connect(), head)
+    assert sent.startswith(b'HTTP/1.1 503 ')
+
+
 @on_paused_clock
 async def test_requests_sent_ahead_are_left_in_the_kernel():
     """Guards against 126 MB of requests that wait for unread responses."""
@@ -101,7 +111,7 @@
     transport = crowd.connect()
     await crowd.send(transport, GET * 200)
     assert transport.paused
-    assert len(transport.protocol._queued_requests) < 100
+    assert len(transport.protocol._requests.waiting) < 100
     await asyncio.sleep(250.0)
     # All of them are answered, if the caller waits.
     assert not transport.paused
@@ -160,7 +170,7 @@
     transport = crowd.connect()
     transport.is_read = False
     await crowd.send(transport, GET)
-    await asyncio.sleep(_server.RATE_GRACE_S + 1.0)
+    await asyncio.sleep(RATE_GRACE_S + 1.0)
     assert transport.aborted
     assert crowd.limited == ['responses not read']
 
@@ -191,6 +201,85 @@
     assert 0 < ended < crowd_size
 
 
+class Source:
+    """Endpoint's side of a stream."""
+
+    on_buffered = None
+    buffered_bytes = 0
+
+    def buffer(self, size):
+        self.buffered_bytes += size
+        if self.on_buffered:
+            self.on_buffered()
+
+
+@on_paused_clock
+async def test_congested_streams_hold_what_is_buffered():
+    """Guards against streams that are ended although memory is left.
+
+    Each was accounted at 262 KB, so about 110 used up the budget of a VM of
+    160 MB.
+    """
+
+    async def stream(request, responder):
+        source = Source()
+        sources.append(source)
+        responder.start_stream(200, [])
+        responder.send(b'a' * 10_000)
+        await responder.drain(source)
+        responder.end_stream()
+
+    crowd, sources = Crowd(stream), []
+    readers = [crowd.connect() for _ in range(10)]
+    for transport in readers:
+        transport.is_read = False
+        transport.protocol.data_received(GET)
+        transport.protocol.pause_writing()
+        await asyncio.sleep(0.1)
+    held_bytes = crowd.resources.memory.held_bytes
+    assert held_bytes < 10 * 30_000
+    assert not any(t.aborted for t in readers)
+    # What endpoints send meanwhile is accounted as it arrives.
+    sources[0].buffer(100_000)
+    assert crowd.resources.memory.held_bytes == held_bytes + 100_000
+    for source in sources[1:]:
+        source.buffer(100_000)
+        assert crowd.resources.memory.held_bytes <= BUDGET_BYTES
+    await asyncio.sleep(0.1)
+    assert 0 < sum(t.aborted for t in readers) < 10
+    for transport in readers:
+        transport.unread_bytes = 0
+        transport.protocol.resume_writing()
+    await asyncio.sleep(0.1)
+    assert crowd.resources.memory.held_bytes < 10 * 10_000
+    assert not any(source.on_buffered for source in sources)
+
+
+@on_paused_clock
+async def test_responses_that_were_read_do_not_use_up_the_budget():
+    """Guards against requests that are refused although memory is left.
+
+    The event loop reports nothing while less than 64 KiB of a response are
+    unread, so they stayed accounted until the caller's next request.
+    """
+
+    async def answer(request, responder):
+        responder.respond(200, [], b'a' * (50_000 if len(idle) < 14 else 1))
+
+    crowd, idle = Crowd(answer), []
+    for _ in range(14):
+        transport = crowd.connect()
+        transport.is_read = False
+        await crowd.send(transport, GET)
+        idle.append(transport)
+    assert crowd.resources.memory.held_bytes > BUDGET_BYTES * 0.75
+    for transport in idle:
+        transport.unread_bytes = 0
+    sent = await crowd.send(crowd.connect(), sized(200_000) + 200_000 * b'a')
+    assert sent.startswith(b'HTTP/1.1 200 ')
+    assert not any(t.aborted for t in idle)
+
+
 @on_paused_clock
 async def test_body_in_tiny_chunks_takes_its_turn():
     """Guards against 1,110 MB and no answers during chunks of one byte."""
@@ -210,6 +299,29 @@
     assert crowd.handled[-1].body == b'a' * 10_000
 
 
+@on_paused_clock
+async def test_heads_of_many_fields_take_their_turns():
+    """Guards against a crowd of large heads that delays all other requests.
+
+    The router found its processor busy and refused ordinary requests.
+    """
+    crowd = Crowd(header_bytes=16_384)
+    crowd.resources.memory.limit_bytes = 100 * BUDGET_BYTES
+    head = GET[:-2] + 3_000 * b'a:\r\n' + b'\r\n'
+    large = [crowd.connect() for _ in range(40)]
+    for transport in large:
+        transport.protocol.data_received(head)
+    # Each head is parsed up to a piece of 2 KiB, with 4 bytes for a field.
+    assert sum(len(t.protocol._reader._headers) for t in large) <= 40 * 512
+    ordinary = await crowd.send(crowd.connect(), GET)
+    assert ordinary.startswith(b'HTTP/1.1 200 ')
+    assert len(crowd.handled) == 1
+    await asyncio.sleep(2.0)
+    for transport in large:
+        assert transport.sent.startswith(b'HTTP/1.1 200 ')
+        assert not transport.paused
+
+
 @pytest.mark.parametrize(('rate', 'status'), [(900, 408), (1_100, 200)])
 def test_bodies_have_a_least_rate(rate, status):
     """Guards against bodies that hold memory for hours."""
@@ -272,6 +384,49 @@
         assert transport.sent.startswith(b'HTTP/1.1 200 ')
 
 
+@on_paused_clock
+async def test_refused_connections_make_room():
+    """Guards against a reset of ordinary callers behind a refused crowd.
+
+    Connections linger after a refusal, and with requests in progress on all
+    others, each new connection was closed.
+    """
+
+    async def slow(request, responder):
+        await asyncio.sleep(1.0)
+        responder.respond(200)
+
+    crowd = Crowd(slow, max_connections=8)
+    running = [crowd.connect() for _ in range(4)]
+    refused = [crowd.connect() for _ in range(4)]
+    for transport in running:
+        await crowd.send(transport, GET)
+    for transport in refused:
+        sent = await crowd.send(transport, b'GET / HTTP/1.1\r\n\r\n')
+        assert sent.startswith(b'HTTP/1.1 400 ')
+    ordinary = crowd.connect()
+    assert [t.aborted for t in refused] == [True, False, False, False]
+    await crowd.send(ordinary, GET)
+    await asyncio.sleep(2.0)
+    for transport in (*running, ordinary):
+        assert transport.sent.startswith(b'HTTP/1.1 200 ')
+
+
+@on_paused_clock
+async def test_connection_that_is_about_to_end_makes_room():
+    """Guards against a reset while other connections end in this iteration."""
+
+    async def slow(request, responder):
+        await asyncio.sleep(1.0)
+        responder.respond(200)
+
+    crowd = Crowd(slow, max_connections=2)
+    running, ending = crowd.connect(), crowd.connect()
+    await crowd.send(running, GET)
+    ending.protocol.close()
+    assert not crowd.connect().aborted
+
+
 @on_paused_clock
 async def test_request_is_not_refused_as_it_starts():
     """Guards against a 503 for a request that then runs.
@@ -316,7 +471,7 @@
         transport,
         b'GET / HTTP/1.1\r\nHost: h\r\n' + 3_000 * b'a:b\r\n' + b'\r\n',
     )
-    assert not transport.protocol._parser._framing
+    assert not transport.protocol._reader._parser._framing
 
 
 @on_paused_clock
