--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -11,46 +11,13 @@
 from basilpond.platform import JsonPlatformCodec
 from basilpond.platform import PlatformLog
 from basilpond_testkit._fleet import free_ports
+from basilpond_testkit.platform_configuration import PROMPT
+from basilpond_testkit.platform_configuration import configuration
+from basilpond_testkit.platform_configuration import route as route
 from basilpond_testkit.platform_stand_in import HOST
 from basilpond_testkit.platform_stand_in import LogStandIn
 from basilpond_testkit.platform_stand_in import ServerStandIn
 
-PROMPT = (
-    ('X-Model', 'm'),
-    ('X-Token-Count', '300,60'),
-    ('X-Prompt-Prefix', '1a:100,2b:150,3c:50'),
-)
-
-
-def route(name, kind, service, **changes):
-    return {
-        'name': name,
-        'host': 'h.example',
-        'path_prefix': f'/{name}/',
-        'kind': kind,
-        'timeout_ms': 5000,
-        'latency_target_ms': 200,
-        'gap_target_ms': 300,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 2 if kind != 'unsafe' else 1,
-        **changes,
-    }
-
-
-def configuration(version=1, **changes):
-    return {
-        'version': version,
-        'routes': [
-            route('look', 'safe', 'app'),
-            route('claim', 'unsafe', 'app'),
-            route('chat', 'streaming', 'llm', resumable=True, sticky=True),
-            route('digest', 'streaming', 'llm', sticky=True, max_attempts=1),
-        ],
-        'tenants': [{'name': 'org', 'api_keys': ['key'], 'prepaid': 100_000}],
-        **changes,
-    }
-
 
 class Reply:
     """Response that a caller received."""
--- a/src/basilpond/programs/tests/test_misbehaving_clients.py
+++ b/src/basilpond/programs/tests/test_misbehaving_clients.py
@@ -6,19 +6,22 @@
 """
 
 import asyncio
-import contextlib
 import os
 from pathlib import Path
 import random
-import socket
 import sys
 
 import pytest
 import yaml
 
-from basilpond.node.tests.platform_world import PROMPT
-from basilpond.node.tests.platform_world import configuration
 from basilpond_testkit._fleet import free_ports
+from basilpond_testkit.misbehaving_clients import BODY_BYTES
+from basilpond_testkit.misbehaving_clients import HEADER_BYTES
+from basilpond_testkit.misbehaving_clients import PAUSES_S
+from basilpond_testkit.misbehaving_clients import READ_PAUSE_S
+from basilpond_testkit.misbehaving_clients import WAYS
+from basilpond_testkit.misbehaving_clients import misbehave
+from basilpond_testkit.platform_configuration import configuration
 from basilpond_testkit.platform_stand_in import HOST
 from basilpond_testkit.platform_stand_in import LogStandIn
 from basilpond_testkit.platform_stand_in import ServerStandIn
@@ -26,8 +29,6 @@
 # The VM of the test. An idle router has 34 to 40 MB resident.
 MEMORY_MB = 96
 MAX_FDS = 450
-BODY_BYTES = 1024 * 1024
-HEADER_BYTES = 16_384
 # Connections to each path; those that send nothing are more, since each
 # costs little.
 CROWD = 40
@@ -43,17 +44,6 @@
 METRICS_PORT = 9464
 READY_PATH = '/basilpond/ready'
 
-FIELDS = ''.join(
-    f'{name}: {value}\r\n'
-    for name, value in (
-        ('Host', 'h.example'),
-        ('X-Request-Id', '7'),
-        ('X-Deadline-Ms', '4000'),
-        ('Authorization', 'Bearer key'),
-        *PROMPT,
-    )
-).encode()
-
 
 class LongEvents(ServerStandIn):
     """Endpoint with events of 8 KB, 800 KB a second and stream."""
@@ -172,97 +162,6 @@
         self.log.stop()
 
 
-def head(path, *fields):
-    lines = ''.join(f'{field}\r\n' for field in fields).encode()
-    return f'POST {path} HTTP/1.1\r\n'.encode() + FIELDS + lines + b'\r\n'
-
-
-def chunks(size, count):
-    return (b'%x\r\n%s\r\n' % (size, b'a' * size)) * count
-
-
-def sized(path, size):
-    return head(path, f'Content-Length: {size}')
-
-
-def chunked(path):
-    return head(path, 'Transfer-Encoding: chunked')
-
-
-def many_fields(path, whole):
-    # The shortest fields, up to the limit on the bytes of a head.
-    start = f'POST {path} HTTP/1.1\r\n'.encode() + FIELDS
-    fields = b'a:\r\n' * ((HEADER_BYTES - len(start) - 64) // 5)
-    return start + fields + (b'Content-Length: 0\r\n\r\n' if whole else b'')
-
-
-def pipelined(path):
-    start = head(path, *(f'f{i}: v' for i in range(90)))
-    return (start[:-2] + b'Content-Length: 0\r\n\r\n') * 400
-
-
-WHOLE = b'a' * BODY_BYTES
-# Each way: parts that one client sends.
-WAYS = {
-    'whole': lambda path: [sized(path, BODY_BYTES) + WHOLE],
-    'whole in pieces': lambda path: [
-        sized(path, BODY_BYTES),
-        *[WHOLE[:16_384]] * 64,
-    ],
-    'whole in chunks': lambda path: [
-        chunked(path) + chunks(4096, 256) + b'0\r\n\r\n'
-    ],
-    'one byte short': lambda path: [sized(path, BODY_BYTES) + WHOLE[1:]],
-    'one byte short in pieces': lambda path: [
-        sized(path, BODY_BYTES),
-        *[WHOLE[:16_384]] * 63,
-        WHOLE[:16_383],
-    ],
-    'chunks without an end': lambda path: [chunked(path) + chunks(4096, 255)],
-    'chunks of one byte': lambda path: [chunked(path) + chunks(1, 150_000)],
-    'over the limit': lambda path: [sized(path, 8 * BODY_BYTES), *[WHOLE] * 4],
-    'over the limit in chunks': lambda path: [
-        chunked(path),
-        *[chunks(4096, 256)] * 4,
-    ],
-    'many fields': lambda path: [many_fields(path, whole=True)],
-    'many fields without an end': lambda path: [
-        many_fields(path, whole=False)
-    ],
-    'pipelined': lambda path: [pipelined(path)],
-    'slow head': lambda path: [head(path)[:-2], *[b'a: b\r\n'] * 200],
-    'slow body': lambda path: [
-        sized(path, BODY_BYTES) + WHOLE[: BODY_BYTES // 4 * 3],
-        *[b'a'] * 200,
-    ],
-    'unread response': lambda path: [sized(path, 2) + b'{}'],
-    'slowly read response': lambda path: [sized(path, 2) + b'{}'],
-    'nothing': lambda path: [],
-}
-PAUSES_S = {'slow head': 0.01, 'slow body': 0.01}
-# Time between two bytes that a client reads.
-READ_PAUSE_S = {'slowly read response': 0.05}
-
-
-async def misbehave(address, parts, pause_s, read_pause_s, sockets):
-    """Send parts on one connection, which stays open."""
-    loop = asyncio.get_running_loop()
-    sock = socket.socket()
-    sockets.append(sock)
-    sock.setblocking(False)
-    # Otherwise the kernel takes megabytes of responses that nobody reads.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    with contextlib.suppress(OSError):
-        await loop.sock_connect(sock, address)
-        for part in parts:
-            await loop.sock_sendall(sock, part)
-            await asyncio.sleep(pause_s)
-        while read_pause_s:
-            if not await loop.sock_recv(sock, 1):
-                break
-            await asyncio.sleep(read_pause_s)
-
-
 @pytest.mark.parametrize('kind', ['callers', 'internal'])
 @pytest.mark.parametrize('way', WAYS)
 async def test_crowd_stays_within_the_limits_of_the_vm(tmp_path, way, kind):
