--- /dev/null
+++ b/src/basilpond_testkit/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded faults against real router processes, with callers and endpoints."""
