--- a/src/basilpond_testkit/soak/_evidence.py
+++ b/src/basilpond_testkit/soak/_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from dataclasses import field
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,6 +22,7 @@
     status: int | None = None
     problem: str | None = None
     error: str | None = None
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -44,47 +46,28 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Evacuation:
-    """An evacuation; `removed_s` is taken before its key is removed."""
+class Period:
+    """Time for which an endpoint is cold, or a data centre is evacuated."""
 
-    data_centre: str
-    acknowledged_s: float
-    removed_s: float = float('inf')
-
-
-@dataclasses.dataclass(slots=True)
-class ColdTime:
-    """Time for which an endpoint is cold; ends early if it leaves."""
-
-    endpoint: str
+    name: str
     from_s: float
-    until_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class Peak:
-    """Most that the processes of a router used."""
-
-    memory_bytes: int = 0
-    descriptors: int = 0
+    until_s: float = float('inf')
 
 
 @dataclasses.dataclass(slots=True)
 class Evidence:
     """All observations of a run."""
 
-    attempts: list[Attempt] = dataclasses.field(default_factory=list)
-    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
-    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
-    cold_times: list[ColdTime] = dataclasses.field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    # From the acknowledgement of the key until before its removal.
+    evacuations: list[Period] = field(default_factory=list)
+    cold: list[Period] = field(default_factory=list)
     # Router processes that ended by themselves or did not end when told to.
-    ends: list[str] = dataclasses.field(default_factory=list)
-    peaks: dict[str, Peak] = dataclasses.field(default_factory=dict)
-    # Last response by router and kind of request, after the last fault.
-    last_statuses: dict[tuple[str, str], int | None] = dataclasses.field(
-        default_factory=dict
-    )
-    # Faults with the time of their start and of their end.
-    time_line: list[tuple[float, str]] = dataclasses.field(
-        default_factory=list
-    )
+    ends: list[str] = field(default_factory=list)
+    # Most bytes and most descriptors of the processes of each router.
+    peaks: dict[str, tuple[int, int]] = field(default_factory=dict)
+    # Last status by router and kind of request, after the last fault.
+    last: dict[tuple[str, str], int] = field(default_factory=dict)
+    # Times at which faults began and ended.
+    faults: list[tuple[float, str]] = field(default_factory=list)
--- a/src/basilpond_testkit/soak/_plan.py
+++ b/src/basilpond_testkit/soak/_plan.py
@@ -2,68 +2,50 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 import dataclasses
 import random
 
 # Mean time between the starts of two faults; most last longer, so several
-# overlap.
+# overlap, and sometimes there is a pause that lets all of them end.
 _MEAN_GAP_S = 0.9
-# Times without faults, after which all of them act at once or one alone.
-_QUIET_SHARE = 0.1
-_QUIET_S = 3.0
-# The start and the end of a run are free of faults.
+_PAUSE_SHARE = 0.1
+_PAUSE_S = 3.0
 _START_S = 1.0
 # Tries to find a target that no other fault uses at the time.
 _TRIES = 8
-
-# Shortest and longest time of each kind. An evacuation is in force for
-# `evacuate_ms` before it is checked.
-ROUTER_KINDS = {
+# Time after a fault in which its targets are left alone: endpoints are cold
+# for 3 s, and the store is back at once.
+_REST_S = {'endpoint': 4.0, 'zone': 4.0, 'router': 2.0}
+# Shortest and longest time in seconds of each kind, of which the first word
+# names what it concerns. Evacuations outlast `evacuate_ms`, 5 s.
+KINDS = {
     'router killed': (0.2, 3.0),
     'router paused': (0.2, 6.0),
     'router stopped': (0.2, 2.0),
-}
-STORE_KINDS = {
     'store silent': (0.5, 5.0),
     'store busy': (0.5, 3.0),
     'store lost': (0.5, 3.0),
     'store late': (0.5, 4.0),
     'store slow': (1.0, 5.0),
-}
-ENDPOINT_KINDS = {
     'endpoint hang': (0.5, 5.0),
     'endpoint slow': (0.5, 5.0),
-    'endpoint reset': (0.5, 4.0),
+    'endpoint break': (0.5, 4.0),
+    'endpoint truncate': (0.5, 4.0),
     'endpoint shed': (0.5, 3.0),
     'endpoint moved': (0.5, 3.0),
-    'endpoint leaves': (3.0, 6.0),
-    'endpoint returns cold': (0.5, 4.0),
+    'endpoint leaves': (0.5, 4.0),
+    'endpoint returns': (0.5, 4.0),
+    'zone evacuated': (7.0, 12.0),
+    'zone evacuated and cold': (7.0, 12.0),
+    'zone returns': (0.5, 3.0),
+    'clients prompts': (0.5, 2.0),
+    'clients crowd': (2.0, 6.0),
 }
-ZONE_KINDS = {
-    'evacuation': (7.0, 12.0),
-    'evacuation, cold return': (7.0, 12.0),
-    'data centre returns cold': (0.5, 3.0),
-}
-OTHER_KINDS = {'prompts': (0.5, 2.0), 'crowd': (2.0, 6.0)}
-KINDS = {
-    **ROUTER_KINDS,
-    **STORE_KINDS,
-    **ENDPOINT_KINDS,
-    **ZONE_KINDS,
-    **OTHER_KINDS,
-}
-# Time after a fault in which its targets are left alone: a cold endpoint is
-# cold for 3 s, and a router starts.
-_REST_S = 4.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fault:
-    """A fault of one kind at a target.
-
-    `size` is a number from 0 to 1: a delay, or a number of clients.
-    """
+    """A fault of one kind; `size` from 0 to 1 scales what has a size."""
 
     at_s: float
     kind: str
@@ -72,63 +54,17 @@
     size: float
 
     def __str__(self) -> str:
-        return (
-            f'{self.kind}: {self.target}, {self.lasts_s:.2f} s, '
-            f'size {self.size:.2f}'
-        )
-
-
-class _Targets:
-    def __init__(
-        self,
-        routers: list[str],
-        endpoints: dict[str, list[str]],
-    ) -> None:
-        self._routers = routers
-        self._endpoints = endpoints
-        self._free_s: dict[str, float] = {}
-
-    def choices(self, kind: str) -> list[str]:
-        if kind in ROUTER_KINDS or kind in OTHER_KINDS:
-            return self._routers
-        if kind in STORE_KINDS:
-            return ['store']
-        if kind in ENDPOINT_KINDS:
-            return [
-                name for names in self._endpoints.values() for name in names
-            ]
-        return list(self._endpoints)
+        text = f'{self.kind}: {self.target}, {self.lasts_s:.2f} s'
+        return f'{text}, size {self.size:.2f}'
 
-    def take(self, fault: Fault) -> bool:
-        """Reserve what the fault uses; return whether it was free."""
-        used = list(self._used(fault))
-        if any(self._free_s.get(name, 0.0) > fault.at_s for name in used):
-            return False
-        if fault.kind in ROUTER_KINDS and self._is_last_router(fault):
-            return False
-        for name in used:
-            self._free_s[name] = fault.at_s + fault.lasts_s + _REST_S
-        return True
-
-    def _used(self, fault: Fault) -> Iterator[str]:
-        if fault.kind in ZONE_KINDS:
-            if fault.kind != 'data centre returns cold':
-                yield f'evacuation of {fault.target}'
-            if fault.kind != 'evacuation':
-                yield from self._endpoints[fault.target]
-        elif fault.kind in OTHER_KINDS:
-            yield f'{fault.kind} at {fault.target}'
-        else:
-            yield fault.target
-
-    def _is_last_router(self, fault: Fault) -> bool:
-        # What only a router that is gone knew cannot be known by the others
-        # while the store is away.
-        return len(self._routers) > 1 and all(
-            self._free_s.get(name, 0.0) > fault.at_s
-            for name in self._routers
-            if name != fault.target
-        )
+    def uses(self, endpoints: dict[str, list[str]]) -> list[str]:
+        """Return what no other fault may use at the same time."""
+        if self.kind.startswith('clients'):
+            return [f'{self.kind} at {self.target}']
+        names = [] if self.kind == 'zone returns' else [self.target]
+        if self.kind in ('zone returns', 'zone evacuated and cold'):
+            names += endpoints[self.target]
+        return names
 
 
 def draw(
@@ -137,34 +73,50 @@
     routers: list[str],
     endpoints: dict[str, list[str]],
 ) -> list[Fault]:
-    """Return the faults of a run by the time of their start.
+    """Return faults by time, all of which end within the time.
 
     Parameters
     ----------
     seed : int
     seconds : float
-        All faults have ended then.
     routers : list of str
     endpoints : dict
         Names by data centre.
     """
     rng = random.Random(seed)
-    targets = _Targets(routers, endpoints)
+    targets = {
+        'router': routers,
+        'clients': routers,
+        'store': ['store'],
+        'endpoint': [name for names in endpoints.values() for name in names],
+        'zone': list(endpoints),
+    }
+    free_s: dict[str, float] = {}
     faults: list[Fault] = []
     kinds: list[str] = []
     at_s = _START_S
     while at_s < seconds:
-        if not kinds:
-            kinds = rng.sample(list(KINDS), len(KINDS))
+        # Each kind in turn, in an order that differs.
+        kinds = kinds or rng.sample(list(KINDS), len(KINDS))
         kind = kinds.pop()
-        lasts_s = rng.uniform(*KINDS[kind])
-        for _ in range(_TRIES):
-            target = rng.choice(targets.choices(kind))
+        lasts_s = min(rng.uniform(*KINDS[kind]), seconds - at_s)
+        name = kind.partition(' ')[0]
+        rest_s = _REST_S.get(name, 0.0)
+        for _ in range(_TRIES if lasts_s >= KINDS[kind][0] else 0):
+            target = rng.choice(targets[name])
             fault = Fault(at_s, kind, target, lasts_s, rng.random())
-            if at_s + lasts_s <= seconds and targets.take(fault):
+            names = fault.uses(endpoints)
+            busy = {name for name, time_s in free_s.items() if time_s > at_s}
+            # What only a router that is gone knew cannot be known by the
+            # others while the store is away, so one is left.
+            left = set(routers) - busy - {target}
+            if busy.isdisjoint(names) and (left or len(routers) == 1):
+                free_s.update(dict.fromkeys(names, at_s + lasts_s + rest_s))
                 faults.append(fault)
                 break
+        else:
+            kinds.insert(0, kind)
         at_s += rng.expovariate(1 / _MEAN_GAP_S)
-        if rng.random() < _QUIET_SHARE:
-            at_s += _QUIET_S
+        if rng.random() < _PAUSE_SHARE:
+            at_s += _PAUSE_S
     return faults
