Let bursts of the soak follow a cold return or meet it

The burst after an evacuation now follows the removal of its key; before it met endpoints that were still evacuated.

--- a/src/basilpond_testkit/soak/__main__.py
+++ b/src/basilpond_testkit/soak/__main__.py
@@ -20,6 +20,7 @@
     seconds: float = 40.0,
     routers: int = 3,
     crowds: bool = False,
+    burst_after_s: float = 0.0,
 ) -> int:
     """Run a soak.
 
@@ -33,12 +34,21 @@
         Router processes.
     crowds : bool
         Let clients misbehave towards all routers in all ways all the time.
+    burst_after_s : float
+        Time from the return of cold endpoints to the burst that meets them.
     """
     # Cut connections are what a soak is about.
     logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     folder = pathlib.Path(tempfile.mkdtemp(prefix='basilpond-soak-'))
     lines, summary = asyncio.run(
-        soak(seed, seconds, routers, folder, crowds=crowds)
+        soak(
+            seed,
+            seconds,
+            routers,
+            folder,
+            crowds=crowds,
+            burst_after_s=burst_after_s,
+        )
     )
     result = f'VIOLATED, see {folder}' if lines else 'passed'
     summary = f'soak --seed {seed}: {seconds:.0f} s, {summary}: {result}'
--- a/src/basilpond_testkit/soak/_faults.py
+++ b/src/basilpond_testkit/soak/_faults.py
@@ -31,7 +31,10 @@
 class Player:
     """Plays faults against routers, endpoints and the log."""
 
-    def __init__(self, system: System, callers: Callers) -> None:
+    def __init__(
+        self, system: System, callers: Callers, burst_after_s: float
+    ) -> None:
+        self._burst_after_s = burst_after_s
         self._routers = system.routers
         self._endpoints = system.endpoints
         self._log = system.log
@@ -93,6 +96,8 @@
             await endpoint.leave()
         if what in ('leaves', 'returns'):
             await self._return_cold([endpoint], fault.lasts_s)
+            await asyncio.sleep(self._burst_after_s)
+            self._burst_everywhere()
             return
         endpoint.mode = what
         await asyncio.sleep(fault.lasts_s)
@@ -103,6 +108,8 @@
         endpoints = [self._endpoints[name] for name in names]
         if what == 'returns':
             await self._return_cold(endpoints, fault.lasts_s)
+            await asyncio.sleep(self._burst_after_s)
+            self._burst_everywhere()
             return
         evacuation = Period(fault.target, await self._write_key(fault, {}))
         self._evidence.evacuations.append(evacuation)
@@ -113,6 +120,7 @@
             await self._return_cold(endpoints, fault.size)
             await asyncio.sleep(_COLD_RETURN_S)
         evacuation.until_s = await self._write_key(fault, None)
+        self._burst_everywhere()
 
     async def _write_key(self, fault: Fault, value: object) -> float:
         """Write or remove the key of an evacuation; return the time."""
@@ -129,6 +137,8 @@
             endpoint.go_down()
         await asyncio.sleep(away_s)
         await asyncio.gather(*(x.come_up() for x in endpoints))
+
+    def _burst_everywhere(self) -> None:
         # An idle endpoint attracts the requests of all routers.
         routers = list(self._routers.values())
         self._callers.burst(_RETURN_BURST, routers, KINDS)
--- a/src/basilpond_testkit/soak/_run.py
+++ b/src/basilpond_testkit/soak/_run.py
@@ -31,6 +31,7 @@
     folder: pathlib.Path,
     *,
     crowds: bool = False,
+    burst_after_s: float = 0.0,
 ) -> tuple[list[str], str]:
     """Run a soak; return lines on the violations, and a summary."""
     system = System(routers, folder)
@@ -41,7 +42,7 @@
         await callers.ask_all()
         callers.start()
         faults = _plan.draw(seed, seconds, list(system.routers), ENDPOINTS)
-        player = Player(system, callers)
+        player = Player(system, callers, burst_after_s)
         tasks = [asyncio.create_task(player.play(x)) for x in faults]
         tasks.append(asyncio.create_task(asyncio.sleep(seconds)))
         steady = [
