--- a/src/basilpond/node/tests/test_cold_endpoints.py
+++ b/src/basilpond/node/tests/test_cold_endpoints.py
@@ -236,6 +236,30 @@
         await until_cold(system)
 
 
+async def test_endpoint_that_restarts_between_requests_keeps_its_limit():
+    """Guards against bursts at an idle endpoint that has just restarted.
+
+    Found by `python -m basilpond_testkit.soak --seed 100 --crowds`: no router
+    sends a request while the endpoint is away, and its entry is not read yet,
+    so only the end of its kept connections shows the restart.
+    """
+    async with world(cold_configuration(), nodes=3, apps=1) as system:
+        await settle(system)
+        server = system.servers['app-0']
+        server.work_s = 0.05
+        replies = await send(system, per_s=30, for_s=0.5)
+        assert {reply.status for reply in replies} == {200}
+        system.log.mode = 'silent'
+        server.stop()
+        await asyncio.sleep(0.3)
+        await server.start()
+        server.extra_fields = [(b'x-cold-ms', b'3000')]
+        started_s = asyncio.get_running_loop().time()
+        calls = [system.call(f'/look/{i}', node=i % 3) for i in range(30)]
+        await asyncio.gather(*calls)
+        assert most_arrivals(server, started_s) <= BOUND
+
+
 async def test_endpoint_that_says_it_is_cold_is_believed():
     """Guards against header fields that are ignored, or times without sense.
 
--- a/src/basilpond_testkit/soak/__main__.py
+++ b/src/basilpond_testkit/soak/__main__.py
@@ -21,6 +21,7 @@
     routers: int = 3,
     crowds: bool = False,
     burst_after_s: float = 0.0,
+    keep_going: bool = False,
 ) -> int:
     """Run a soak.
 
@@ -35,7 +36,10 @@
     crowds : bool
         Let clients misbehave towards all routers in all ways all the time.
     burst_after_s : float
-        Time from the return of cold endpoints to the burst that meets them.
+        Time from the return of cold endpoints, while the store answers, to
+        the burst that meets them; 0: at once, whether or not it answers.
+    keep_going : bool
+        Play all faults, also when a rule is broken.
     """
     # Cut connections are what a soak is about.
     logging.getLogger('asyncio').setLevel(logging.CRITICAL)
@@ -48,6 +52,7 @@
             folder,
             crowds=crowds,
             burst_after_s=burst_after_s,
+            keep_going=keep_going,
         )
     )
     result = f'VIOLATED, see {folder}' if lines else 'passed'
--- a/src/basilpond_testkit/soak/_faults.py
+++ b/src/basilpond_testkit/soak/_faults.py
@@ -96,8 +96,7 @@
             await endpoint.leave()
         if what in ('leaves', 'returns'):
             await self._return_cold([endpoint], fault.lasts_s)
-            await asyncio.sleep(self._burst_after_s)
-            self._burst_everywhere()
+            await self._burst_later()
             return
         endpoint.mode = what
         await asyncio.sleep(fault.lasts_s)
@@ -108,8 +107,7 @@
         endpoints = [self._endpoints[name] for name in names]
         if what == 'returns':
             await self._return_cold(endpoints, fault.lasts_s)
-            await asyncio.sleep(self._burst_after_s)
-            self._burst_everywhere()
+            await self._burst_later()
             return
         evacuation = Period(fault.target, await self._write_key(fault, {}))
         self._evidence.evacuations.append(evacuation)
@@ -138,6 +136,12 @@
         await asyncio.sleep(away_s)
         await asyncio.gather(*(x.come_up() for x in endpoints))
 
+    async def _burst_later(self) -> None:
+        if self._burst_after_s:
+            await self._log.wait_until_ok()
+            await asyncio.sleep(self._burst_after_s)
+        self._burst_everywhere()
+
     def _burst_everywhere(self) -> None:
         # An idle endpoint attracts the requests of all routers.
         routers = list(self._routers.values())
