--- a/src/basilpond_testkit/soak/tests/test_soak.py
+++ b/src/basilpond_testkit/soak/tests/test_soak.py
@@ -8,8 +8,8 @@
 # Draws every kind of fault. No endpoint returns cold while the store is away
 # or a router is paused, and bursts wait until entries can have been read:
 # routers have no other sign of an endpoint that restarts between two of their
-# requests, so such bursts exceed its limit (KNOWN-RED.txt; seeds 3, 4 and 17
-# of the command).
+# requests, so such bursts exceed its limit (KNOWN-RED.txt; seeds 3, 4, 12 and
+# 17 of the command).
 SEEDS = [1730]
 BURST_AFTER_S = 1.5
 
