Order all endpoints of a choice, and copy load state for reading

Cause: a preview of a request needs the costs that the choice compares, and reading a speed, a load verdict or the slots of a cold endpoint changes state.

--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -70,6 +70,7 @@
 from .placement import PromptCache
 from .placement import SpeedReport
 from .placement import choose_endpoint
+from .placement import order_endpoints
 from .placement import prefill_cost
 from .placement import prompt_prefixes
 from .placement import sample_loads
@@ -142,6 +143,7 @@
     'guarantees_not_run',
     'long_prompt_endpoints',
     'may_send_again',
+    'order_endpoints',
     'part_key',
     'prefill_cost',
     'prompt_prefixes',
--- a/src/basilpond/routing/capacity/_cold_endpoints.py
+++ b/src/basilpond/routing/capacity/_cold_endpoints.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
+import copy
 import math
 
 from .._endpoint_limits import router_rank
@@ -200,6 +201,19 @@
         # When the routers were last set.
         self._updated_s: float | None = None
 
+    def snapshot(self, incarnations: Iterable[int]) -> ColdEndpoints:
+        """Return a copy for reading the state of some endpoints."""
+        cold = copy.copy(self)
+        cold._views = list(self._views)
+        cold._endpoints = {}
+        for incarnation in incarnations:
+            endpoint = self._endpoints.get(incarnation)
+            if endpoint is not None:
+                endpoint = copy.copy(endpoint)
+                endpoint.slots = dict(endpoint.slots)
+                cold._endpoints[incarnation] = endpoint
+        return cold
+
     @property
     def is_empty(self) -> bool:
         """Whether no service limits the requests to cold endpoints."""
--- a/src/basilpond/routing/capacity/_incoming_link.py
+++ b/src/basilpond/routing/capacity/_incoming_link.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+import copy
 import math
 
 from .._retry_policy import MAX_CONNECTS
@@ -80,6 +81,14 @@
         # When the last connection began that was open soon.
         self._quick_started_s = -math.inf
 
+    def snapshot(self) -> IncomingLink:
+        """Return a copy; reading the state drops old time-outs."""
+        link = copy.copy(self)
+        link._received = self._received.copy()
+        link._timeouts = self._timeouts.copy()
+        link._connected_s = self._connected_s.copy()
+        return link
+
     def record_received(self, total_bytes: int, now_s: float) -> None:
         """Record all bytes that the process has received so far."""
         self._received.append((now_s, total_bytes))
--- a/src/basilpond/routing/capacity/_router_load.py
+++ b/src/basilpond/routing/capacity/_router_load.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+import copy
 import dataclasses
 import math
 
@@ -252,6 +253,13 @@
         self.full_reason = ''
         self._calm_since_s: float | None = None
 
+    def snapshot(self) -> RouterLoad:
+        """Return a copy for decisions that have no effect on later ones."""
+        load = copy.copy(self)
+        load.incoming = self.incoming.snapshot()
+        load._urgent = dict(self._urgent)
+        return load
+
     # Inputs.
 
     def record_lag(self, lag_s: float, now_s: float) -> None:
--- a/src/basilpond/routing/placement/__init__.py
+++ b/src/basilpond/routing/placement/__init__.py
@@ -10,7 +10,9 @@
 from ._endpoint_speed import EndpointSpeeds
 from ._endpoint_speed import SpeedReport
 from ._placement import Choice
+from ._placement import RatedEndpoint
 from ._placement import choose_endpoint
+from ._placement import order_endpoints
 from ._placement import sample_loads
 from ._prompt_cache import PromptCache
 from ._prompt_cache import prompt_prefixes
@@ -25,8 +27,10 @@
     'PREFILL_TOKENS_PER_S',
     'PeerReport',
     'PromptCache',
+    'RatedEndpoint',
     'SpeedReport',
     'choose_endpoint',
+    'order_endpoints',
     'prefill_cost',
     'prompt_prefixes',
     'sample_loads',
--- a/src/basilpond/routing/placement/_endpoint_load.py
+++ b/src/basilpond/routing/placement/_endpoint_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import dataclasses
 import math
 
@@ -220,6 +221,19 @@
         self.queued_s = 0.0
         self.queued_at_s = float('-inf')
 
+    def snapshot(self, speeds: EndpointSpeeds) -> EndpointLoad:
+        """Return a copy that is only read, with other speeds.
+
+        Parameters
+        ----------
+        speeds : EndpointSpeeds
+            From `EndpointSpeeds.snapshot`: a speed that is read may be
+            computed anew, which later speeds depend on.
+        """
+        load = copy.copy(self)
+        load._speeds = speeds
+        return load
+
     @property
     def running(self) -> int:
         """Requests at the endpoint, of this router and as reported."""
--- a/src/basilpond/routing/placement/_endpoint_speed.py
+++ b/src/basilpond/routing/placement/_endpoint_speed.py
@@ -16,6 +16,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+import copy
 import dataclasses
 import itertools
 import math
@@ -280,6 +281,17 @@
     def __len__(self) -> int:
         return len(self._speeds)
 
+    def snapshot(self, service: str) -> EndpointSpeeds:
+        """Return a copy for reading the speeds of one service."""
+        speeds = copy.copy(self)
+        speeds._speeds = {
+            incarnation: copy.copy(speed)
+            for incarnation, speed in self._speeds.items()
+            if speed.group[0] == service
+        }
+        speeds._medians = dict(self._medians)
+        return speeds
+
     def track(self, incarnation: int, service: str, version: str) -> None:
         """Begin with an endpoint process of which nothing is known."""
         self._speeds[incarnation] = EndpointSpeed((service, version))
--- a/src/basilpond/routing/placement/_placement.py
+++ b/src/basilpond/routing/placement/_placement.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import random
 
@@ -71,6 +72,27 @@
     candidates: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RatedEndpoint:
+    """An endpoint in the order of preference.
+
+    Parameters
+    ----------
+    load : EndpointLoad
+    cost_s : float
+        Expected wait plus penalties.
+    forecast_s : float
+        Expected time to the first byte.
+    ejected : bool
+        Whether all others are preferred.
+    """
+
+    load: EndpointLoad
+    cost_s: float
+    forecast_s: float
+    ejected: bool
+
+
 def sample_loads(
     loads: list[EndpointLoad],
     prefixes: list[tuple[int, int]],
@@ -176,16 +198,81 @@
     best_cost_s = 0.0
     best_ejected = True
     candidates = 0
+    for load, ejected, cost_s, forecast_s, cached, added_cost in _rate(
+        list(loads),
+        prompt_tokens,
+        prefixes,
+        data_centre,
+        reachability,
+        now_s,
+        rng,
+        lone_versions,
+    ):
+        candidates += 1
+        if best is None or (ejected, cost_s) < (best_ejected, best_cost_s):
+            best = Choice(load, forecast_s, 0.0, cached, added_cost, 0)
+            best_cost_s = cost_s
+            best_ejected = ejected
+    if best is not None:
+        best.candidates = candidates
+        best.limit_forecast_s = best.load.limit_forecast_s(
+            best.prefill_cost, now_s
+        )
+    return best
+
+
+def order_endpoints(
+    loads: Iterable[EndpointLoad],
+    *,
+    prompt_tokens: int,
+    prefixes: list[tuple[int, int]],
+    data_centre: str,
+    reachability: Reachability,
+    now_s: float,
+    rng: random.Random,
+    lone_versions: Container[str] = (),
+) -> list[RatedEndpoint]:
+    """Return all endpoints in the order of preference.
+
+    The parameters are those of `choose_endpoint`, which returns the first.
+    """
+    rated = [
+        RatedEndpoint(load, cost_s, forecast_s, ejected)
+        for load, ejected, cost_s, forecast_s, _, _ in _rate(
+            list(loads),
+            prompt_tokens,
+            prefixes,
+            data_centre,
+            reachability,
+            now_s,
+            rng,
+            lone_versions,
+        )
+    ]
+    rated.sort(key=lambda item: (item.ejected, item.cost_s))
+    return rated
+
+
+def _rate(
+    loads: list[EndpointLoad],
+    prompt_tokens: int,
+    prefixes: list[tuple[int, int]],
+    data_centre: str,
+    reachability: Reachability,
+    now_s: float,
+    rng: random.Random,
+    lone_versions: Container[str],
+) -> Iterator[tuple[EndpointLoad, bool, float, float, int, float]]:
+    # Yields each endpoint, whether it is ejected, its cost, the forecast, the
+    # cached tokens and the cost of the prefill of the others.
     is_long = prompt_tokens >= LONG_PROMPT_TOKENS
     # The last part of a prompt is not shared with other requests.
     shared_tokens = prefixes[-2][1] if len(prefixes) > 1 else 0
-    loads = list(loads)
     outliers = [load for load in loads if load.outlier.is_ejected(now_s)]
     if len(outliers) > MAX_EJECTED_SHARE * len(loads):
         outliers = []
     spread_s = _spread_waits_s(loads, now_s) if prompt_tokens else {}
     for load in loads:
-        candidates += 1
         cached = load.cache.cached_tokens(prefixes[:-1], now_s)
         added_cost = (
             prefill_cost(prompt_tokens, cached) if prompt_tokens else 0.0
@@ -222,13 +309,4 @@
             or load in outliers
             or reachability.is_avoided(load.endpoint.data_centre, now_s)
         )
-        if best is None or (ejected, cost_s) < (best_ejected, best_cost_s):
-            best = Choice(load, forecast_s, 0.0, cached, added_cost, 0)
-            best_cost_s = cost_s
-            best_ejected = ejected
-    if best is not None:
-        best.candidates = candidates
-        best.limit_forecast_s = best.load.limit_forecast_s(
-            best.prefill_cost, now_s
-        )
-    return best
+        yield load, ejected, cost_s, forecast_s, cached, added_cost
