Preview where a request would go

Cause: basilpond-fleet explain tells what happened to a past request; nothing told where one would go now, and why.

Change: GET /preview at the metrics port answers with route, organisation, load, budget and the endpoints with their costs and reasons of exclusion; basilpond-fleet preview prints it. State is read from copies, and ties are decided by a copy of the generator, so the answer holds for the next request. The operator client sends no Authorization without a key.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -294,6 +294,10 @@
             if not entry.endpoint.leaving and not self.is_evacuated(entry)
         ]
 
+    def listed(self, service: str) -> list[EndpointEntry]:
+        """Return all endpoints of a service, also those that leave."""
+        return list(self._by_service.get(service, {}).values())
+
     def is_evacuated(self, entry: EndpointEntry) -> bool:
         """Whether the data centre of an endpoint is evacuated."""
         return self._evacuations.is_evacuated(entry.endpoint.data_centre)
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 import math
 import random
 import traceback
@@ -40,6 +39,10 @@
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
+from ._endpoint_choice import LIMIT_WAIT_SHARE
+from ._endpoint_choice import admitting_entries
+from ._endpoint_choice import lone_versions
+from ._endpoint_choice import within_limits
 from ._endpoint_returns import EndpointReturns
 from ._endpoint_signals import SignalRecorder
 from ._interfaces import NodeSettings
@@ -47,6 +50,8 @@
 from ._interfaces import RequestMetadataError
 from ._metrics import NodeMetrics
 from ._peers import PeerTask
+from ._preview import RequestPreview
+from ._preview_choice import PreviewSources
 from ._request_context import RefusedError
 from ._request_context import RequestContext
 from ._router_overload import RouterOverload
@@ -65,8 +70,6 @@
 _NO_VERSION_RETRY_S = 0.1
 # Time in which endpoints that rejected a request drain their queues.
 _BUSY_RETRY_S = 0.3
-# Longest wait for the limit of an endpoint, as a share of the objective.
-_LIMIT_WAIT_SHARE = 0.5
 # Longest retry interval while the limits of all endpoints are reached; another
 # router may have a share that this one lacks.
 _LIMIT_RETRY_S = 1.0
@@ -167,6 +170,25 @@
             cold,
             decisions,
         )
+        self.preview = RequestPreview(
+            PreviewSources(
+                settings.node_id,
+                settings.data_centre,
+                configuration,
+                directory,
+                budgets,
+                limits,
+                self._quiet,
+                cold.state,
+                self._returns,
+                self._reachability,
+                versions,
+                overload,
+                rng,
+            ),
+            lambda: self._refusing,
+            admission_control=settings.admission_control,
+        )
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         # At the first start of the fleet, nobody has used retries before.
         self._started_s = float('-inf')
@@ -457,12 +479,7 @@
         # Versions at which a stream had better not begin.
         if not context.route.continues_streams or context.stream_version:
             return set()
-        counts = Counter(entry.endpoint.version for entry in entries)
-        return {
-            version
-            for version, count in counts.items()
-            if count == 1 and len(counts) > 1
-        }
+        return lone_versions(entries)
 
     def _check_endpoints(self, context: RequestContext) -> None:
         if not self._returns.candidates(context):
@@ -514,30 +531,10 @@
         entries: list[EndpointEntry],
     ) -> list[EndpointEntry]:
         now_s = asyncio.get_running_loop().time()
-        admitting = self._within_limits(fresh, now_s) or self._within_limits(
-            entries, now_s
+        admitting = admitting_entries(
+            fresh, entries, self._limits, self._reachability, now_s
         )
-        if not admitting:
-            return await self._wait_for_limit(context)
-        probed = [
-            entry
-            for entry in admitting
-            if self._limits.needs_probe(entry.incarnation_number, now_s)
-            and not entry.load.is_avoided(now_s)
-            and not self._reachability.is_avoided(
-                entry.endpoint.data_centre, now_s
-            )
-        ]
-        return probed or admitting
-
-    def _within_limits(
-        self, entries: list[EndpointEntry], now_s: float
-    ) -> list[EndpointEntry]:
-        return [
-            entry
-            for entry in entries
-            if not self._limits.wait_s(entry.incarnation_number, now_s)
-        ]
+        return admitting or await self._wait_for_limit(context)
 
     async def _wait_for_limit(
         self, context: RequestContext
@@ -547,7 +544,7 @@
         # that are not quiet.
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(
-            _LIMIT_WAIT_SHARE * context.route.objective_s,
+            LIMIT_WAIT_SHARE * context.route.objective_s,
             context.wait_until_s - loop.time(),
         )
         while entries := self._returns.open_entries(context):
@@ -557,7 +554,7 @@
                 for entry in entries
             )
             if not wait_s:
-                return self._within_limits(entries, now_s)
+                return within_limits(entries, self._limits, now_s)
             if now_s + wait_s > deadline_s:
                 raise RefusedError(
                     503,
--- a/src/basilpond/node/_endpoint_returns.py
+++ b/src/basilpond/node/_endpoint_returns.py
@@ -81,6 +81,11 @@
         """Number of requests that wait."""
         return sum(len(queue.requests) for queue in self._queues.values())
 
+    def waiting_for(self, service: str) -> int:
+        """Return the number of new requests to a service that wait."""
+        queue = self._queues.get((service, None))
+        return 0 if queue is None else len(queue.requests)
+
     def candidates(self, context: RequestContext) -> list[EndpointEntry]:
         """Return the endpoints that a request may be sent to, quiet or not."""
         return [
--- a/src/basilpond/node/_internal_server.py
+++ b/src/basilpond/node/_internal_server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
+from types import MappingProxyType
 
 from ..http1 import CallerRequest
 from ..http1 import CallerServer
@@ -30,13 +32,19 @@
         Called with the path; returns status, header fields and body.
     resources : ClientResources or None
         Shared with the other servers of the process, but for the connections.
+    handlers : mapping of bytes to callable, optional
+        Functions by path that are called with the whole request instead.
     """
 
     def __init__(
         self,
         get_response: Callable[[bytes], InternalResponse],
         resources: ClientResources | None = None,
+        handlers: Mapping[
+            bytes, Callable[[CallerRequest], InternalResponse]
+        ] = MappingProxyType({}),
     ) -> None:
+        self._handlers = handlers
         self._get_response = get_response
         resources = resources or ClientResources()
         self._server = CallerServer(
@@ -61,4 +69,8 @@
         self, request: CallerRequest, responder: Responder
     ) -> None:
         path = request.target.partition(b'?')[0]
-        responder.respond(*self._get_response(path))
+        handler = self._handlers.get(path)
+        if handler is not None:
+            responder.respond(*handler(request))
+        else:
+            responder.respond(*self._get_response(path))
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -54,6 +54,7 @@
 from ._metrics import CONTENT_TYPE
 from ._metrics import NodeMetrics
 from ._peers import PeerTask
+from ._preview import PREVIEW_PATH
 from ._router_overload import LIST_AGE_SHARE
 from ._router_overload import RouterOverload
 from ._router_watch import LinkMeter
@@ -323,7 +324,9 @@
         self._ready_path = codec.ready_path
         self._ready = InternalServer(self._respond_ready, self._resources)
         self._metrics_server = InternalServer(
-            self._respond_metrics, self._resources
+            self._respond_metrics,
+            self._resources,
+            {PREVIEW_PATH: self.dispatcher.preview.respond},
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._announcement: asyncio.Task[None] | None = None
--- a/src/basilpond/node/_router_overload.py
+++ b/src/basilpond/node/_router_overload.py
@@ -53,6 +53,7 @@
 # Time without a part after which an upload takes nothing of the link. On a
 # link of 5 Mbit/s one that had stalled had others refused for 15 s.
 _STALLED_UPLOAD_S = 0.5
+_OUTDATED_LIST = 'router full, list of endpoints outdated'
 
 
 class RouterOverload:
@@ -246,6 +247,19 @@
         if verdict is not None:
             raise self._refusal(demand, verdict, now_s)
 
+    def preview(self, demand: RequestDemand, now_s: float) -> LoadVerdict:
+        """Return the decision on a further request, without a record of it.
+
+        Bytes that wait on the link count as last measured.
+        """
+        load = self.load.snapshot()
+        verdict = load.verdict(demand, now_s)
+        if verdict.reason is None and self._is_list_outdated(load, now_s):
+            return LoadVerdict(
+                _OUTDATED_LIST, self.list_age_s(), self.max_list_age_s
+            )
+        return verdict
+
     def has_outdated_list(self) -> bool:
         """Whether endpoints may have left without this router's knowledge.
 
@@ -253,9 +267,12 @@
         store, the last known list holds.
         """
         now_s = asyncio.get_running_loop().time()
+        return self._is_list_outdated(self.load, now_s)
+
+    def _is_list_outdated(self, load: RouterLoad, now_s: float) -> bool:
         return (
             self.list_age_s() > self.max_list_age_s
-            and self.load.incoming.is_full(now_s)
+            and load.incoming.is_full(now_s)
         )
 
     async def _wait_for_list(self, context: RequestContext) -> None:
@@ -268,9 +285,7 @@
             if not begun or now_s + _LIST_POLL_S >= context.wait_until_s:
                 demand = _demand(context, now_s)
                 verdict = LoadVerdict(
-                    'router full, list of endpoints outdated',
-                    self.list_age_s(),
-                    self.max_list_age_s,
+                    _OUTDATED_LIST, self.list_age_s(), self.max_list_age_s
                 )
                 raise self._refusal(demand, verdict, now_s)
             await asyncio.sleep(_LIST_POLL_S)
--- a/src/basilpond/programs/_operator_client.py
+++ b/src/basilpond/programs/_operator_client.py
@@ -30,6 +30,7 @@
     Parameters
     ----------
     operator_key : str
+        No key is sent if it is empty.
     """
 
     def __init__(self, operator_key: str) -> None:
@@ -40,7 +41,9 @@
     ) -> list[RouterReply]:
         """Send the same request to several routers concurrently."""
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-        headers = {'Authorization': f'Bearer {self.operator_key}'}
+        headers = {}
+        if self.operator_key:
+            headers['Authorization'] = f'Bearer {self.operator_key}'
         async with aiohttp.ClientSession(
             timeout=timeout, headers=headers
         ) as session:
--- a/src/basilpond/programs/fleet.py
+++ b/src/basilpond/programs/fleet.py
@@ -27,6 +27,7 @@
 from ._operator_client import OperatorClient
 from ._operator_client import RouterReply
 from ._operator_client import operator_key
+from ._output import EXIT_INVALID
 from ._output import EXIT_OK
 from ._output import EXIT_REJECTED
 from ._output import EXIT_UNAVAILABLE
@@ -34,6 +35,7 @@
 from ._output import write_json
 from ._output import write_line
 from ._output import write_table
+from ._preview_output import write_preview
 
 RELEASE_RISK = (
     'Bills that were committed only on journals of lost routers are lost: '
@@ -93,6 +95,72 @@
     return EXIT_OK if history else EXIT_REJECTED
 
 
+def preview(
+    address: str,
+    *,
+    target: str,
+    host: str,
+    key: str = '',
+    prompt_tokens: int = 0,
+    output_tokens: int = 0,
+    body_bytes: int = 0,
+    parts: str = '',
+    json: bool = False,
+) -> None:
+    """Print where a request would go now, and why, without sending it.
+
+    Exit code 0: it would be sent, maybe after a wait; 1: refused.
+
+    Parameters
+    ----------
+    address : str
+        Internal metrics address of a router, ip:port.
+    target : str
+        Path of the request.
+    host : str
+        Its field Host.
+    key : str
+        Key of its organisation; `-` reads it from standard input, as a key
+        on the command line is visible in the list of processes.
+    prompt_tokens : int
+    output_tokens : int
+        Largest number of tokens of the response.
+    body_bytes : int
+    parts : str
+        Parts of the prompt with their tokens, ID:TOKENS,..., by which cached
+        tokens are found.
+    json : bool
+        One JSON line instead of a table.
+    """
+    if key == '-':
+        key = sys.stdin.readline().strip()
+    values = {
+        'target': target,
+        'host': host,
+        'prompt_tokens': prompt_tokens,
+        'output_tokens': output_tokens,
+        'body_bytes': body_bytes,
+        'parts': parts,
+    }
+    query = urllib.parse.urlencode(values)
+    run_command(_preview(address, f'/preview?{query}', key, json))
+
+
+async def _preview(address: str, path: str, key: str, json: bool) -> int:
+    client = OperatorClient(key)
+    (reply,) = await client.request_all((address,), 'GET', path)
+    body = reply.body if isinstance(reply.body, dict) else {}
+    if reply.status != 200 or 'outcome' not in body:
+        reason = body.get('error') or _failure_reason(reply)
+        sys.stderr.write(f'{address}: {reason}\n')
+        return EXIT_INVALID if reply.status == 400 else EXIT_UNAVAILABLE
+    if json:
+        write_json(body)
+    else:
+        write_preview(body)
+    return EXIT_REJECTED if body['outcome'] == 'refused' else EXIT_OK
+
+
 def drain(endpoint: str, *routers: str) -> None:
     """Stop sending new requests to an endpoint until it is undrained.
 
@@ -336,7 +404,7 @@
 
 def main() -> None:
     """Parse arguments and run."""
-    defopt.run([status, budget, explain, drain, undrain, release])
+    defopt.run([status, budget, explain, preview, drain, undrain, release])
 
 
 if __name__ == '__main__':
--- a/src/basilpond/programs/tests/test_commands.py
+++ b/src/basilpond/programs/tests/test_commands.py
@@ -26,6 +26,7 @@
         ('fleet', 'status'),
         ('fleet', 'budget'),
         ('fleet', 'explain'),
+        ('fleet', 'preview'),
         ('fleet', 'drain'),
         ('fleet', 'release'),
     ],
