--- a/src/basilpond/node/_router_overload.py
+++ b/src/basilpond/node/_router_overload.py
@@ -56,6 +56,7 @@
 # Time without a part after which an upload takes nothing of the link. On a
 # link of 5 Mbit/s one that had stalled had others refused for 15 s.
 _STALLED_UPLOAD_S = 0.5
+_OUTDATED_LIST = 'router full, list of endpoints outdated'
 
 
 class RouterOverload:
@@ -257,32 +258,42 @@
         if verdict is not None:
             raise self._refusal(demand, verdict, now_s)
 
+    def preview(self, demand: RequestDemand, now_s: float) -> LoadVerdict:
+        """Return the decision on a further request, without a record of it.
+
+        Bytes that wait on the link count as last measured.
+        """
+        load = self.load.snapshot()
+        if self._is_list_outdated(load, now_s):
+            return self._outdated_verdict()
+        return load.verdict(demand, now_s)
+
     def has_outdated_list(self) -> bool:
         """Whether endpoints may have left without this router's knowledge.
 
         Only the router's own link counts as a reason: in an outage of the
         store, the last known list holds.
         """
-        incoming = self.load.incoming
         now_s = asyncio.get_running_loop().time()
-        if not (
-            self.max_list_age_s < self.list_age_s() <= _MAX_EXPLAINED_AGE_S
-            and incoming.is_busy(now_s)
-        ):
-            self._link_delays_list = False
-        elif incoming.is_full(now_s):
-            self._link_delays_list = True
+        self._link_delays_list = self._is_list_outdated(self.load, now_s)
         return self._link_delays_list
 
+    def _is_list_outdated(self, load: RouterLoad, now_s: float) -> bool:
+        return (
+            self.max_list_age_s < self.list_age_s() <= _MAX_EXPLAINED_AGE_S
+            and load.incoming.is_busy(now_s)
+            and (self._link_delays_list or load.incoming.is_full(now_s))
+        )
+
+    def _outdated_verdict(self) -> LoadVerdict:
+        return LoadVerdict(
+            _OUTDATED_LIST, self.list_age_s(), self.max_list_age_s
+        )
+
     def _outdated_refusal(
         self, demand: RequestDemand, now_s: float
     ) -> RefusedError:
-        verdict = LoadVerdict(
-            'router full, list of endpoints outdated',
-            self.list_age_s(),
-            self.max_list_age_s,
-        )
-        return self._refusal(demand, verdict, now_s)
+        return self._refusal(demand, self._outdated_verdict(), now_s)
 
     async def _wait_for_list(self, context: RequestContext) -> None:
         # A request that no endpoint has begun is better off at another
