Serve previews only where a setting asks for them

Cause: the metrics port has no authentication, and previews show budgets and tell valid keys from invalid ones. What is new takes effect by settings only.

--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -50,6 +50,8 @@
     admission_control : bool
         Whether less urgent prompts wait at the router while endpoints have no
         room.
+    preview : bool
+        Whether the metrics port tells where a request would go.
     cold_over, cold_slack : float
         Requests to a cold endpoint that all routers may send in a second: a
         multiple of the limit of its service plus the slack.
@@ -81,6 +83,7 @@
     evacuate_s: float | None = None
     cpu_share: float = 0.0
     admission_control: bool = False
+    preview: bool = False
     cold_over: float = 1.5
     cold_slack: float = 5.0
     memory_bytes: float = 0.0
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -329,7 +329,9 @@
         self._metrics_server = InternalServer(
             self._respond_metrics,
             self._resources,
-            {PREVIEW_PATH: self.dispatcher.preview.respond},
+            {PREVIEW_PATH: self.dispatcher.preview.respond}
+            if settings.preview
+            else {},
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._announcement: asyncio.Task[None] | None = None
--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -121,6 +121,7 @@
             is_first_start=not self.logs,
             evacuate_s=self.evacuate_s,
             admission_control=self.admission_control,
+            preview=True,
         )
         decisions = DecisionLog(name, fd=self.sink)
         log = self.logs[name] = CuttableLog(settings.store_address)
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -82,8 +82,9 @@
     zones: dict[str, str] = {}
     # Whether the whole system starts for the first time.
     bootstrap: bool = False
-    # A setting of this project; the platform does not write it.
+    # Settings of this project; the platform does not write them.
     admission_control: bool = False
+    preview: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -157,6 +158,7 @@
             cpu_share=file.limits.cpu_share,
             is_first_start=file.bootstrap,
             admission_control=file.admission_control,
+            preview=file.preview,
             memory_bytes=file.limits.memory_mb * _BYTES_PER_MB,
             max_fds=file.limits.max_fds,
         )
--- a/src/basilpond/platform/tests/test_settings.py
+++ b/src/basilpond/platform/tests/test_settings.py
@@ -42,6 +42,8 @@
     assert settings.evacuate_s is None
     assert not settings.admission_control
     assert load(tmp_path, TEXT + 'admission_control: true').admission_control
+    assert not settings.preview
+    assert load(tmp_path, TEXT + 'preview: true').preview
     assert (settings.cold_over, settings.cold_slack) == (1.5, 5.0)
     text = TEXT.replace(
         'bounds:\n', 'bounds:\n  evacuate_ms: 5000\n  cold_over: 2\n'
