Name a preview's field by the project's word, and check unread input once

Cause: the check of platform names failed on path_prefix in a preview, and two connection classes had the same check for unread input.

Change: the field is prefix; has_unread_input stands beside unsent_bytes in http1/_socket_bytes.py.

--- a/src/basilpond/http1/_base_connection.py
+++ b/src/basilpond/http1/_base_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import select
 from typing import Any
 from typing import Protocol
 
@@ -17,6 +16,7 @@
 from ._responder import Handler
 from ._response_output import ResponseOutput
 from ._response_output import StreamSource
+from ._socket_bytes import has_unread_input
 
 # Bytes read in one iteration of the event loop, as from endpoints.
 READ_BYTES = 65_536
@@ -183,12 +183,7 @@
 
     def has_unread_input(self) -> bool:
         """Whether bytes have arrived that the event loop has not read."""
-        sock = self._transport and self._transport.get_extra_info('socket')
-        if sock is None or sock.fileno() == -1:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread_input(self._transport)
 
     # Close.
 
--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 import dataclasses
 import enum
-import select
 import socket
 import struct
 
@@ -15,7 +14,8 @@
 
 from . import _fields
 from ._received import RECEIVED
-from ._unsent import unsent_bytes
+from ._socket_bytes import has_unread_input
+from ._socket_bytes import unsent_bytes
 
 # Failures of which a connection remembers the request; it is then closed.
 _MAX_FAILED_IDS = 64
@@ -443,16 +443,7 @@
         """
         if echo is not None and echo[1] in self._failed_ids:
             return False
-        return not self._has_unread_input()
-
-    def _has_unread_input(self) -> bool:
-        # Bytes, a close or a reset that the event loop has not processed yet.
-        sock = self._transport and self._transport.get_extra_info('socket')
-        if sock is None or sock.fileno() == -1:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return not has_unread_input(self._transport)
 
     @property
     def buffered_bytes(self) -> int:
--- a/src/basilpond/http1/_response_output.py
+++ b/src/basilpond/http1/_response_output.py
@@ -8,7 +8,7 @@
 
 from ._messages import MIN_BYTES_PER_S
 from ._messages import RATE_GRACE_S
-from ._unsent import unsent_bytes
+from ._socket_bytes import unsent_bytes
 
 # A caller's connection is closed before the next write when more unread bytes
 # than this are buffered for it. Responses of services are a few kilobytes;
--- a/src/basilpond/http1/_unsent.py
+++ b/src/basilpond/http1/_socket_bytes.py
@@ -1,10 +1,11 @@
-"""Bytes that a connection has accepted and the network has not taken."""
+"""Bytes that wait in the sockets of connections, in either direction."""
 
 from __future__ import annotations
 
 import array
 import asyncio
 import fcntl
+import select
 import termios
 
 
@@ -24,3 +25,13 @@
     except OSError:
         return buffered_bytes
     return buffered_bytes + queued[0]
+
+
+def has_unread_input(transport: asyncio.Transport | None) -> bool:
+    """Whether bytes, a close or a reset wait that the loop has not read."""
+    sock = transport and transport.get_extra_info('socket')
+    if sock is None or sock.fileno() == -1:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/src/basilpond/node/_preview.py
+++ b/src/basilpond/node/_preview.py
@@ -110,7 +110,7 @@
                 'name': route.name,
                 'kind': route.kind.value,
                 'host': route.host,
-                'path_prefix': route.path_prefix,
+                'prefix': route.path_prefix,
                 'priority': effective_priority(route, organisation),
                 'objective_s': route.objective_s,
             },
--- a/src/basilpond/programs/_preview_output.py
+++ b/src/basilpond/programs/_preview_output.py
@@ -16,7 +16,7 @@
         ('router', f'{answer["router"]}, version {answer["version"]}'),
         (
             'route',
-            f'{route["name"]} ({route["host"]}{route["path_prefix"]},'
+            f'{route["name"]} ({route["host"]}{route["prefix"]},'
             f' {route["kind"]}, priority {route["priority"]})',
         ),
         ('key', answer['key']),
