--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -212,9 +212,7 @@
         """Resident memory of the process."""
         assert self.process is not None
         try:
-            text = pathlib.Path(
-                f'/proc/{self.process.pid}/status'
-            ).read_text()
+            text = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
         except OSError:
             return 0
         lines = [x for x in text.splitlines() if x.startswith('VmRSS')]
