Record what servers ran in the scripts of the review

Cause: the records of the scripts named what was sent and answered, and of what ran the number only.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -72,6 +72,7 @@
             client.close()
             record.line(f'{router.name} answers a request with {status}')
             record.line(f'{router.name} own ends: {router.own_ends}')
+        rig.record_runs(record, [server])
         ending = [r for r in system.routers if len(r.own_ends) >= ENDS]
         return len(ending) >= MACHINES
 
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -387,6 +387,15 @@
     return ''.join(f'{line}\r\n' for line in fields).encode() + b'\r\n'
 
 
+def record_runs(record: Record, servers: list[ServerStandIn]) -> None:
+    """Record the requests that the servers ran."""
+    for server in servers:
+        for request in server.requests:
+            fields = dict(request.headers)
+            request_id = fields.get(b'x-request-id', b'').decode()
+            record.line(f'{server.server_id} ran {request_id}')
+
+
 def run_case(
     script: str, play: Callable[[Record], object], limit_s: float = 110.0
 ) -> None:
