--- a/src/basilpond/programs/_platform_service.py
+++ b/src/basilpond/programs/_platform_service.py
@@ -1,10 +1,9 @@
-"""``basilpond-platform-router``: one router on the users' platform."""
+"""Router on the users' platform, from its settings to its end."""
 
 from __future__ import annotations
 
 import asyncio
 import gc
-import os
 from pathlib import Path
 import signal
 import sys
@@ -16,7 +15,6 @@
 from ..platform import SettingsError
 from ..platform import load_settings
 
-SETTINGS_VARIABLE = 'BASILPOND_SETTINGS'
 EXIT_INVALID_SETTINGS = 2
 # Net allocations of container objects that trigger a collection of the
 # youngest generation; a request allocates a few hundred.
@@ -45,15 +43,16 @@
     await node.run_until(stop)
 
 
-def main() -> None:
-    """Read the settings and serve until SIGTERM."""
-    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+def run(path: Path) -> None:
+    """Run a router until SIGTERM.
+
+    Parameters
+    ----------
+    path : Path
+        Settings file.
+    """
     try:
         asyncio.run(_serve(path))
     except SettingsError as error:
         sys.stderr.write(f'invalid settings: {error}\n')
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
-
-
-if __name__ == '__main__':
-    main()
--- a/src/basilpond/programs/_router_service.py
+++ b/src/basilpond/programs/_router_service.py
@@ -1,4 +1,4 @@
-"""``basilpond-router``: one router process."""
+"""Router of its own manifest, from its settings to its end."""
 
 from __future__ import annotations
 
@@ -11,7 +11,6 @@
 import sys
 
 from absl import logging
-import defopt
 
 from ..settings import EXIT_INVALID_SETTINGS
 from ..settings import RouterSettings
@@ -77,12 +76,3 @@
         if loaded.telemetry.traces:
             stack.callback(_start_traces(loaded.router.id))
         asyncio.run(_serve(loaded))
-
-
-def main() -> None:
-    """Parse arguments and run."""
-    defopt.run(run)
-
-
-if __name__ == '__main__':
-    main()
