Apply settings that change between their first read and the watch

Operators saw a router keep its old limits for good: a settings file that changed while the router started was never applied, with SIGHUP or without.

Cause: SettingsWatch took the digest of the file when it was created, after the settings had been read and the node had been started. A file that had changed by then looked like one that never changed. A check also read the file twice, for the digest and for the settings.

The log could not tell which file was in force, so the line started has its digest now.

Change: settings hold the digest of the bytes that they were read from; the watch begins with that one and checks the file once at its start.

--- a/src/basilpond/node/__init__.py
+++ b/src/basilpond/node/__init__.py
@@ -19,6 +19,7 @@
 from ._interfaces import RequestMetadataError
 from ._interfaces import ResponseResult
 from ._node import Node
+from ._settings_watch import settings_digest
 
 __all__ = [
     'ColdTimeError',
@@ -40,4 +41,5 @@
     'Record',
     'RequestMetadataError',
     'ResponseResult',
+    'settings_digest',
 ]
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -59,6 +59,8 @@
         Memory that the process may use; 0 if unknown.
     max_fds : int
         Descriptors that the process may open; 0 if unknown.
+    digest : str
+        Of the file that the settings were read from.
     """
 
     node_id: str
@@ -88,6 +90,7 @@
     cold_slack: float = 5.0
     memory_bytes: float = 0.0
     max_fds: int = 0
+    digest: str = ''
 
 
 class LogUnavailableError(Exception):
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -375,6 +375,7 @@
             holder=self.holder,
             data_centre=self._settings.data_centre,
             callers=':'.join(map(str, self._settings.caller_address)),
+            settings=self._settings.digest or None,
         )
 
     @property
@@ -492,7 +493,11 @@
     ) -> None:
         """Reload the settings when their file changes."""
         self._watch = SettingsWatch(
-            path, load, self._apply_settings, self._decisions
+            path,
+            load,
+            self._apply_settings,
+            self._decisions,
+            self._settings.digest,
         )
         self._tasks.append(asyncio.create_task(self._watch.run()))
 
--- a/src/basilpond/node/_settings_watch.py
+++ b/src/basilpond/node/_settings_watch.py
@@ -15,6 +15,11 @@
 INTERVAL_S = 1.0
 
 
+def settings_digest(data: bytes) -> str:
+    """Return the digest of the content of a settings file."""
+    return xxhash.xxh3_64_hexdigest(data)
+
+
 class SettingsWatch:
     """Task that reloads a settings file.
 
@@ -26,6 +31,9 @@
     apply : callable
         Called with changed settings.
     decisions : DecisionLog
+    digest : str
+        Of the settings in force. The file may have changed since they were
+        read.
     """
 
     def __init__(
@@ -34,12 +42,13 @@
         load: Callable[[Path], NodeSettings],
         apply: Callable[[NodeSettings], None],
         decisions: DecisionLog,
+        digest: str,
     ) -> None:
         self._path = path
         self._load = load
         self._apply = apply
         self._decisions = decisions
-        self._digest = self._read_digest()
+        self._digest: str | None = digest
         self._reload_requested = asyncio.Event()
 
     def request_reload(self) -> None:
@@ -48,6 +57,7 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        self.check(requested=False)
         while True:
             try:
                 async with asyncio.timeout(INTERVAL_S):
@@ -64,14 +74,17 @@
         changed = digest != self._digest
         if not changed and not requested:
             return
-        self._digest = digest
         reason = None
         if changed:
             try:
-                self._apply(self._load(self._path))
+                settings = self._load(self._path)
+                self._apply(settings)
+                # The file may have changed again since its digest was read.
+                digest = settings.digest
             except ValueError as error:
                 # The settings in force remain.
                 reason = str(error)
+        self._digest = digest
         self._decisions.event(
             'settings_kept' if reason else 'settings_reloaded',
             asked=requested,
@@ -82,7 +95,7 @@
 
     def _read_digest(self) -> str | None:
         try:
-            return xxhash.xxh3_64_hexdigest(self._path.read_bytes())
+            return settings_digest(self._path.read_bytes())
         except OSError:
             # A file that is being replaced is read at the next poll.
             return None
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -11,6 +11,7 @@
 import yaml
 
 from ..node import NodeSettings
+from ..node import settings_digest
 
 # Same as in the deployment file, where operators' tools look it up.
 METRICS_PORT = 9464
@@ -128,8 +129,8 @@
         The message has the name of the field, its value and what is allowed.
     """
     try:
-        raw = _load_yaml(path.read_bytes())
-        file = msgspec.convert(raw, _SettingsFile, strict=False)
+        data = path.read_bytes()
+        file = msgspec.convert(_load_yaml(data), _SettingsFile, strict=False)
         return NodeSettings(
             node_id=_short_name(file.node_name),
             host=file.ip,
@@ -161,6 +162,7 @@
             preview=file.preview,
             memory_bytes=file.limits.memory_mb * _BYTES_PER_MB,
             max_fds=file.limits.max_fds,
+            digest=settings_digest(data),
         )
     except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f'{path}: {error}') from error
--- a/src/basilpond/programs/tests/router_process.py
+++ b/src/basilpond/programs/tests/router_process.py
@@ -134,8 +134,8 @@
         end_s = time.monotonic() + TIMEOUT_S
         while not (found := condition()):
             code = self.process.returncode
-            assert code is None, f'exit code {code}: {self.output}'
-            assert time.monotonic() < end_s, self.output
+            assert code is None, f'exit code {code}: {self.output[-500:]}'
+            assert time.monotonic() < end_s, self.output[-500:]
             await asyncio.sleep(_POLL_INTERVAL_S)
         return found
 
@@ -152,6 +152,36 @@
                 lines.append(json.loads(line))
         return [x for x in lines if isinstance(x, dict) and x['event'] == name]
 
+    def hold_settings(self):
+        """Let the process wait when it reads the settings for the first time.
+
+        Returns
+        -------
+        callable
+            Waits until the process reads, and returns a function that hands
+            it bytes.
+        """
+        os.mkfifo(self.path)
+
+        def open_pipe():
+            try:
+                return os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:
+                return None
+
+        async def wait_read():
+            descriptor = await self.wait_for(open_pipe)
+
+            def hand_over(data):
+                # A process that ended no longer reads.
+                with contextlib.suppress(OSError):
+                    os.write(descriptor, data)
+                os.close(descriptor)
+
+            return hand_over
+
+        return wait_read
+
     async def wait_event(self, name, **fields):
         """Wait for an event with given fields."""
         return await self.wait_for(
--- a/src/basilpond/programs/tests/test_signals_at_start.py
+++ b/src/basilpond/programs/tests/test_signals_at_start.py
@@ -10,6 +10,7 @@
 
 from . import router_process
 from .router_process import RouterProcess
+from .router_process import digest_of
 
 # The script of the deploy file, and modules as console scripts run them.
 COMMANDS = {
@@ -69,3 +70,23 @@
     router.release()
     # There are no settings, which ends the process by its own decision.
     assert await router.wait_exit() == 2
+
+
+@pytest.mark.parametrize('announced', [False, True])
+async def test_settings_changed_after_their_first_read_are_applied(
+    router, announced
+):
+    """Guards against a change at the start that is never applied."""
+    first, second = (router.settings(drain_ms=x) for x in (2000, 3000))
+    wait_read = router.hold_settings()
+    await router.start(COMMANDS['deploy file'])
+    hand_over = await wait_read()
+    router.place_settings(second)
+    if announced:
+        router.process.send_signal(signal.SIGHUP)
+    hand_over(first)
+    await router.wait_event('started', settings=digest_of(first))
+    await router.wait_event(
+        'settings_reloaded', changed=True, digest=digest_of(second)
+    )
+    assert await router.stop() == 0
