Let a start wait for settings that are being placed

Operators saw own ends with exit code 2 of routers that started while the platform replaced their settings file.

Cause: a settings file that was missing, empty or cut at the start ended the process at once, as an invalid one does.

Change: the start reads the file again for 2 s, says why on standard error, and ends with exit code 2 only after that. Errors go to a standard error that may be closed.

--- a/src/basilpond/programs/_platform_service.py
+++ b/src/basilpond/programs/_platform_service.py
@@ -6,23 +6,44 @@
 import gc
 from pathlib import Path
 import signal
-import sys
 
 from ..node import DecisionLog
 from ..node import Node
+from ..node import NodeSettings
 from ..platform import JsonPlatformCodec
 from ..platform import PlatformLog
 from ..platform import SettingsError
 from ..platform import load_settings
+from . import _process
 
 EXIT_INVALID_SETTINGS = 2
+# Time for which a start waits for settings that are missing or invalid, since
+# the platform may be placing them. It places a small file.
+SETTINGS_WAIT_S = 2.0
+_SETTINGS_POLL_INTERVAL_S = 0.05
 # Net allocations of container objects that trigger a collection of the
 # youngest generation; a request allocates a few hundred.
 GC_THRESHOLD = 20_000
 
 
+async def _wait_for_settings(path: Path) -> NodeSettings:
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + SETTINGS_WAIT_S
+    reason = ''
+    while True:
+        try:
+            return load_settings(path)
+        except SettingsError as error:
+            if loop.time() >= end_s:
+                raise
+            if reason != str(error):
+                reason = str(error)
+                _process.write_error(f'settings are not usable yet: {reason}')
+        await asyncio.sleep(_SETTINGS_POLL_INTERVAL_S)
+
+
 async def _serve(path: Path) -> None:
-    settings = load_settings(path)
+    settings = await _wait_for_settings(path)
     decisions = DecisionLog(settings.node_id)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -54,5 +75,5 @@
     try:
         asyncio.run(_serve(path))
     except SettingsError as error:
-        sys.stderr.write(f'invalid settings: {error}\n')
+        _process.write_error(f'invalid settings: {error}')
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
--- a/src/basilpond/programs/_process.py
+++ b/src/basilpond/programs/_process.py
@@ -1,8 +1,10 @@
-"""Process of a router: its signals."""
+"""Process of a router: its signals and standard streams."""
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import sys
 
 
 def ignore_hangup() -> None:
@@ -12,3 +14,9 @@
     share of a core. No change is lost: the settings are read after it.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def write_error(text: str) -> None:
+    """Write a line to standard error, unless its reader has closed it."""
+    with contextlib.suppress(OSError):
+        sys.stderr.write(f'{text}\n')
--- a/src/basilpond/programs/tests/test_signals_at_start.py
+++ b/src/basilpond/programs/tests/test_signals_at_start.py
@@ -90,3 +90,24 @@
         'settings_reloaded', changed=True, digest=digest_of(second)
     )
     assert await router.stop() == 0
+
+
+@pytest.mark.parametrize('partial', [None, b'', b'node_name: n\nlisten: {'])
+async def test_start_waits_for_settings_that_are_being_placed(router, partial):
+    """Guards against starts that end while their settings are replaced."""
+    if partial is not None:
+        router.path.write_bytes(partial)
+    await router.start(COMMANDS['deploy file'])
+    await router.wait_for(lambda: 'not usable yet' in router.output)
+    router.process.send_signal(signal.SIGHUP)
+    router.place_settings(router.settings())
+    await router.wait_event('started')
+    assert await router.stop() == 0
+
+
+async def test_start_ends_if_no_settings_come(router):
+    """Guards against a router that waits for ever without a sign."""
+    router.place_settings(b'node_name: n')
+    await router.start(COMMANDS['deploy file'])
+    assert await router.wait_exit() == 2
+    assert 'invalid settings' in router.output
