Keep exit code 0 when signals follow SIGTERM

Operators saw planned stops reported as ends by a signal: a second SIGTERM or a SIGHUP at the end of a stop gave exit code -15, -1 or 255.

Cause: closing the event loop restores the defaults of the signals that it handled, so the time from then to the end of the interpreter had none. The thread of the log, if its reader is slow, would receive what the main thread blocks.

Change: both router programs block the three signals while the loop is closed and ignore them after it; the thread of the log blocks them from its start.

--- a/src/basilpond/node/_decision_log.py
+++ b/src/basilpond/node/_decision_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import threading
 import time
 from typing import Any
@@ -15,6 +16,9 @@
 _ROUTINE_LINES_PER_S = 150
 # Lines buffered for a slow reader of standard output: five full seconds.
 _MAX_WAITING_LINES = 5 * LINES_PER_S
+# Signals that the main thread blocks while the process ends. Another thread
+# would receive them then.
+_BLOCKED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 # Routine lines are written in batches of this size, to save wake-ups.
 _FLUSH_LINES = 32
 
@@ -123,6 +127,7 @@
             self.event('log_lines_dropped', lines=dropped)
 
     def _write_lines(self) -> None:
+        signal.pthread_sigmask(signal.SIG_BLOCK, _BLOCKED_SIGNALS)
         while True:
             with self._ready:
                 self._ready.wait_for(
--- a/src/basilpond/programs/_platform_service.py
+++ b/src/basilpond/programs/_platform_service.py
@@ -47,7 +47,7 @@
     decisions = DecisionLog(settings.node_id)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _process.STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     node = Node(
         settings,
@@ -73,7 +73,7 @@
         Settings file.
     """
     try:
-        asyncio.run(_serve(path))
+        _process.run(_serve(path))
     except SettingsError as error:
         _process.write_error(f'invalid settings: {error}')
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
--- a/src/basilpond/programs/_router_service.py
+++ b/src/basilpond/programs/_router_service.py
@@ -7,7 +7,6 @@
 import contextlib
 import gc
 from pathlib import Path
-import signal
 import sys
 
 from absl import logging
@@ -18,6 +17,7 @@
 from ..tasks import Router
 from ..telemetry import install_json_logs
 from ..telemetry import start_traces
+from . import _process
 
 LOG_LEVELS = {
     'debug': logging.DEBUG,
@@ -46,7 +46,7 @@
 async def _serve(settings: RouterSettings) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _process.STOP_SIGNALS:
         loop.add_signal_handler(number, stop.set)
     router = Router(settings)
     await router.start()
@@ -75,4 +75,4 @@
     with contextlib.ExitStack() as stack:
         if loaded.telemetry.traces:
             stack.callback(_start_traces(loaded.router.id))
-        asyncio.run(_serve(loaded))
+        _process.run(_serve(loaded))
--- a/src/basilpond/programs/tests/router_process.py
+++ b/src/basilpond/programs/tests/router_process.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 import random
 import signal
+import socket
 import sys
 import sysconfig
 import time
@@ -182,6 +183,13 @@
 
         return wait_read
 
+    def accepts_callers(self):
+        """Return whether the router listens for callers."""
+        with contextlib.suppress(OSError):
+            socket.create_connection((self._host, self._ports[0])).close()
+            return True
+        return False
+
     async def wait_event(self, name, **fields):
         """Wait for an event with given fields."""
         return await self.wait_for(
