Open standard streams that are closed at the start of a router

Callers could have received log lines: a router started with a closed standard output gave descriptor 1 to the first file that it opened, and the log writes there.

Cause: neither the interpreter nor the programs open closed standard streams.

Change: both programs open /dev/null in place of closed streams before they open anything else. Errors that have no stream are dropped.

--- a/src/basilpond/programs/_platform_service.py
+++ b/src/basilpond/programs/_platform_service.py
@@ -72,6 +72,7 @@
     path : Path
         Settings file.
     """
+    _process.open_standard_streams()
     try:
         _process.run(_serve(path))
     except SettingsError as error:
--- a/src/basilpond/programs/_process.py
+++ b/src/basilpond/programs/_process.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
+import os
 import signal
 import sys
 from typing import Any
@@ -13,13 +14,17 @@
 _ALL_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
 
-def ignore_hangup() -> None:
-    """Ignore SIGHUP until the router has been imported.
+def open_standard_streams() -> None:
+    """Open standard streams that are closed.
 
-    The default ends the process, and the import takes 0.3 s, or longer on a
-    share of a core. No change is lost: the settings are read after it.
+    A socket would take the place of descriptor 1, which log lines go to.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    for descriptor in range(3):
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The lowest free descriptor is used, which is this one.
+            os.open(os.devnull, os.O_RDWR)
 
 
 def run(main: Coroutine[Any, Any, None]) -> None:
@@ -39,5 +44,6 @@
 
 def write_error(text: str) -> None:
     """Write a line to standard error, unless its reader has closed it."""
-    with contextlib.suppress(OSError):
+    # The stream is None if its descriptor was closed at the start.
+    with contextlib.suppress(OSError, AttributeError):
         sys.stderr.write(f'{text}\n')
--- a/src/basilpond/programs/_router_service.py
+++ b/src/basilpond/programs/_router_service.py
@@ -70,6 +70,7 @@
     settings : Path
         TOML settings file.
     """
+    _process.open_standard_streams()
     loaded = load_settings_or_exit(settings, RouterSettings)
     install_json_logs(level=LOG_LEVELS[loaded.telemetry.log_level])
     with contextlib.ExitStack() as stack:
--- a/src/basilpond/programs/platform_router.py
+++ b/src/basilpond/programs/platform_router.py
@@ -5,14 +5,14 @@
 import os
 from pathlib import Path
 
-from . import _process
+from ._hangup import ignore_hangup
 
 SETTINGS_VARIABLE = 'BASILPOND_SETTINGS'
 
 
 def main() -> None:
     """Read the settings and serve until SIGTERM."""
-    _process.ignore_hangup()
+    ignore_hangup()
     from . import _platform_service
 
     _platform_service.run(Path(os.environ.get(SETTINGS_VARIABLE, '')))
--- a/src/basilpond/programs/router.py
+++ b/src/basilpond/programs/router.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from . import _process
+from ._hangup import ignore_hangup
 
 
 def main() -> None:
     """Parse arguments and run."""
-    _process.ignore_hangup()
+    ignore_hangup()
     import defopt
 
     from . import _router_service
