Stop the processes of a demo when its terminal closes

Cause: routers ignore SIGHUP, so those of a demo would go on after the terminal that ended the demo. SIGTERM of `demo run` left its processes as well.

Change: both commands stop their fleet on SIGHUP and SIGTERM.

--- a/src/basilpond_testkit/demo.py
+++ b/src/basilpond_testkit/demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import pathlib
 import signal
@@ -102,7 +103,20 @@
     await fleet.top_up(_fleet.EXHAUSTED, _fleet.TOP_UP_TOKENS)
 
 
+def _handle_signals(
+    callback: Callable[[], object], *numbers: signal.Signals
+) -> None:
+    # Routers ignore the SIGHUP of a terminal that closes, so they would
+    # outlive a demo that it ends.
+    loop = asyncio.get_running_loop()
+    for number in numbers:
+        loop.add_signal_handler(number, callback)
+
+
 async def _run(folder: pathlib.Path) -> audit.Report:
+    task = asyncio.current_task()
+    assert task is not None
+    _handle_signals(task.cancel, signal.SIGTERM, signal.SIGHUP)
     async with _session() as session:
         fleet = _fleet.Fleet(folder, session)
         try:
@@ -158,7 +172,11 @@
             folder = stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder)
         path.mkdir(parents=True, exist_ok=True)
-        report = asyncio.run(_run(path))
+        try:
+            report = asyncio.run(_run(path))
+        except asyncio.CancelledError:
+            logging.error('stopped by a signal')
+            raise SystemExit(1) from None
     for line in report.found:
         logging.warning('%s', line)
     values = msgspec.to_builtins(report)
@@ -172,9 +190,7 @@
 
 async def _up(folder: pathlib.Path) -> None:
     stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    _handle_signals(stop.set, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     async with _session() as session:
         fleet = _fleet.Fleet(folder, session)
         try:
