Change settings files at random moments of starts in the soak

Change: three changes of the file, each with SIGHUP, within 0.8 s of every start, also of those after a kill, in half of them by writing the file in place; at the end the settings in force are compared with the file. The signal is sent once the process handles it, since the start of the interpreter cannot.

--- a/src/basilpond_testkit/soak/_routers.py
+++ b/src/basilpond_testkit/soak/_routers.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import pathlib
+import random
 import signal
 import sys
 
+import xxhash
 import yaml
 
 from .. import platform_stand_in
@@ -26,6 +29,14 @@
 _LIMITS = {'memory_mb': 160, 'max_fds': 1638, 'link_mbps': 100}
 # Guards against a hang on a slow machine; a router ends within 8 s.
 _TIMEOUT_S = 60.0
+# Changes of the settings file after each start, and the time within which
+# they come; a start takes 0.3 s and more.
+_CHANGES = 3
+_CHANGES_S = 0.8
+_POLL_INTERVAL_S = 0.002
+_SETTINGS_POLL_INTERVAL_S = 0.1
+# Log lines with the digest of the settings in force.
+_SETTINGS_EVENTS = {'started': 'settings', 'settings_reloaded': 'digest'}
 
 BOUNDS = _checks.Bounds(
     evacuate_s=_BOUNDS['evacuate_ms'] / 1000,
@@ -47,7 +58,9 @@
         store_port: int,
         folder: pathlib.Path,
         evidence: Evidence,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self.name = name
         self.host = host
         self.url = f'http://{host}:{CALLERS_PORT}'
@@ -76,6 +89,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self._is_ending = False
         self._watch: asyncio.Task[None] | None = None
+        self._changes: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start a process."""
@@ -93,6 +107,71 @@
                 stderr=output,
             )
         self._watch = asyncio.create_task(self._wait(self.process))
+        self._changes = asyncio.create_task(self._change_settings())
+
+    async def _change_settings(self) -> None:
+        """Change the settings file at random moments of a start."""
+        process = self.process
+        delays_s = sorted(
+            self._rng.uniform(0, _CHANGES_S) for _ in range(_CHANGES)
+        )
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        for delay_s in delays_s:
+            await asyncio.sleep(started_s + delay_s - loop.time())
+            self._settings['seeds'] = [f'127.0.0.1:{self._rng.randrange(99)}']
+            text = yaml.safe_dump(self._settings)
+            if self._rng.random() < 0.5:
+                new = self._path.with_suffix('.new')
+                new.write_text(text, encoding='utf-8')
+                new.replace(self._path)
+            else:
+                # A reader may find it empty.
+                self._path.write_text(text, encoding='utf-8')
+            await self._wait_until_hangup_is_handled()
+            if process is self.process:
+                self.signal(signal.SIGHUP)
+
+    async def _wait_until_hangup_is_handled(self) -> None:
+        # The start of the interpreter has the default, which ends it.
+        process = self.process
+        while process is self.process and not self._handles_hangup():  # noqa: ASYNC110
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
+    def _handles_hangup(self) -> bool:
+        if self.process is None:
+            return False
+        try:
+            path = pathlib.Path(f'/proc/{self.process.pid}/status')
+            lines = path.read_text().splitlines()
+        except OSError:
+            return False
+        masks = dict(line.split(':', 1) for line in lines)
+        mask = 0
+        for name in ('SigIgn', 'SigCgt'):
+            mask |= int(masks.get(name, '0'), 16)
+        return bool(mask >> (signal.SIGHUP - 1) & 1)
+
+    async def check_settings(self) -> None:
+        """Record a router that has other settings than its file."""
+        expected = xxhash.xxh3_64_hexdigest(self._path.read_bytes())
+        end_s = asyncio.get_running_loop().time() + _TIMEOUT_S
+        while (found := self._settings_in_force()) != expected:
+            if asyncio.get_running_loop().time() > end_s:
+                self._evidence.ends.append(
+                    f'{self.name} has settings {found}, file {expected}'
+                )
+                return
+            await asyncio.sleep(_SETTINGS_POLL_INTERVAL_S)
+
+    def _settings_in_force(self) -> str | None:
+        digest = None
+        for line in self._output.read_text(errors='replace').splitlines():
+            with contextlib.suppress(ValueError):
+                event = json.loads(line)
+                if field := _SETTINGS_EVENTS.get(event['event']):
+                    digest = event.get(field)
+        return digest
 
     async def _wait(self, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
@@ -131,6 +210,8 @@
         if self.process is None or self._watch is None:
             return
         self._is_ending = True
+        if self._changes is not None:
+            self._changes.cancel()
         self.signal(number)
         done, _ = await asyncio.wait([self._watch], timeout=_TIMEOUT_S)
         if not done:
--- a/src/basilpond_testkit/soak/_run.py
+++ b/src/basilpond_testkit/soak/_run.py
@@ -35,7 +35,7 @@
     keep_going: bool = False,
 ) -> tuple[list[str], str]:
     """Run a soak; return lines on the violations, and a summary."""
-    system = System(routers, folder)
+    system = System(routers, folder, seed)
     evidence = system.evidence
     try:
         await system.start()
@@ -56,6 +56,7 @@
         await asyncio.gather(*tasks, *steady, return_exceptions=True)
         if keep_going or not find_violations(evidence, BOUNDS):
             await callers.ask_all()
+            await system.check_settings()
         await callers.stop()
     finally:
         await system.stop()
--- a/src/basilpond_testkit/soak/_system.py
+++ b/src/basilpond_testkit/soak/_system.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import signal
 
 from ..misbehaving_clients import BODY_BYTES
@@ -44,9 +45,12 @@
     routers : int
     folder : pathlib.Path
         For settings and output of the routers.
+    seed : int
+        Draws the changes of settings files.
     """
 
-    def __init__(self, routers: int, folder: pathlib.Path) -> None:
+    def __init__(self, routers: int, folder: pathlib.Path, seed: int) -> None:
+        self._seed = seed
         self.evidence = Evidence()
         self.log = _stand_ins.SoakLog()
         self.routers: dict[str, RouterProcess] = {}
@@ -82,6 +86,7 @@
                 self.log.port,
                 self._folder,
                 self.evidence,
+                random.Random(f'settings of router {i}, seed {self._seed}'),
             )
             await self.routers[f'r{i}'].start()
         self._tasks = [
@@ -89,6 +94,12 @@
             for task in (self._ticks.run(), self._sample())
         ]
 
+    async def check_settings(self) -> None:
+        """Check that each router has the settings of its file."""
+        await asyncio.gather(
+            *(router.check_settings() for router in self.routers.values())
+        )
+
     async def stop(self) -> None:
         """End all processes and tasks."""
         await asyncio.gather(
