Refuse responses with odd heads on the other stack, too

Callers of services got bodies with their transfer coding still applied as complete, as aiohttp removes chunks wherever the word is and ignores other codings.

Cause: aiohttp does not check transfer codings, and takes any version.

Its statuses were refused already.

Change: the response checks its head with find_problem, as the other client does.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -22,6 +22,7 @@
 from ._responder import Handler
 from ._responder import Responder
 from ._response_head import ResponseHead
+from ._response_head import find_problem
 from ._server import CallerServer
 
 __all__ = [
@@ -48,4 +49,5 @@
     'end_to_end_fields',
     'find',
     'find_all',
+    'find_problem',
 ]
--- a/src/basilpond/tasks/endpoints/_endpoint_response.py
+++ b/src/basilpond/tasks/endpoints/_endpoint_response.py
@@ -6,20 +6,38 @@
 
 import aiohttp
 
+from ...http1 import ResponseHead
+from ...http1 import find_problem
+
 
 class EndpointResponse(aiohttp.ClientResponse):
     """Response that distinguishes a close from a reset.
 
     A body without a length or chunks ends with its connection. aiohttp takes
-    it as whole, also if the connection was reset within it.
+    it as whole, also if the connection was reset within it. It also passes on
+    bodies with transfer codings that no request asked for.
     """
 
     _peer: Any = None
 
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
-        """Receive the head, and record the protocol of the connection."""
+        """Receive the head, and record the protocol of the connection.
+
+        Raises
+        ------
+        aiohttp.ClientPayloadError
+            HTTP/1.1 does not allow the head.
+        """
         self._peer = connection.protocol
-        return await super().start(connection)
+        await super().start(connection)
+        headers = [(name.lower(), value) for name, value in self.raw_headers]
+        problem = find_problem(
+            ResponseHead(self.status, headers),
+            f'{self.version.major}.{self.version.minor}',
+        )
+        if problem is not None:
+            raise aiohttp.ClientPayloadError(problem)
+        return self
 
     @property
     def was_reset(self) -> bool:
@@ -32,8 +50,7 @@
 
     @property
     def _ends_with_connection(self) -> bool:
-        coding = self.headers.get('Transfer-Encoding', '')
         return (
             'Content-Length' not in self.headers
-            and 'chunked' not in coding.lower()
+            and 'Transfer-Encoding' not in self.headers
         )
