Hold back the end of a response whose request is still being sent

Callers got part of a body as a complete answer: a server that answered a long upload without a length, closed its sending side and reset the connection 0.1 s later. Sound servers that close their sending side first and read on lost the rest of the request.

Cause: PeerConnection took the end of the connection for the end of the body, whatever had come of the request, and the event loop then closed the socket. A reset that follows the end is read as an end, too (the socket has an error then).

Change: where bytes of the request are unsent or unacknowledged at the end of such a response, the connection stays open until the peer has taken them all and has not reset it for 0.5 s. A reset meanwhile makes the response broken: the request may have run. An end after the request was taken is complete at once, as before.

A reset that follows the end of a request that the peer's kernel had already taken is not seen; HTTP ends such a response with the close (RFC 9112, section 8), and waiting would delay every such answer.

--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -12,9 +12,11 @@
 import httptools
 
 from . import _fields
+from ._early_end import EarlyEnd
 from ._received import RECEIVED
 from ._response_head import ResponseHead
 from ._response_head import find_problem
+from ._socket_bytes import has_failed
 from ._socket_bytes import has_unread_input
 from ._socket_bytes import unsent_bytes
 
@@ -117,6 +119,7 @@
         self._mismatched_responses = 0
         self._skipping = False
         self._until_close = False
+        self._early_end: EarlyEnd | None = None
         self._reusable = True
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since_s = self._loop.time()
@@ -189,14 +192,45 @@
             )
 
     def eof_received(self) -> bool:
-        """Complete a response that is delimited by the connection close."""
-        if self._until_close and self._head is not None and not self._skipping:
-            self._complete = True
-            self._notify_waiter()
-        return False
+        """End a response that is delimited by the connection close.
+
+        Returns
+        -------
+        bool
+            Whether the connection stays open for the rest of the request.
+        """
+        if (
+            not self._until_close
+            or self._head is None
+            or self._skipping
+            or self._ended()
+        ):
+            return False
+        assert self._transport is not None
+        if has_failed(self._transport):
+            self._end_with_connection(is_whole=False)
+            return False
+        if not unsent_bytes(self._transport):
+            self._end_with_connection(is_whole=True)
+            return False
+        self._early_end = EarlyEnd(
+            self._transport,
+            lambda is_whole: self._end_with_connection(is_whole=is_whole),
+        )
+        return True
+
+    def _end_with_connection(self, *, is_whole: bool) -> None:
+        if not is_whole:
+            self._fail(
+                ExchangeFailure.BROKEN, 'reset after the end of the response'
+            )
+            return
+        self._complete = True
+        self._notify_waiter()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail an exchange that is still in progress."""
+        self._stop_end_check()
         self._closed = True
         self._reusable = False
         if self._active and not self._complete:
@@ -472,6 +506,7 @@
         partition reached its endpoint 5 s after its caller was answered 504.
         """
         self._reusable = False
+        self._stop_end_check()
         if self._transport is None:
             return
         sock = self._transport.get_extra_info('socket')
@@ -481,6 +516,11 @@
             )
         self._transport.abort()
 
+    def _stop_end_check(self) -> None:
+        if self._early_end is not None:
+            self._early_end.cancel()
+            self._early_end = None
+
     def _skip_mismatched(self, until_close: bool) -> None:
         self._reusable = False
         self._skipping = True
--- a/src/basilpond/http1/_socket_bytes.py
+++ b/src/basilpond/http1/_socket_bytes.py
@@ -35,3 +35,16 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN)
     return bool(poll.poll(0))
+
+
+def has_failed(transport: asyncio.Transport) -> bool:
+    """Whether the connection was reset or timed out.
+
+    An end of the peer's sending side is read before a reset that follows it.
+    """
+    sock = transport.get_extra_info('socket')
+    if sock is None or sock.fileno() == -1:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), 0)
+    return any(events & select.POLLERR for _, events in poll.poll(0))
--- a/src/basilpond/node/tests/cutting_endpoints.py
+++ b/src/basilpond/node/tests/cutting_endpoints.py
@@ -22,8 +22,9 @@
     ----------
     plan : list of (bytes, str or None)
         Response, `%s` is the id of the request, and end of the connection; no
-        end keeps the connection. The last one is for all further requests.
-        Endpoints may share a plan.
+        end keeps the connection. An 'early reset' comes after an end of the
+        sending side, and neither waits for the body of the request. The last
+        one is for all further requests. Endpoints may share a plan.
     """
 
     def __init__(self, plan):
@@ -59,10 +60,12 @@
                     line.lower().split(b': ', 1)
                     for line in head.split(b'\r\n')[1:-2]
                 )
-                await reader.readexactly(int(fields.get(b'content-length', 0)))
-                self.targets.append(head.split(b' ', 2)[1].decode())
                 response, end = self._plan[0]
                 del self._plan[: len(self._plan) > 1]
+                if end != 'early reset':
+                    size = int(fields.get(b'content-length', 0))
+                    await reader.readexactly(size)
+                self.targets.append(head.split(b' ', 2)[1].decode())
                 request_id = fields[b'x-request-id']
                 await self._send(writer, response.replace(b'%s', request_id))
                 if end is not None:
@@ -78,7 +81,10 @@
     async def _end(self, writer, end):
         # The router reads what was sent before the end arrives.
         await asyncio.sleep(0.02)
-        if end == 'reset':
+        if end == 'early reset':
+            writer.write_eof()
+            await asyncio.sleep(0.1)
+        if end.endswith('reset'):
             linger = struct.pack('ii', 1, 0)
             sock = writer.get_extra_info('socket')
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
