Hold back early ends on the other stack, too

Cause: aiohttp takes the end of the connection for the end of the body, and the transport is closed as soon as asyncio has handed the request to the kernel.

Change: EndWatch between the transport and aiohttp's protocol passes an end on once the service has taken the request, and an end that a reset follows as a reset. Chat responses and streams need their last event or whole JSON anyway.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -4,6 +4,7 @@
 from ._client import ExchangeError
 from ._client import ExchangeFailure
 from ._client import PeerConnection
+from ._early_end import EarlyEnd
 from ._events import EventSplitter
 from ._fields import Header
 from ._fields import encode_fields
@@ -24,6 +25,8 @@
 from ._response_head import ResponseHead
 from ._response_head import find_problem
 from ._server import CallerServer
+from ._socket_bytes import has_failed
+from ._socket_bytes import unsent_bytes
 
 __all__ = [
     'Account',
@@ -35,6 +38,7 @@
     'ConnectionLimits',
     'ConnectionPool',
     'DescriptorBudget',
+    'EarlyEnd',
     'EventSplitter',
     'ExchangeError',
     'ExchangeFailure',
@@ -50,4 +54,6 @@
     'find',
     'find_all',
     'find_problem',
+    'has_failed',
+    'unsent_bytes',
 ]
--- a/src/basilpond/tasks/endpoints/_endpoint_response.py
+++ b/src/basilpond/tasks/endpoints/_endpoint_response.py
@@ -8,6 +8,7 @@
 
 from ...http1 import ResponseHead
 from ...http1 import find_problem
+from ._end_watch import EndWatch
 
 
 class EndpointResponse(aiohttp.ClientResponse):
@@ -37,6 +38,9 @@
         )
         if problem is not None:
             raise aiohttp.ClientPayloadError(problem)
+        # The transport is None if the connection has ended already.
+        if self._ends_with_connection and connection.transport is not None:
+            EndWatch(connection.transport, connection.protocol)
         return self
 
     @property
