Refuse prompts whose parts exceed their token count

Callers got 500 for ordinary prompts while another caller's prompt had more tokens in its parts than it stated.

Cause: with its parts cached, such a prompt has a negative prefill cost. It stays in the sum for the endpoint, and record_prefill takes a logarithm of that sum when the first event of any other prompt arrives.

Evidence: test_prompt_with_contradictory_counts_fails_no_other sends both kinds to one router; 500 beside 200 before. The property test of an endpoint's load found a cost of -1.000011 for no token of which one is cached.

Change: 400 at the edge, naming both fields; the cost of a prompt is never negative, wherever its counts come from; a sum without a positive value is not observed.

--- a/src/basilpond/platform/_messages.py
+++ b/src/basilpond/platform/_messages.py
@@ -61,14 +61,22 @@
     try:
         deadline = find(headers, b'x-deadline-ms')
         hint = find(headers, b'x-length-hint')
-        prompt, output = _decode_token_count(find(headers, b'x-token-count'))
+        counts = find(headers, b'x-token-count')
+        prompt, output = _decode_token_count(counts)
+        parts = tuple(_decode_parts(find(headers, b'x-prompt-prefix')))
+        part_tokens = sum(part.tokens for part in parts)
+        if counts is not None and part_tokens > prompt:
+            raise ValueError(
+                f'X-Prompt-Prefix has {part_tokens} tokens, more than the'
+                f' {prompt} of X-Token-Count'
+            )
         return RequestMetadata(
             request_id=ids[0],
             deadline_s=None if deadline is None else _decode_ms(deadline),
             key=_decode_api_key(find(headers, b'authorization')),
             prompt_tokens=prompt,
             max_output_tokens=output,
-            parts=tuple(_decode_parts(find(headers, b'x-prompt-prefix'))),
+            parts=parts,
             expected_output_tokens=None
             if hint is None
             else _decode_whole(hint, _MAX_TOKENS),
--- a/src/basilpond/platform/tests/test_odd_fields.py
+++ b/src/basilpond/platform/tests/test_odd_fields.py
@@ -63,6 +63,16 @@
     prompt_prefixes(metadata.parts)
 
 
+def test_error_of_contradictory_counts_names_the_fields():
+    """Guards against a refusal that a caller cannot explain."""
+    parts = (b'x-prompt-prefix', b'1:6,2:5')
+    headers = [(b'x-request-id', b'7'), parts]
+    # The count is optional.
+    assert len(decode_request_metadata(headers).parts) == 2
+    with pytest.raises(RequestMetadataError, match='X-Prompt-Prefix.*Count'):
+        decode_request_metadata([*headers, (b'x-token-count', b'10,1')])
+
+
 @pytest.mark.parametrize('value', NUMBERS)
 def test_limit_that_is_none_reaches_other_routers(value):
     """Guards against one server that ends all tasks that report its limit."""
@@ -96,6 +106,8 @@
         (b'X-Token-Count: 10,1\r\nX-Prompt-Prefix: -1:10\r\n', 400),
         (b'X-Token-Count: 10,1\r\nX-Prompt-Prefix: %x:10\r\n' % 2**70, 400),
         (b'X-Token-Count: 10,1\r\nX-Prompt-Prefix: 1:-10\r\n', 400),
+        (b'X-Token-Count: 10,1\r\nX-Prompt-Prefix: 1:6,2:5\r\n', 400),
+        (b'X-Token-Count: 0,1\r\nX-Prompt-Prefix: 1:1\r\n', 400),
         (b'X-Length-Hint: %d\r\n' % 2**70 + PROMPT, 400),
     ],
 )
@@ -112,3 +124,20 @@
         reply = Reply(await asyncio.wait_for(reader.read(), 5.0))
         writer.close()
     assert reply.status == status
+
+
+async def test_prompt_with_contradictory_counts_fails_no_other():
+    """Guards against one caller's counts that fail all prompts (500)."""
+    fields = [
+        ('X-Token-Count', '100,8'),
+        ('X-Prompt-Prefix', '1:90000,2:90000,3:10'),
+    ]
+    async with world(apps=1, models=1) as system:
+        # Its parts are cached when the second one is placed.
+        await system.prompt(headers=fields)
+        odd, *others = await asyncio.gather(
+            system.prompt(headers=fields),
+            *(system.prompt() for _ in range(8)),
+        )
+    assert {reply.status for reply in others} == {200}
+    assert odd.status == 400
--- a/src/basilpond/routing/placement/_endpoint_load.py
+++ b/src/basilpond/routing/placement/_endpoint_load.py
@@ -62,13 +62,15 @@
     tokens : int
         Length of the prompt.
     cached_tokens : int
-        Length of its prefix that the endpoint has cached.
+        Length of its prefix that the endpoint has cached. More than the length
+        of the prompt counts as all of it.
 
     Returns
     -------
     float
-        In units of one token of a short prompt.
+        In units of one token of a short prompt; not negative.
     """
+    cached_tokens = min(cached_tokens, tokens)
     linear = tokens - cached_tokens
     pairs = tokens * tokens - cached_tokens * cached_tokens
     return linear + PAIR_WEIGHT * pairs
--- a/src/basilpond/routing/placement/_endpoint_speed.py
+++ b/src/basilpond/routing/placement/_endpoint_speed.py
@@ -327,6 +327,9 @@
         speed = self._speeds.get(incarnation)
         if speed is None or cost <= 0 or took_s <= 0:
             return
+        if cost + before <= 0:
+            # Sums of very large costs round small ones away.
+            return
         # The base time may be shorter than assumed.
         prefill_s = max(took_s - BASE_FIRST_TOKEN_S, took_s / 2)
         level = math.log2((cost + before) / prefill_s)
--- a/src/basilpond/routing/placement/tests/test_endpoint_speed.py
+++ b/src/basilpond/routing/placement/tests/test_endpoint_speed.py
@@ -1,3 +1,5 @@
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from basilpond.routing import Endpoint
@@ -5,6 +7,7 @@
 from basilpond.routing import EndpointSpeeds
 from basilpond.routing import PeerReport
 from basilpond.routing import SpeedReport
+from basilpond.routing import prefill_cost
 
 DEFAULT = 65_000.0
 COST = 8_000.0
@@ -171,3 +174,33 @@
     assert load.forecast_s(0, 0.0) < 0.01
     load.apply_report('r', PeerReport(5, 3 * DEFAULT, 0.0))
     assert load.forecast_s(0, 0.0) > 2.0
+
+
+_TOKENS = st.one_of(st.integers(0, 100), st.integers(0, 10**8))
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(_TOKENS, _TOKENS, st.booleans()), min_size=1, max_size=8
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_any_prompts_leave_the_load_of_an_endpoint_finite(prompts, rng):
+    """Guards against one prompt's bookkeeping that fails another's."""
+    load = make_load(make_speeds())
+    sent = []
+    now_s = 0.0
+    for tokens, cached_tokens, begins in prompts:
+        cost = prefill_cost(tokens, cached_tokens)
+        assert cost >= 0
+        sent.append((load.add_request(cost, now_s), begins))
+    rng.shuffle(sent)
+    for in_flight, begins in sent:
+        now_s += rng.choice([1e-4, 0.05, 30.0])
+        if begins:
+            load.record_first_byte(in_flight, now_s)
+        load.remove_request(in_flight)
+        # Less than a token is lost to rounding.
+        assert load.prefill_cost > -1
+    assert 0 < load.tokens_per_s(now_s) < float('inf')
+    assert load.forecast_s(COST, now_s) > 0
