Share the set-up of router processes

Cause: both programs had their own copy of the settings of garbage collection, and one wrote an error to a standard error that may be closed.

Change: tune_garbage_collector and write_error of programs/_process in both.

--- a/src/basilpond/programs/_platform_service.py
+++ b/src/basilpond/programs/_platform_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 from pathlib import Path
 import signal
 
@@ -21,9 +20,6 @@
 # the platform may be placing them. It places a small file.
 SETTINGS_WAIT_S = 2.0
 _SETTINGS_POLL_INTERVAL_S = 0.05
-# Net allocations of container objects that trigger a collection of the
-# youngest generation; a request allocates a few hundred.
-GC_THRESHOLD = 20_000
 
 
 async def _wait_for_settings(path: Path) -> NodeSettings:
@@ -58,9 +54,7 @@
     loop.add_signal_handler(signal.SIGHUP, node.request_reload)
     await node.start()
     node.watch_settings(path, load_settings)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
+    _process.tune_garbage_collector()
     await node.run_until(stop)
 
 
--- a/src/basilpond/programs/_process.py
+++ b/src/basilpond/programs/_process.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
+import gc
 import os
 import signal
 import sys
@@ -12,6 +13,10 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _ALL_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
+# Net allocations of container objects that trigger a collection of the
+# youngest generation. A request allocates a few hundred; stream frames leave
+# none behind.
+_GC_THRESHOLD = 20_000
 
 
 def open_standard_streams() -> None:
@@ -42,6 +47,14 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+def tune_garbage_collector() -> None:
+    """Reduce the time spent on cyclic garbage collection."""
+    gc.collect()
+    # Modules and the router's tasks live as long as the process does.
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
+
+
 def write_error(text: str) -> None:
     """Write a line to standard error, unless its reader has closed it."""
     # The stream is None if its descriptor was closed at the start.
--- a/src/basilpond/programs/_router_service.py
+++ b/src/basilpond/programs/_router_service.py
@@ -5,9 +5,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
-import gc
 from pathlib import Path
-import sys
 
 from absl import logging
 
@@ -26,19 +24,14 @@
     'error': logging.ERROR,
 }
 
-# Net allocations of container objects that trigger a collection of the
-# youngest generation. A request allocates a few hundred; stream frames leave
-# none behind.
-GC_THRESHOLD = 20_000
-
 
 def _start_traces(router_id: str) -> Callable[[], None]:
     try:
         return start_traces(router_id)
     except ImportError:
-        sys.stderr.write(
+        _process.write_error(
             '6003 settings_invalid: telemetry.traces: value True; allowed: '
-            'false, unless the extra basilpond[traces] is installed\n'
+            'false, unless the extra basilpond[traces] is installed'
         )
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
 
@@ -50,18 +43,10 @@
         loop.add_signal_handler(number, stop.set)
     router = Router(settings)
     await router.start()
-    _tune_garbage_collector()
+    _process.tune_garbage_collector()
     await router.run_until(stop)
 
 
-def _tune_garbage_collector() -> None:
-    """Reduce the time spent on cyclic garbage collection."""
-    gc.collect()
-    # Modules and the router's tasks live as long as the process does.
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-
-
 def run(*, settings: Path) -> None:
     """Run a router until SIGTERM, then stop gracefully.
 
