Log what a refusal for want of a route rests on

Cause: the log line of a 404 names only the version in force, which does not tell a router without a route from one that has not read it yet.

Change: lines of 401, 402 and 404 also name the newest version that other routers report, whether the log is known to hold records that are not applied, and the age of the last complete read. No decision changes.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -34,6 +34,7 @@
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
 from ._cold_endpoints import ColdEndpointWatch
+from ._configuration_currency import ConfigurationCurrency
 from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
 from ._directory import ConfigurationState
@@ -85,6 +86,7 @@
     settings : NodeSettings
     codec : PlatformCodec
     configuration : ConfigurationState
+    currency : ConfigurationCurrency
     directory : EndpointDirectory
     budgets : BudgetTask
     peers : PeerTask
@@ -105,6 +107,7 @@
         settings: NodeSettings,
         codec: PlatformCodec,
         configuration: ConfigurationState,
+        currency: ConfigurationCurrency,
         directory: EndpointDirectory,
         budgets: BudgetTask,
         peers: PeerTask,
@@ -122,6 +125,7 @@
         self._settings = settings
         self._codec = codec
         self._configuration = configuration
+        self._currency = currency
         self._directory = directory
         self._budgets = budgets
         self._peers = peers
@@ -292,7 +296,11 @@
             raise RefusedError(503, 'no configuration yet', _STARTING_RETRY_S)
         route = find_route(catalogue, request.target, request.headers)
         if route is None:
-            raise RefusedError(404, f'no route in version {catalogue.version}')
+            raise RefusedError(
+                404,
+                f'no route in version {catalogue.version}',
+                **self._currency.inputs(),
+            )
         organisation = self._authenticate(catalogue, route, metadata)
         service = choose_service(route, self._rng.random())
         if service is None:
@@ -320,7 +328,9 @@
             return organisation
         if organisation is None:
             raise RefusedError(
-                401, f'unknown key in version {catalogue.version}'
+                401,
+                f'unknown key in version {catalogue.version}',
+                **self._currency.inputs(),
             )
         return organisation
 
@@ -359,7 +369,10 @@
             self._metrics.count_grant(hold.name.lower())
         if hold is HoldRejection.EXHAUSTED:
             raise RefusedError(
-                402, hold.value, **self._budgets.rejection_inputs(name, tokens)
+                402,
+                hold.value,
+                **self._budgets.rejection_inputs(name, tokens),
+                **self._currency.inputs(),
             )
         if isinstance(hold, HoldRejection):
             raise RefusedError(
--- a/src/basilpond/node/_follower.py
+++ b/src/basilpond/node/_follower.py
@@ -97,6 +97,8 @@
         self._reachable: bool | None = None
         self._read_task: asyncio.Task[None] | None = None
         self._progress = ReadProgress()
+        # Offset after the last record of the era, as far as known.
+        self._log_end: int | None = None
         self._started_s = 0.0
         # Whether the current read replaces a cancelled one.
         self._restarted = False
@@ -107,6 +109,14 @@
         # Event loop time as of which all records have been read.
         self.current_as_of_s = float('-inf')
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the log is known to hold records that are not applied."""
+        end = self._progress.log_end
+        if end is None:
+            end = self._log_end
+        return end is not None and (self._offset is None or self._offset < end)
+
     def restart(self, sent_before_s: float) -> None:
         """Restart a read that was sent while the log was unavailable.
 
@@ -179,6 +189,8 @@
         assert this_task is not None
         loop = asyncio.get_running_loop()
         while True:
+            if self._progress.log_end is not None:
+                self._log_end = self._progress.log_end
             self._progress = ReadProgress()
             self._started_s = loop.time()
             self._read_task = asyncio.create_task(self._read())
@@ -282,10 +294,12 @@
                 )
             self._state.begin_era(page.era)
             self._era = page.era
+            self._log_end = None
         self._state.apply_newest(
             records, page.end, snapshot=page.end == first_end
         )
         self._offset = first_end
+        self._progress.log_end = page.end
         if page.end == first_end:
             self.current_as_of_s = self._started_s
         self.synced.set()
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -184,12 +184,21 @@
 
 
 class ReadProgress:
-    """Progress of the response to one read."""
+    """Progress of the response to one read.
 
-    __slots__ = ('received_bytes',)
+    Attributes
+    ----------
+    received_bytes : int
+    log_end : int or None
+        Offset after the last record of the topic; None until the response
+        has named it.
+    """
+
+    __slots__ = ('log_end', 'received_bytes')
 
     def __init__(self) -> None:
         self.received_bytes = 0
+        self.log_end: int | None = None
 
 
 class Log(Protocol):
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -30,6 +30,7 @@
 from ._budgets import BudgetTask
 from ._client_log import ClientLog
 from ._cold_endpoints import ColdEndpointWatch
+from ._configuration_currency import ConfigurationCurrency
 from ._configuration_fetcher import ConfigurationFetcher
 from ._crash_log import CrashLog
 from ._decision_log import DecisionLog
@@ -228,10 +229,12 @@
             random.Random(),
             settings.link_bytes_per_s,
         )
+        currency = ConfigurationCurrency(self.configuration, self.peers)
         self.dispatcher = Dispatcher(
             settings,
             codec,
             self.configuration,
+            currency,
             self.directory,
             self.budgets,
             self.peers,
@@ -289,6 +292,8 @@
             self._metrics,
         )
         evacuations.read_ahead = operator.read_ahead
+        currency.has_unread = lambda: operator.has_unread
+        currency.current_as_of_s = lambda: operator.current_as_of_s
         self.directory.is_stale = evacuations.is_stale
         self.directory.refresh = evacuations.refresh
         self._followers = operator, endpoints, fleet
--- a/src/basilpond/platform/_store.py
+++ b/src/basilpond/platform/_store.py
@@ -226,10 +226,11 @@
         max_end = None if max_records is None else offset + max_records
 
         def check(status: int, data: bytes) -> None:
-            if status != 200 or max_end is None:
+            if status != 200:
                 return
             end, _ = struct.unpack_from('>QQ', data)
-            if end > max_end:
+            progress.log_end = end
+            if max_end is not None and end > max_end:
                 raise LogReaderBehindError(
                     f'{topic}: offset {offset}, end {end}'
                 )
--- a/src/basilpond_testkit/slow_link_log.py
+++ b/src/basilpond_testkit/slow_link_log.py
@@ -90,6 +90,7 @@
             limit_s = sent_s + wait_s + _CALL_TIMEOUT_S
             await asyncio.sleep(limit_s - asyncio.get_running_loop().time())
             raise LogTimeoutError('timed out')
+        progress.log_end = len(log)
         if max_records is not None and len(log) > offset + max_records:
             raise LogReaderBehindError('records follow')
         records = [
