Show refusals by a version that is known to be superseded

Cause: callers of new routes get 404, those of new keys 401 and those of raised budgets 402 from routers that know a newer version: the log has named its end, or another router reports it. A router that has not reached the log for longer than a version takes to be in force refuses in the same way.

Change: tests over sockets, and a log stand-in that stops within a response.

--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -66,12 +66,14 @@
     """The platform's log; appends of producers go to partition 0.
 
     `mode` is `ok`, `silent` (no answer), `busy` (503), `lost` (executes and
-    does not answer) or `late` (executes when it is `ok` again).
+    does not answer) or `late` (executes when it is `ok` again). Responses with
+    records of `stalled_topics` stop after the end of the topic that they name.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.mode = 'ok'
+        self.stalled_topics: set[str] = set()
         self.contents = LogContents()
         self.topics = self.contents.topics
         self.first: dict[str, int] = {}
@@ -94,6 +96,11 @@
         """Forget all records but the newest of each key."""
         self.first[topic] = len(self.topics.get(topic, []))
 
+    def resume(self, topic: str) -> None:
+        """Send the records of a stalled topic."""
+        self.stalled_topics.discard(topic)
+        self._notify_readers()
+
     def recover(self) -> None:
         """Answer again, and execute what was late."""
         self.mode = 'ok'
@@ -130,6 +137,8 @@
         if name == 'log-append':
             self._respond(responder, *self._append(query, request.body))
         elif name == 'log-newest':
+            while query['topic'] in self.stalled_topics:
+                await self._changed.wait()
             self._respond(responder, 200, self._newest_page(query))
         else:
             await self._read(query, responder)
@@ -205,7 +214,15 @@
             for key, value in log[start:]
         )
         head = struct.pack('>QQ', len(log), 0)
-        responder.respond(200, [self._era_field()], head + records)
+        if not records or topic not in self.stalled_topics:
+            responder.respond(200, [self._era_field()], head + records)
+            return
+        responder.start_stream(200, [self._era_field()])
+        responder.send(head)
+        while topic in self.stalled_topics:
+            await self._changed.wait()
+        responder.send(records)
+        responder.end_stream()
 
     def _respond(self, responder: Responder, status: int, body: Any) -> None:
         fields = [(b'content-type', b'application/json'), self._era_field()]
