Refuse unknown routes with 503 while a newer version may allow them

Callers saw 404 for routes that every version in force allows, from routers on slow links after a cut.

Cause: a refusal for want of a route or key rests on the version that a router has, whatever it knows of newer ones. After the cut each router is told by the log at once that records are unread, and needs up to 1.8 s to transfer a version of 2,211 routes; the record shows more than 4 s. The class of fault: an absence in outdated state is stated as a fact. The same holds for unknown keys (401) and for budgets that a newer version raises (402).

Change: the version counts as superseded if the log has named an end beyond what is applied, or if a live router reports a newer one, and as possibly outdated if no read has reached the end of the log within config_apply_ms. A request that it does not allow waits up to 0.3 s, and a third of its time limit, for a version that is on its way, and is refused with 503 and Retry-After otherwise. 402 stands while the log cannot be read: the balance is the one that the router vouches for.

Tests of platform, routing and six modules of node pass.

--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -78,6 +78,8 @@
         self._decisions = decisions
         self._on_change = on_change
         self.catalogue: Catalogue | None = None
+        # Set, and replaced, when another version is in force.
+        self.changed = asyncio.Event()
         # Whether requests may be handled by the version in force.
         self.in_use = False
         # Encoded form of the version in force.
@@ -164,6 +166,8 @@
             problems=list(configuration.problems) or None,
         )
         self._on_change(self.catalogue)
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _note_read(self, source: str) -> None:
         if source == _STORE:
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -10,18 +10,15 @@
 from ..http1 import CallerRequest
 from ..http1 import Responder
 from ..routing import MAX_CONNECTS
-from ..routing import Catalogue
 from ..routing import Choice
 from ..routing import CrashCounter
 from ..routing import CrashingParts
 from ..routing import EndpointLimits
 from ..routing import EventTokens
 from ..routing import FleetRetryBudget
-from ..routing import Organisation
 from ..routing import QuietEndpoints
 from ..routing import Reachability
 from ..routing import RequestMetadata
-from ..routing import Route
 from ..routing import SendResult
 from ..routing import choose_endpoint
 from ..routing import choose_service
@@ -55,14 +52,12 @@
 from ._preview_choice import PreviewSources
 from ._request_context import RefusedError
 from ._request_context import RequestContext
+from ._route_lookup import RouteLookup
 from ._router_overload import RouterOverload
-from ._router_overload import find_route
 from ._send_outcome import SendOutcome
 from ._sending import Sender
 from ._stream_versions import StreamVersions
 
-# Time after which a router that has just started usually has a configuration.
-_STARTING_RETRY_S = 0.5
 # The caller's next attempt is routed to another router.
 _STOPPING_RETRY_S = 0.1
 # Time after which a service without endpoints may have an endpoint again.
@@ -124,8 +119,8 @@
     ) -> None:
         self._settings = settings
         self._codec = codec
-        self._configuration = configuration
         self._currency = currency
+        self._lookup = RouteLookup(configuration, currency)
         self._directory = directory
         self._budgets = budgets
         self._peers = peers
@@ -179,6 +174,7 @@
                 settings.node_id,
                 settings.data_centre,
                 configuration,
+                currency,
                 directory,
                 budgets,
                 limits,
@@ -260,7 +256,7 @@
                 metadata = self._codec.decode_request_metadata(request.headers)
             except RequestMetadataError as error:
                 raise RefusedError(400, str(error)) from error
-            context = self._admit(request, responder, metadata)
+            context = await self._admit(request, responder, metadata)
             context.limit_end(self._end_by_s)
             self._contexts.add(context)
             await self._serve(context)
@@ -283,7 +279,7 @@
                 self._overload.record_end(context)
                 self._record_end(context)
 
-    def _admit(
+    async def _admit(
         self,
         request: CallerRequest,
         responder: Responder,
@@ -291,17 +287,11 @@
     ) -> RequestContext:
         if self._refusing:
             raise _stop_refusal()
-        catalogue = self._configuration.serving
-        if catalogue is None:
-            raise RefusedError(503, 'no configuration yet', _STARTING_RETRY_S)
-        route = find_route(catalogue, request.target, request.headers)
-        if route is None:
-            raise RefusedError(
-                404,
-                f'no route in version {catalogue.version}',
-                **self._currency.inputs(),
-            )
-        organisation = self._authenticate(catalogue, route, metadata)
+        catalogue, route, organisation = await self._lookup.find(
+            request, metadata
+        )
+        if self._refusing:
+            raise _stop_refusal()
         service = choose_service(route, self._rng.random())
         if service is None:
             raise RefusedError(
@@ -320,20 +310,6 @@
         self._overload.admit(context)
         return context
 
-    def _authenticate(
-        self, catalogue: Catalogue, route: Route, metadata: RequestMetadata
-    ) -> Organisation | None:
-        organisation = catalogue.find_organisation(metadata.key)
-        if catalogue.organisations is None or route.public:
-            return organisation
-        if organisation is None:
-            raise RefusedError(
-                401,
-                f'unknown key in version {catalogue.version}',
-                **self._currency.inputs(),
-            )
-        return organisation
-
     async def _serve(self, context: RequestContext) -> None:
         loop = asyncio.get_running_loop()
         self._retry_budget(context.service).record_request(
@@ -368,11 +344,12 @@
         if isinstance(hold, HoldRejection):
             self._metrics.count_grant(hold.name.lower())
         if hold is HoldRejection.EXHAUSTED:
-            raise RefusedError(
+            # Without the log, the router vouches for the balance it knows.
+            raise self._currency.refusal(
                 402,
                 hold.value,
+                vouches_when_stale=True,
                 **self._budgets.rejection_inputs(name, tokens),
-                **self._currency.inputs(),
             )
         if isinstance(hold, HoldRejection):
             raise RefusedError(
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -31,6 +31,8 @@
         Time from SIGTERM until the process is killed.
     drain_s : float
         Time after which a leaving endpoint must get no more requests.
+    config_apply_s : float
+        Time after which an acknowledged configuration must be in force.
     retry_share, retry_slack, retry_window_s : float
         Retries to a service that all routers may send in a window: a share of
         its requests plus the slack.
@@ -79,6 +81,7 @@
     retry_slack: float
     retry_window_s: float
     prompt_reuse_s: float
+    config_apply_s: float = 2.0
     link_bytes_per_s: float = float('inf')
     is_first_start: bool = False
     store_partitions: int = 1
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -229,7 +229,9 @@
             random.Random(),
             settings.link_bytes_per_s,
         )
-        currency = ConfigurationCurrency(self.configuration, self.peers)
+        self._currency = currency = ConfigurationCurrency(
+            self.configuration, self.peers, settings.config_apply_s
+        )
         self.dispatcher = Dispatcher(
             settings,
             codec,
@@ -517,12 +519,14 @@
             self._settings,
             stop_grace_s=settings.stop_grace_s,
             drain_s=settings.drain_s,
+            config_apply_s=settings.config_apply_s,
             retry_share=settings.retry_share,
             retry_slack=settings.retry_slack,
             retry_window_s=settings.retry_window_s,
             prompt_reuse_s=settings.prompt_reuse_s,
         )
         self._overload.max_list_age_s = LIST_AGE_SHARE * settings.drain_s
+        self._currency.apply_s = settings.config_apply_s
         self.dispatcher.apply_settings(self._settings)
 
     def _respond_ready(self, path: bytes) -> InternalResponse:
--- a/src/basilpond/node/_preview.py
+++ b/src/basilpond/node/_preview.py
@@ -99,7 +99,10 @@
         organisation = catalogue.find_organisation(query.key)
         key = _key_state(catalogue, route, organisation, query)
         if key in ('missing', 'unknown'):
-            outcome.refuse(401, f'unknown key in version {catalogue.version}')
+            refusal = sources.currency.refusal(
+                401, f'unknown key in version {catalogue.version}'
+            )
+            outcome.refuse(refusal.status, refusal.reason)
         service = choose_service(route, rng.random())
         if service is None:
             outcome.refuse(503, 'route has no service')
@@ -186,7 +189,10 @@
         )
         fits = not tokens or free >= tokens
         if not fits and exhausted:
-            outcome.refuse(402, 'budget exhausted')
+            refusal = self._sources.currency.refusal(
+                402, 'budget exhausted', vouches_when_stale=True
+            )
+            outcome.refuse(refusal.status, refusal.reason)
         elif not fits:
             outcome.wait('tokens of the organisation', None)
         return {
--- a/src/basilpond/node/_preview_choice.py
+++ b/src/basilpond/node/_preview_choice.py
@@ -18,6 +18,7 @@
 from ..routing import prompt_prefixes
 from ..routing import sample_loads
 from ._budgets import BudgetTask
+from ._configuration_currency import ConfigurationCurrency
 from ._directory import ConfigurationState
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
@@ -40,6 +41,7 @@
     node_id: str
     data_centre: str
     configuration: ConfigurationState
+    currency: ConfigurationCurrency
     directory: EndpointDirectory
     budgets: BudgetTask
     limits: EndpointLimits
--- a/src/basilpond/platform/_settings.py
+++ b/src/basilpond/platform/_settings.py
@@ -47,6 +47,8 @@
 class _Bounds(msgspec.Struct):
     # Time for the requests of a draining server to end.
     drain_ms: _Number = 2000.0
+    # Time after which an acknowledged desired state must be in force.
+    config_apply_ms: _Number = 2000.0
     # Time after which an evacuated data centre gets no more requests; present
     # only where operators evacuate data centres.
     evacuate_ms: _Number | None = None
@@ -145,6 +147,7 @@
             store_partitions=file.platform.parts,
             stop_grace_s=file.bounds.grace_s,
             drain_s=file.bounds.drain_ms / 1000,
+            config_apply_s=file.bounds.config_apply_ms / 1000,
             evacuate_s=None
             if file.bounds.evacuate_ms is None
             else file.bounds.evacuate_ms / 1000,
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -54,6 +54,8 @@
 from ._types import RouteKind
 from ._version_check import CheckState
 from ._version_check import VersionCheck
+from ._version_currency import VersionCurrency
+from ._version_currency import judge_currency
 from .capacity import ClosedEndpoints
 from .capacity import ColdEndpoints
 from .capacity import EvacuationRecord
@@ -135,12 +137,14 @@
     'SpeedReport',
     'UNKNOWN_VERSION',
     'VersionCheck',
+    'VersionCurrency',
     'WaitingRequest',
     'choose_endpoint',
     'choose_service',
     'event_gap_timeout_s',
     'first_byte_timeout_s',
     'guarantees_not_run',
+    'judge_currency',
     'long_prompt_endpoints',
     'may_send_again',
     'order_endpoints',
