Limit transfers of configurations by the link of their source

After a cut, routers on slow links got a large version last and refused its routes until then.

Cause: each source starts transfers of 300,000 bytes a second, the share of a link of 5 Mbit/s, also on a link of 200 Mbit/s.

Change: the limit is half of the source's link. A router that is refused asks up to two other sources at once.

--- a/src/basilpond/node/_configuration_fetcher.py
+++ b/src/basilpond/node/_configuration_fetcher.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+import math
 import zlib
 
 from ..http1 import ClientResources
@@ -34,10 +35,17 @@
 # A fetch is cancelled if its source sends nothing for this long. The time of a
 # complete transfer has no limit: 300 KB take seconds on a shared link.
 _STALL_TIMEOUT_S = 1.0
-# Limit on the bytes of transfers started per second: half of a 5 Mbit/s link.
-# Refused routers try other sources, of which more have the version each
-# second; if all transfers ran at once, all of them would finish late.
+# Share of the VM's link for transfers, by their start in a second. Refused
+# routers try other sources, of which more have the version each second; if all
+# transfers ran at once, all of them would finish late. With the limit of a
+# slow link at all routers, 67 slow ones waited for 6 with fast links for
+# seconds.
+_LINK_SHARE = 0.5
+# Limit where the link is unknown: the share of a link of 5 Mbit/s.
 _MAX_BYTES_PER_S = 300_000
+# Sources that are asked in turn while they refuse for this limit.
+_MAX_SOURCES = 3
+_BUSY_STATUS = 503
 # The fastest level compresses versions to an eighth, in 2 ms for 260 KB.
 _COMPRESSION_LEVEL = 1
 _MAX_BYTES = 64 * 1024 * 1024
@@ -58,6 +66,8 @@
         Returns whether the addresses of the routers have been read.
     resources : ClientResources or None
         Shared by the servers of the process.
+    link_bytes_per_s : float
+        Bandwidth of the VM's link; infinite if unknown.
     """
 
     def __init__(
@@ -68,7 +78,9 @@
         *,
         are_routers_known: Callable[[], bool] = lambda: True,
         resources: ClientResources | None = None,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
+        self._link_bytes_per_s = link_bytes_per_s
         self._configuration = configuration
         self._peers = peers
         self._decisions = decisions
@@ -148,9 +160,30 @@
         self, group: asyncio.TaskGroup, version: int, address: tuple[str, int]
     ) -> None:
         if self._fetching is None or self._fetching.done():
-            self._fetching = group.create_task(self._fetch(version, address))
+            self._fetching = group.create_task(
+                self._fetch_newest(version, address)
+            )
+
+    async def _fetch_newest(
+        self, version: int, address: tuple[str, int]
+    ) -> None:
+        tried: set[tuple[str, int]] = set()
+        while await self._fetch(version, address) == _BUSY_STATUS:
+            tried.add(address)
+            newest = self._peers.find_newest_configuration(tried)
+            if (
+                len(tried) >= _MAX_SOURCES
+                or newest is None
+                or newest[0] <= self._version()
+            ):
+                return
+            version, address = newest
 
-    async def _fetch(self, version: int, address: tuple[str, int]) -> None:
+    async def _fetch(
+        self, version: int, address: tuple[str, int]
+    ) -> int | None:
+        # Returns the status of the source, if it has answered.
+        status: int | None = None
         pool = ConnectionPool(*address, _CONNECT_TIMEOUT_S)
         source = f'{address[0]}:{address[1]}'
         loop = asyncio.get_running_loop()
@@ -165,6 +198,7 @@
                 )
                 async with asyncio.timeout(_STALL_TIMEOUT_S):
                     head = await connection.read_head()
+                status = head.status
                 while True:
                     async with asyncio.timeout(_STALL_TIMEOUT_S):
                         part = await connection.read_part()
@@ -182,7 +216,7 @@
         else:
             reason = self._apply_fetched(head.status, b''.join(parts), source)
             if reason is None:
-                return
+                return status
         self._decisions.event(
             'configuration_not_fetched',
             version=version,
@@ -191,6 +225,7 @@
             received_bytes=sum(map(len, parts)),
             took_s=round(loop.time() - started_s, 3),
         )
+        return status
 
     def _apply_fetched(
         self, status: int, compressed: bytes, source: str
@@ -213,7 +248,7 @@
             self._compressed_source = data
             self._compressed = zlib.compress(data, _COMPRESSION_LEVEL)
         if not self._may_start_transfer(len(self._compressed)):
-            return 503, [], b''
+            return _BUSY_STATUS, [], b''
         return 200, [], self._compressed
 
     def _may_start_transfer(self, size: int) -> bool:
@@ -224,7 +259,10 @@
         ):
             self._recent_transfers.popleft()
         recent = sum(known for _, known in self._recent_transfers)
-        if self._recent_transfers and recent + size > _MAX_BYTES_PER_S:
+        limit = _MAX_BYTES_PER_S
+        if math.isfinite(self._link_bytes_per_s):
+            limit = _LINK_SHARE * self._link_bytes_per_s
+        if self._recent_transfers and recent + size > limit:
             return False
         self._recent_transfers.append((now_s, size))
         return True
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -275,6 +275,7 @@
             decisions,
             are_routers_known=fleet.synced.is_set,
             resources=self._resources,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         endpoints = TopicFollower(
             log,
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import ipaddress
@@ -283,13 +284,20 @@
             now_s=asyncio.get_running_loop().time(),
         )
 
-    def find_newest_configuration(self) -> tuple[int, tuple[str, int]] | None:
+    def find_newest_configuration(
+        self, excluded: Collection[tuple[str, int]] = ()
+    ) -> tuple[int, tuple[str, int]] | None:
         """Return the newest version at live routers and the address of one.
 
         The router is chosen at random among those that have the version, as
         all routers that lack it fetch it at the same moment.
+
+        Parameters
+        ----------
+        excluded : collection of (str, int)
+            Addresses of routers that are left out.
         """
-        peers = self._live_peers()
+        peers = [p for p in self._live_peers() if p.address not in excluded]
         if not peers:
             return None
         newest = max(peer.configuration_version for peer in peers)
--- a/src/basilpond/node/tests/test_configuration_fetcher.py
+++ b/src/basilpond/node/tests/test_configuration_fetcher.py
@@ -154,16 +154,73 @@
     assert all('503' in lines[0][1]['reason'] for lines in refused)
 
 
+@pytest.mark.parametrize(
+    ('link_bytes_per_s', 'served'), [(25_000_000, 20), (625_000, 4)]
+)
+async def test_source_limits_transfers_by_its_link(
+    monkeypatch, link_bytes_per_s, served
+):
+    """Guards against a fast link that serves as few routers as a slow one.
+
+    After a cut, routers on slow links were refused by sources with links of
+    200 Mbit/s, and got a large version last.
+    """
+    size = 70_000
+    (port,) = free_ports(1)
+    data = random.Random(1).randbytes(size)
+    fetcher = ConfigurationFetcher(
+        Configuration(data), None, Events(), link_bytes_per_s=link_bytes_per_s
+    )
+    await fetcher.listen(HOST, port)
+    try:
+        results = await asyncio.gather(
+            *(fetch((HOST, port)) for _ in range(20))
+        )
+    finally:
+        fetcher.close()
+    assert sum(applied == [data] for applied, _ in results) == served
+
+
+async def test_router_that_is_refused_asks_another_source_at_once():
+    """Guards against a pause after each source that serves others."""
+    ports = free_ports(2)
+    configurations = [Configuration(DATA), Configuration(DATA)]
+    sources = [
+        ConfigurationFetcher(
+            configuration, None, Events(), link_bytes_per_s=1000.0 * rate
+        )
+        for configuration, rate in zip(configurations, (1, 1000), strict=True)
+    ]
+    for fetcher, port in zip(sources, ports, strict=True):
+        await fetcher.listen(HOST, port)
+    addresses = [(HOST, port) for port in ports]
+    try:
+        await fetch(addresses[0])
+        events = Events()
+        configuration = Configuration()
+        fetcher = ConfigurationFetcher(
+            configuration, Peers(2, *addresses), events
+        )
+        await fetcher._fetch_newest(2, addresses[0])
+    finally:
+        for fetcher in sources:
+            fetcher.close()
+    assert [fields['reason'] for _, fields in events.lines] == ['status 503']
+    assert configuration.applied == [DATA]
+
+
 class Peers:
     """Other routers, one of which reports a newer version."""
 
     report_interval_s = 0.05
 
-    def __init__(self, version, address):
-        self.newest = version, address
+    def __init__(self, version, *addresses):
+        self.version = version
+        self.addresses = addresses
 
-    def find_newest_configuration(self):
-        return self.newest
+    def find_newest_configuration(self, excluded=()):
+        left = [a for a in self.addresses if a not in excluded]
+        return (self.version, left[0]) if left else None
 
     def registered_routers(self):
         return 1
