Log the transfers of configurations between routers that succeed

Change: a routine line configuration_fetched with source, bytes and time.

Result: the tests of the fetcher pass (one checks the line).

--- a/src/basilpond/node/_configuration_fetcher.py
+++ b/src/basilpond/node/_configuration_fetcher.py
@@ -216,6 +216,14 @@
         else:
             reason = self._apply_fetched(head.status, b''.join(parts), source)
             if reason is None:
+                self._decisions.event(
+                    'configuration_fetched',
+                    routine=True,
+                    version=version,
+                    source=source,
+                    received_bytes=sum(map(len, parts)),
+                    took_s=round(loop.time() - started_s, 3),
+                )
                 return status
         self._decisions.event(
             'configuration_not_fetched',
--- a/src/basilpond/node/tests/test_configuration_fetcher.py
+++ b/src/basilpond/node/tests/test_configuration_fetcher.py
@@ -205,7 +205,10 @@
     finally:
         for fetcher in sources:
             fetcher.close()
-    assert [fields['reason'] for _, fields in events.lines] == ['status 503']
+    assert [(name, fields.get('reason')) for name, fields in events.lines] == [
+        ('configuration_not_fetched', 'status 503'),
+        ('configuration_fetched', None),
+    ]
     assert configuration.applied == [DATA]
 
 
