Cover three more refusals and sends by outdated configurations

- a record of the log that cannot be read counts as applied, so that an unknown route was refused with 404 again;
- 402 by a budget that is outdated, at a router whose reads of the operators' topic are late while the accounts are current;
- a request to a public route with a key of an unread version ran without its organisation, and was not charged.

Change: the first keeps the version superseded until a newer one is read; 402 needs a current version like 404 and 401; the third is refused with 503 while a newer version is known.

Not covered: 413 and 431 by old limits, and requests that an outdated version serves where a newer one has a longer prefix or drops the route.

--- a/src/basilpond/node/_configuration_currency.py
+++ b/src/basilpond/node/_configuration_currency.py
@@ -12,9 +12,9 @@
 from ._peers import PeerTask
 from ._request_context import RefusedError
 
-# Retry interval while a newer version is on its way; most other routers have
-# it already.
-_COMING_RETRY_S = 0.25
+# Retry interval while a newer version is being read; a router with a faster
+# link may have it.
+_KNOWN_NEWER_RETRY_S = 0.25
 # Retry interval at a router that has not reached the log for long.
 _STALE_RETRY_S = 1.0
 
@@ -48,19 +48,15 @@
         """Return whether the version in force may be superseded."""
         return judge_currency(
             version=self._version(),
-            peer_version=self._heard_version(),
-            has_unread=self.has_unread(),
+            peer_version=self._reported_version(),
+            has_unread=self.has_unread()
+            or self._configuration.is_newest_unreadable,
             read_age_s=self._read_age_s(),
             apply_s=self.apply_s,
         )
 
     def refusal(
-        self,
-        status: int,
-        reason: str,
-        *,
-        vouches_when_stale: bool = False,
-        **inputs: object,
+        self, status: int, reason: str, **inputs: object
     ) -> RefusedError:
         """Return the refusal of a request that the version does not allow.
 
@@ -69,21 +65,17 @@
         status : int
             Unless a newer version may allow the request: then 503, not run.
         reason : str
-        vouches_when_stale : bool
-            Whether the status also holds while the log cannot be read.
         **inputs
             Further inputs of the decision, for the log.
         """
         inputs |= self.inputs()
         state = self.state()
-        if state is VersionCurrency.CURRENT or (
-            state is VersionCurrency.STALE and vouches_when_stale
-        ):
+        if state is VersionCurrency.CURRENT:
             return RefusedError(status, reason, **inputs)
         return RefusedError(
             503,
             f'{state.value}: {reason}',
-            _COMING_RETRY_S if state.is_known_newer else _STALE_RETRY_S,
+            _KNOWN_NEWER_RETRY_S if state.is_known_newer else _STALE_RETRY_S,
             **inputs,
         )
 
@@ -92,7 +84,7 @@
         age_s = self._read_age_s()
         return {
             'version': self._version(),
-            'version_heard': self._heard_version(),
+            'reported_version': self._reported_version(),
             'unread': self.has_unread(),
             'read_age_s': round(age_s, 2) if math.isfinite(age_s) else None,
         }
@@ -104,6 +96,6 @@
         catalogue = self._configuration.catalogue
         return -1 if catalogue is None else catalogue.version
 
-    def _heard_version(self) -> int | None:
+    def _reported_version(self) -> int | None:
         newest = self._peers.find_newest_configuration()
         return None if newest is None else newest[0]
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -344,11 +344,9 @@
         if isinstance(hold, HoldRejection):
             self._metrics.count_grant(hold.name.lower())
         if hold is HoldRejection.EXHAUSTED:
-            # Without the log, the router vouches for the balance it knows.
             raise self._currency.refusal(
                 402,
                 hold.value,
-                vouches_when_stale=True,
                 **self._budgets.rejection_inputs(name, tokens),
             )
         if isinstance(hold, HoldRejection):
--- a/src/basilpond/node/_preview.py
+++ b/src/basilpond/node/_preview.py
@@ -189,9 +189,7 @@
         )
         fits = not tokens or free >= tokens
         if not fits and exhausted:
-            refusal = self._sources.currency.refusal(
-                402, 'budget exhausted', vouches_when_stale=True
-            )
+            refusal = self._sources.currency.refusal(402, 'budget exhausted')
             outcome.refuse(refusal.status, refusal.reason)
         elif not fits:
             outcome.wait('tokens of the organisation', None)
--- a/src/basilpond/node/_route_lookup.py
+++ b/src/basilpond/node/_route_lookup.py
@@ -97,12 +97,14 @@
                 404, f'no route in version {catalogue.version}'
             )
         organisation = catalogue.find_organisation(metadata.key)
-        if (
-            organisation is None
-            and catalogue.organisations is not None
-            and not route.public
-        ):
-            raise self._currency.refusal(
-                401, f'unknown key in version {catalogue.version}'
-            )
+        if organisation is not None or catalogue.organisations is None:
+            return RouteMatch(catalogue, route, organisation)
+        unknown_key = self._currency.refusal(
+            401, f'unknown key in version {catalogue.version}'
+        )
+        if not route.public:
+            raise unknown_key
+        # Served without its organisation, the request would not be charged.
+        if metadata.key is not None and self._currency.state().is_known_newer:
+            raise unknown_key
         return RouteMatch(catalogue, route, organisation)
--- a/src/basilpond/node/tests/test_outdated_configuration.py
+++ b/src/basilpond/node/tests/test_outdated_configuration.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from basilpond.http1 import find
 from basilpond.node.tests.platform_world import route
 from basilpond.node.tests.platform_world import world
 from basilpond_testkit.platform_configuration import configuration
@@ -113,7 +114,7 @@
 async def test_what_no_version_has_is_refused_once_all_is_read(
     path, key, status
 ):
-    """Guards against requests that are asked to come back in vain."""
+    """Guards against requests that are asked to retry without end."""
     async with world() as system:
         assert (await system.call(path, key=key)).status == status
         system.log.put(TOPIC, 'config', next_version())
@@ -123,6 +124,59 @@
         assert (await system.call(path, key=key)).status == status
 
 
+async def test_key_of_an_unread_version_is_charged_on_a_public_route():
+    """Guards against requests that run without their organisation."""
+    public = configuration(1)
+    public['routes'][0]['public'] = True
+    added = {'name': 'new', 'api_keys': ['new-key'], 'prepaid': 100_000}
+    async with world(public) as system:
+        system.log.stalled_topics.add(TOPIC)
+        tenants = [*public['tenants'], added]
+        system.log.put(
+            TOPIC, 'config', {**public, 'version': 2, 'tenants': tenants}
+        )
+        await asyncio.sleep(0.2)
+        assert (await system.call('/look/x', key=None)).status == 200
+        assert (await system.call('/look/x', key='new-key')).status == 503
+        system.log.resume(TOPIC)
+        await system.until(
+            lambda: system.nodes[0].configuration.catalogue.version == 2
+        )
+        assert (await system.call('/look/x', key='new-key')).status == 200
+        server = next(
+            s
+            for s in system.servers.values()
+            if s.requests
+            and s.service == 'app'
+            and find(s.requests[-1].headers, b'x-tenant') == b'new'
+        )
+        assert server.requests
+
+
+async def test_unreadable_version_is_not_taken_as_known():
+    """Guards against 404 by a version whose successor cannot be read."""
+    async with world() as system:
+        system.log.put(TOPIC, 'config', b'{"version": 2}')
+        await asyncio.sleep(0.3)
+        assert (await system.call('/added/x')).status == 503
+        assert (await system.call('/look/x')).status == 200
+        system.log.put(TOPIC, 'config', next_version(3))
+        await system.until(
+            lambda: system.nodes[0].configuration.catalogue.version == 3
+        )
+        assert (await system.call('/added/x')).status == 200
+        assert (await system.call('/none/x')).status == 404
+
+
+async def test_budget_is_not_refused_as_exhausted_without_the_log():
+    """Guards against 402 for a budget that was raised meanwhile."""
+    small = {'name': 'org', 'api_keys': ['key'], 'prepaid': 100}
+    async with world(configuration(1, tenants=[small])) as system:
+        system.logs['node-0'].is_cut = True
+        await asyncio.sleep(CONFIG_APPLY_S + 0.1)
+        assert (await system.prompt()).status == 503
+
+
 async def test_raised_budget_that_is_unread_is_not_refused_as_exhausted():
     """Guards against 402 for a budget that an unread version raises."""
     small = {'name': 'org', 'api_keys': ['key'], 'prepaid': 100}
