--- a/src/basilpond/node/_configuration_currency.py
+++ b/src/basilpond/node/_configuration_currency.py
@@ -49,8 +49,7 @@
         return judge_currency(
             version=self._version(),
             peer_version=self._reported_version(),
-            has_unread=self.has_unread()
-            or self._configuration.is_newest_unreadable,
+            has_unread=self.has_unread(),
             read_age_s=self._read_age_s(),
             apply_s=self.apply_s,
         )
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -82,8 +82,6 @@
         self.changed = asyncio.Event()
         # Whether requests may be handled by the version in force.
         self.in_use = False
-        # Whether the log's newest version cannot be read.
-        self.is_newest_unreadable = False
         # Encoded form of the version in force.
         self.data: bytes | None = None
         self._era: int | None = None
@@ -129,7 +127,6 @@
         try:
             configuration = self._codec.decode_configuration(data)
         except ValueError as error:
-            self.is_newest_unreadable |= source == _STORE
             self._log_rejected(
                 'configuration_unreadable', data, source, reason=str(error)
             )
@@ -176,7 +173,6 @@
     def _note_read(self, source: str) -> None:
         if source == _STORE:
             self._read_era = self._era
-            self.is_newest_unreadable = False
 
     def _log_rejected(
         self, event: str, data: bytes, source: str, **inputs: object
