--- a/src/basilpond/node/tests/platform_world.py
+++ b/src/basilpond/node/tests/platform_world.py
@@ -66,6 +66,8 @@
         self.nodes = []
         # Log clients of the routers by name.
         self.logs = {}
+        # Ports by name of the router.
+        self.peer_ports = {}
         self.ids = 0
         # Time in which evacuations must be in force, if there are any.
         self.evacuate_s = None
@@ -82,6 +84,7 @@
         models=2,
         evacuate_s=None,
         admission_control=False,
+        data_centres=('dc',),
     ):
         self.evacuate_s = evacuate_s
         self.admission_control = admission_control
@@ -94,16 +97,21 @@
                 self.log.put('keyed.servers', server.server_id, server.entry())
         self.log.put('keyed.op', 'config', config or configuration())
         for i in range(nodes):
-            await self.add_node(f'node-{i}')
+            data_centre = data_centres[i % len(data_centres)]
+            await self.add_node(f'node-{i}', data_centre)
         await self.until(lambda: all(node.is_ready() for node in self.nodes))
 
-    async def add_node(self, name):
+    def make_log(self, address):
+        """Return the log client of a further router."""
+        return CuttableLog(address)
+
+    async def add_node(self, name, data_centre='dc'):
         # Separate calls may return the same port twice.
         callers, ready, peer, metrics = free_ports(4)
         settings = NodeSettings(
             node_id=name,
             host=HOST,
-            data_centre='dc',
+            data_centre=data_centre,
             caller_address=(HOST, callers),
             ready_address=(HOST, ready),
             store_address=(HOST, self.log.port),
@@ -124,7 +132,8 @@
             preview=True,
         )
         decisions = DecisionLog(name, fd=self.sink)
-        log = self.logs[name] = CuttableLog(settings.store_address)
+        self.peer_ports[name] = peer
+        log = self.logs[name] = self.make_log(settings.store_address)
         node = Node(settings, JsonPlatformCodec(), log, decisions)
         await node.start()
         self.nodes.append(node)
@@ -206,8 +215,8 @@
 
 
 @contextlib.asynccontextmanager
-async def world(config=None, **kwargs):
-    system = World()
+async def world(config=None, *, world_type=World, **kwargs):
+    system = world_type()
     try:
         await system.start(config, **kwargs)
         yield system
