--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -115,6 +115,8 @@
         given out again. `put` writes again what operators and servers wrote.
         """
         self.contents.restore(asyncio.get_running_loop().time() - age_s)
+        for topic, first in self.first.items():
+            self.first[topic] = min(first, len(self.topics.get(topic, [])))
         self.mode = 'ok'
 
     async def handle(
