Refuse prompts for reserved tokens with 503 instead of 402

Callers got 402, which they don't repeat, for budgets of which nothing was known to be used.

Cause: after a restore of the log, if the routers that remember its accounts are gone or do not reach it for 20 s, a router reserves the tokens that nobody can account for, under a holder of their own. The check for an exhausted budget counted them as used. docs/OPERATIONS.md says that such requests get 503. The class of fault is that of the refusals by superseded versions: what is not known is stated as a fact.

Change: a shortage that reserved tokens would cover is a rejection of its own, with 503 and Retry-After, also in the preview. The model of the fleet allows 503 for organisations with reserved tokens, as these are never granted again; it allowed 503 before until all routers had reached the restored log. It judges 401, 402 and 404 as before.

--- a/src/basilpond/node/_budgets.py
+++ b/src/basilpond/node/_budgets.py
@@ -24,6 +24,7 @@
 from ._fleet_records import copied_holder
 from ._fleet_records import ended_heartbeat_record
 from ._fleet_records import heartbeat_record
+from ._fleet_records import is_reserve_holder
 from ._fleet_records import lost_record
 from ._fleet_records import parse_account
 from ._fleet_records import parse_heartbeat
@@ -74,6 +75,9 @@
     """Reason for which a request gets no tokens."""
 
     EXHAUSTED = 'budget exhausted'
+    # Nobody can tell whether the tokens were consumed before a restore of the
+    # log.
+    RESERVED = 'rest of the budget is reserved'
     UNAVAILABLE = 'no grant from the log in time'
 
 
@@ -345,11 +349,9 @@
                 # Only other routers can provide tokens now.
                 if not peer_rounds:
                     self._record_rejection(organisation, tokens)
-                    exhausted = self.allotments.is_exhausted(
-                        organisation, tokens, self.live_holders()
-                    )
-                    if exhausted and self._is_state_current():
-                        return HoldRejection.EXHAUSTED
+                    rejection = self.find_rejection(organisation, tokens)
+                    if rejection is not None and self._is_state_current():
+                        return rejection
                     return await self._wait_for_ceiling(
                         organisation, tokens, limit_s - loop.time()
                     )
@@ -366,6 +368,34 @@
             if loop.time() >= deadline_s:
                 return HoldRejection.UNAVAILABLE
 
+    def find_rejection(
+        self, organisation: str, tokens: int
+    ) -> HoldRejection | None:
+        """Return why the remaining budget does not cover a request.
+
+        Parameters
+        ----------
+        organisation : str
+        tokens : int
+            Upper bound on what the request consumes.
+
+        Returns
+        -------
+        HoldRejection or None
+            None if it covers the request.
+        """
+        is_exhausted = self.allotments.is_exhausted
+        if not is_exhausted(organisation, tokens, self.live_holders()):
+            return None
+        reserved_tokens = self._accounts.owned_by(
+            organisation, is_reserve_holder
+        )
+        if is_exhausted(
+            organisation, tokens - reserved_tokens, self.live_holders()
+        ):
+            return HoldRejection.EXHAUSTED
+        return HoldRejection.RESERVED
+
     def _record_rejection(self, organisation: str, tokens: int) -> None:
         now_s = asyncio.get_running_loop().time()
         known_tokens, until_s = self._rejections.get(organisation, (0, 0.0))
--- a/src/basilpond/node/_fleet_records.py
+++ b/src/basilpond/node/_fleet_records.py
@@ -247,6 +247,11 @@
     return f'{_RESERVE}~{era}'
 
 
+def is_reserve_holder(holder: str) -> bool:
+    """Whether a holder stands for tokens that are reserved in an era."""
+    return router_of(holder) == _RESERVE
+
+
 def new_holder(router_id: str, suffix: str) -> str:
     """Return an id that is unique to one incarnation of a router."""
     return f'{router_id}~{suffix}'
--- a/src/basilpond/node/_preview.py
+++ b/src/basilpond/node/_preview.py
@@ -20,6 +20,7 @@
 from ..routing import Route
 from ..routing import choose_service
 from ..routing.capacity import RequestDemand
+from ._budgets import HoldRejection
 from ._internal_server import InternalResponse
 from ._preview_choice import EndpointPreview
 from ._preview_choice import PreviewSources
@@ -184,20 +185,20 @@
             return None
         tokens = query.bound_tokens
         free = budgets.allotments.free_tokens(name, budgets.boot_ms())
-        exhausted = tokens > 0 and budgets.allotments.is_exhausted(
-            name, tokens, budgets.live_holders()
-        )
+        rejection = budgets.find_rejection(name, tokens) if tokens else None
         fits = not tokens or free >= tokens
-        if not fits and exhausted:
+        if not fits and rejection is HoldRejection.EXHAUSTED:
             refusal = self._sources.currency.refusal(402, 'budget exhausted')
             outcome.refuse(refusal.status, refusal.reason)
+        elif not fits and rejection is not None:
+            outcome.refuse(503, rejection.value)
         elif not fits:
             outcome.wait('tokens of the organisation', None)
         return {
             **budgets.rejection_inputs(name, tokens),
             'free': free,
             'fits': fits,
-            'exhausted': exhausted,
+            'exhausted': rejection is HoldRejection.EXHAUSTED,
         }
 
 
--- a/src/basilpond/node/tests/configuration_model.py
+++ b/src/basilpond/node/tests/configuration_model.py
@@ -48,6 +48,7 @@
         'config',
         'data',
         'keys',
+        'organisations',
         'published_s',
         'services',
         'superseded_s',
@@ -59,11 +60,12 @@
         self.published_s = published_s
         self.superseded_s = math.inf
         self.services = {r['name']: r['service'] for r in config['routes']}
-        self.keys = {
-            key: tenant['prepaid']
-            for tenant in config['tenants']
-            for key in tenant['api_keys']
-        }
+        self.keys = {}
+        self.organisations = {}
+        for tenant in config['tenants']:
+            for key in tenant['api_keys']:
+                self.keys[key] = tenant['prepaid']
+                self.organisations[key] = tenant['name']
 
     def outcome(self, question):
         """Return the service that runs a request, or the refusal's status."""
@@ -246,9 +248,10 @@
     index : int or None
         Index of the state that the router applied at the start.
     accounts_known : bool
-        Whether all routers have reached the log since its last restore. Until
-        then no budget is granted, as a router may hold tokens that the log
-        does not know of.
+        Whether all routers have reached the log since its last restore, and no
+        tokens of the organisation are reserved. Until then no budget is
+        granted, as a router may hold tokens that the log does not know of.
+        Reserved tokens are never granted again (docs/OPERATIONS.md).
     era_holds : bool
         Whether the log has not been restored since the start.
     shows : int
--- a/src/basilpond/node/tests/test_configuration_fleet.py
+++ b/src/basilpond/node/tests/test_configuration_fleet.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from basilpond.node._fleet_records import FLEET_TOPIC
 from basilpond.node.tests.configuration_model import APPLY_S
 from basilpond.node.tests.configuration_model import STABLE_S
 from basilpond.node.tests.configuration_model import Asked
@@ -29,6 +30,8 @@
 TOPIC = 'keyed.op'
 DEFAULT_SEEDS = '1-5'
 STEPS = 14
+# Holder of tokens that nobody can account for after a restore of the log.
+RESERVE_PREFIX = 'reserve~'
 SERVICES = ('app', 'other')
 SMALL_TENANTS = 3
 SMALL_TOKENS = 100
@@ -399,6 +402,8 @@
         answer = status
         if status == 200:
             answer = reply.headers.get('x-served-by')
+        if question.is_prompt and self._is_reserved(question):
+            asked.accounts_known = False
         before = router.shown
         router.shown = shown
         self.model.check_answer(router, question, answer, asked)
@@ -406,6 +411,12 @@
         if asked.era_holds:
             router.shown = max(before, asked.shows, index or 0)
 
+    def _is_reserved(self, question):
+        organisation = self.model.newest.organisations.get(question.key)
+        prefix = f'budget/{organisation}/{RESERVE_PREFIX}'
+        records = self.system.log.topics.get(FLEET_TOPIC, ())
+        return any(key.startswith(prefix) for key, _ in records)
+
     async def ask_all(self):
         """Ask each router for each route and key."""
         await asyncio.gather(
