Reach endpoints through other routers while cut off from them

Callers of routers that were partitioned from all servers got 502 and 503 at the first attempt, 0 of 29 against 303 of 308 at the others.

Cause: a request is only sent over its router's own connections. Where all of them fail, each request tries up to four endpoints and is refused, though the other routers, which reach the endpoints, could pass it on. The class of fault: evidence on the router's own links is taken for evidence on the endpoints. So the cut router also ejects them, counts its broken requests as crashes, and reports both.

Change: failures at two endpoints, without a response in between, lead new connections through another router: a request to its peer port names an endpoint, and the router connects to what its own list has under that name. Budgets, retries, claims and deadlines stay with the router that has the caller; the other one passes bytes on, the endpoint's in frames, so that its own end does not look like the end of a response. That the router is cut off is proved when another one reaches an endpoint that it does not: then what it held against endpoints and requests is taken back, its reports name it, the others drop its evidence, and requests that cannot have arrived are sent again where their routes allow it. Every 0.25 s it tries an endpoint itself; two connections in a row that stay open end the state.

Why it works: the way of a request no longer depends on the links of the router that its caller happens to reach, and a cut is told from a crash by a second router's connection, not by a count of failures.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server and client connections that forward messages."""
 
+from ._client import KEEPALIVE_OPTIONS
 from ._client import ConnectionPool
 from ._client import ExchangeError
 from ._client import ExchangeFailure
@@ -26,7 +27,11 @@
 from ._response_head import ResponseHead
 from ._response_head import find_problem
 from ._server import CallerServer
+from ._server import ProtocolFactory
+from ._server import ProtocolWrapper
+from ._server import keep_factory
 from ._socket_bytes import has_failed
+from ._socket_bytes import unsent_bytes
 
 __all__ = [
     'Account',
@@ -44,8 +49,11 @@
     'ExchangeFailure',
     'Handler',
     'Header',
+    'KEEPALIVE_OPTIONS',
     'MemoryBudget',
     'PeerConnection',
+    'ProtocolFactory',
+    'ProtocolWrapper',
     'Responder',
     'UnansweredClose',
     'Upload',
@@ -55,5 +63,7 @@
     'find_all',
     'find_problem',
     'has_failed',
+    'keep_factory',
     'may_be_early',
+    'unsent_bytes',
 ]
--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -53,9 +53,14 @@
 # for a second or two, and data lost meanwhile is sent again 0.2, 0.6, 1.4 and
 # 3.0 s after the first time.
 USER_TIMEOUT_MS = 3_500
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
+# Options of IPPROTO_TCP by which the kernel closes a connection whose peer
+# does not respond: in use after USER_TIMEOUT_MS, idle ones are probed.
+KEEPALIVE_OPTIONS = (
+    (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+)
 # An idle connection is no longer used this long before the peer's keep-alive
 # timeout, so that no request is sent while the peer closes it.
 _IDLE_MARGIN_S = 0.5
@@ -73,6 +78,8 @@
     MALFORMED = 'malformed'
     MISMATCHED = 'foreign'
     SLOW = 'slow'
+    # The router through which the peer is reached failed.
+    RELAY = 'relay'
 
 
 class ExchangeError(Exception):
@@ -133,6 +140,9 @@
         self._buffered_bytes = 0
         # Called after a part has been buffered, or None.
         self.on_buffered: Callable[[], None] | None = None
+        # Called when the connection is reset, or its peer no longer responds,
+        # while it carries no exchange.
+        self.on_idle_failure: Callable[[], None] | None = None
         self._complete = False
         self._error: ExchangeError | None = None
         self._closed = False
@@ -149,12 +159,7 @@
         sock = transport.get_extra_info('socket')
         if sock is None:
             return
-        for option, value in (
-            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-            (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
-            (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-        ):
+        for option, value in KEEPALIVE_OPTIONS:
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
@@ -235,6 +240,12 @@
         self._stop_end_check()
         self._closed = True
         self._reusable = False
+        if (
+            not self._active
+            and isinstance(exc, OSError)
+            and self.on_idle_failure is not None
+        ):
+            self.on_idle_failure()
         if self._active and not self._complete:
             self._fail(
                 ExchangeFailure.BROKEN,
@@ -474,6 +485,11 @@
             return False
         return not has_unread_input(self._transport)
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of the response has arrived."""
+        return self._head is not None
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the body that have not been read."""
--- a/src/basilpond/http1/_server.py
+++ b/src/basilpond/http1/_server.py
@@ -19,6 +19,16 @@
 _ACCEPT_BATCH = 16
 _BACKLOG = 1024
 
+ProtocolFactory = Callable[[], asyncio.BaseProtocol]
+# Takes the factory of a server's protocols and returns the one to listen with,
+# whose protocols may hand connections over to those of the server.
+ProtocolWrapper = Callable[[ProtocolFactory], ProtocolFactory]
+
+
+def keep_factory(factory: ProtocolFactory) -> ProtocolFactory:
+    """Wrap no factory."""
+    return factory
+
 
 def _ignore_close(close: UnansweredClose) -> None:
     pass
@@ -76,13 +86,27 @@
         )
         self._server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
-        """Start to accept connections."""
+    async def listen(
+        self,
+        host: str,
+        port: int,
+        wrap: ProtocolWrapper = keep_factory,
+    ) -> None:
+        """Start to accept connections.
+
+        Parameters
+        ----------
+        host : str
+        port : int
+        wrap : ProtocolWrapper, optional
+        """
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ':' in host else socket.AF_INET
         sock = socket.create_server((host, port), family=family)
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=sock, backlog=_ACCEPT_BATCH
+            wrap(lambda: CallerConnection(self)),
+            sock=sock,
+            backlog=_ACCEPT_BATCH,
         )
         # The event loop uses one number for both.
         sock.listen(_BACKLOG)
--- a/src/basilpond/node/_configuration_fetcher.py
+++ b/src/basilpond/node/_configuration_fetcher.py
@@ -17,6 +17,8 @@
 from ..http1 import ConnectionPool
 from ..http1 import ExchangeError
 from ..http1 import ExchangeFailure
+from ..http1 import ProtocolWrapper
+from ..http1 import keep_factory
 from ..routing import CheckState
 from ..routing import VersionCheck
 from ._decision_log import DecisionLog
@@ -93,9 +95,11 @@
         self._compressed_source: bytes | None = None
         self._compressed = b''
 
-    async def listen(self, host: str, port: int) -> None:
-        """Serve the version in force."""
-        await self._server.listen(host, port)
+    async def listen(
+        self, host: str, port: int, wrap: ProtocolWrapper = keep_factory
+    ) -> None:
+        """Serve the version in force; `wrap` as in `CallerServer.listen`."""
+        await self._server.listen(host, port, wrap)
 
     def close(self) -> None:
         """Close the listener and all connections."""
--- a/src/basilpond/node/_crash_log.py
+++ b/src/basilpond/node/_crash_log.py
@@ -99,6 +99,14 @@
         self._cleared_s.pop(digest, None)
         self._store(digest, self._counter.local_count(digest))
 
+    def retract(self, since_s: float) -> None:
+        """Take back what was counted since a time, by the event loop.
+
+        The requests broke because this router was cut off.
+        """
+        for digest in self._counter.retract(since_s):
+            self._store(digest, self._counter.local_count(digest))
+
     def clear(self, digest: str, now_s: float) -> None:
         """Remove the count of a request that was completed.
 
--- a/src/basilpond/node/_crash_watch.py
+++ b/src/basilpond/node/_crash_watch.py
@@ -11,6 +11,7 @@
 from ._crash_records import MAX_PARTS
 from ._decision_log import DecisionLog
 from ._directory import EndpointEntry
+from .relay import EndpointConnections
 
 # Longest time for which the retry of a broken request waits for the
 # confirmation: a refused connection takes one round trip.
@@ -21,12 +22,14 @@
     """Turns broken requests into evidence on their prompt parts.
 
     A connection that breaks may have been reset by an endpoint that goes on
-    working. Only if the endpoint then refuses a connection did its process
-    end; an endpoint that cannot be reached proves nothing.
+    working. Only if the endpoint then refuses a connection, while another one
+    accepts one, did its process end; an endpoint that cannot be reached proves
+    nothing.
 
     Parameters
     ----------
     parts : CrashingParts
+    connections : EndpointConnections
     decisions : DecisionLog
     announce : callable
         Called when other routers have to learn something.
@@ -35,10 +38,12 @@
     def __init__(
         self,
         parts: CrashingParts,
+        connections: EndpointConnections,
         decisions: DecisionLog,
         announce: Callable[[], None],
     ) -> None:
         self._parts = parts
+        self._connections = connections
         self._decisions = decisions
         self._announce = announce
         self._checks: dict[EndpointEntry, asyncio.Task[None]] = {}
@@ -85,7 +90,10 @@
             connection = await entry.pool.connect()
         except ExchangeError as error:
             reason = str(error)
-            crashed = not error.timed_out
+            crashed = (
+                not error.timed_out
+                and await self._connections.reaches_another(entry)
+            )
         else:
             entry.pool.add_idle(connection)
         del self._checks[entry]
--- a/src/basilpond/node/_directory.py
+++ b/src/basilpond/node/_directory.py
@@ -188,7 +188,14 @@
 class EndpointEntry:
     """An endpoint with its load and its connections."""
 
-    __slots__ = ('endpoint', 'incarnation_number', 'load', 'number', 'pool')
+    __slots__ = (
+        'endpoint',
+        'incarnation_number',
+        'load',
+        'number',
+        'pool',
+        'relayed_pool',
+    )
 
     def __init__(
         self,
@@ -210,6 +217,10 @@
         self.pool = ConnectionPool(
             endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
         )
+        # Idle connections through other routers.
+        self.relayed_pool = ConnectionPool(
+            endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
+        )
 
 
 class EndpointDirectory:
@@ -660,6 +671,7 @@
         self._by_service[entry.endpoint.service].pop(endpoint_id, None)
         self._by_number.pop(entry.number, None)
         entry.pool.close()
+        entry.relayed_pool.close()
         self.speeds.forget(entry.incarnation_number)
         self._history.record_departure(
             endpoint_id, asyncio.get_running_loop().time(), listed=listed
--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -57,6 +57,7 @@
 from ._send_outcome import SendOutcome
 from ._sending import Sender
 from ._stream_versions import StreamVersions
+from .relay import EndpointConnections
 
 # The caller's next attempt is routed to another router.
 _STOPPING_RETRY_S = 0.1
@@ -92,6 +93,7 @@
     versions : StreamVersions
     overload : RouterOverload
     cold : ColdEndpointWatch
+    connections : EndpointConnections
     metrics : NodeMetrics
     decisions : DecisionLog
     rng : random.Random
@@ -113,6 +115,7 @@
         versions: StreamVersions,
         overload: RouterOverload,
         cold: ColdEndpointWatch,
+        connections: EndpointConnections,
         metrics: NodeMetrics,
         decisions: DecisionLog,
         rng: random.Random,
@@ -167,8 +170,11 @@
             versions,
             overload,
             cold,
+            connections,
             decisions,
         )
+        self._crash_log = crash_log
+        connections.on_isolated = self._forget_failures
         self.preview = RequestPreview(
             PreviewSources(
                 settings.node_id,
@@ -222,6 +228,11 @@
         """Number of requests that wait for the end of a quiet time."""
         return self._returns.waiting
 
+    def _forget_failures(self, since_s: float) -> None:
+        # This router was cut off; the endpoints and the requests are sound.
+        self._reachability.forget()
+        self._crash_log.retract(since_s)
+
     def announce_stop(self, end_by_s: float) -> None:
         """End all requests by a time, with an answer that tells their state.
 
--- a/src/basilpond/node/_internal_server.py
+++ b/src/basilpond/node/_internal_server.py
@@ -12,7 +12,9 @@
 from ..http1 import ClientResources
 from ..http1 import ConnectionLimits
 from ..http1 import Header
+from ..http1 import ProtocolWrapper
 from ..http1 import Responder
+from ..http1 import keep_factory
 
 # Requests to these servers have a few short fields and no body.
 _LIMITS = ConnectionLimits(header_bytes=16_384, body_bytes=4_096)
@@ -57,9 +59,11 @@
             ),
         )
 
-    async def listen(self, host: str, port: int) -> None:
-        """Accept connections."""
-        await self._server.listen(host, port)
+    async def listen(
+        self, host: str, port: int, wrap: ProtocolWrapper = keep_factory
+    ) -> None:
+        """Accept connections; `wrap` as in `CallerServer.listen`."""
+        await self._server.listen(host, port, wrap)
 
     def close(self) -> None:
         """Close the listener and all connections."""
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -197,6 +197,18 @@
                     'incoming_link_share',
                     'Share of the link that received bytes use',
                 ),
+                (
+                    'relayed_requests',
+                    'Requests to endpoints through other routers',
+                ),
+                (
+                    'relay_connections',
+                    'Connections to endpoints open for other routers',
+                ),
+                (
+                    'router_isolated',
+                    'Whether other routers reach endpoints and this one none',
+                ),
                 (
                     'router_out_of_rotation',
                     'Whether the ready path answers 503 for the load',
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -27,6 +27,7 @@
 from ..routing import Evacuations
 from ..routing.capacity import IncomingLink
 from ..routing.capacity import RouterLoad
+from ..routing.reach import PathState
 from ._budgets import BudgetTask
 from ._client_log import ClientLog
 from ._cold_endpoints import ColdEndpointWatch
@@ -64,6 +65,9 @@
 from ._settings_watch import SettingsWatch
 from ._stream_records import StreamRecords
 from ._stream_versions import StreamVersions
+from .relay import EndpointConnections
+from .relay import RelayClient
+from .relay import RelayServer
 
 # Pause between two reads of the configuration and of the endpoints. Endpoints
 # write every 1.2 s; a leaving endpoint must get no more requests after 2 s.
@@ -229,6 +233,23 @@
             random.Random(),
             settings.link_bytes_per_s,
         )
+        self._connections = EndpointConnections(
+            self.directory,
+            RelayClient(
+                self.peers.relay_routers,
+                settings.data_centre,
+                decisions,
+                random.Random(),
+            ),
+            decisions,
+            random.Random(),
+        )
+        self._connections.is_link_full = lambda: self.load.incoming.is_busy(
+            asyncio.get_running_loop().time()
+        )
+        self.peers.is_isolated = lambda: (
+            self._connections.state is PathState.ISOLATED
+        )
         self._currency = currency = ConfigurationCurrency(
             self.configuration, self.peers, settings.config_apply_s
         )
@@ -247,6 +268,7 @@
             self.versions,
             overload,
             self._cold,
+            self._connections,
             self._metrics,
             decisions,
             random.Random(),
@@ -301,6 +323,12 @@
         self.directory.refresh = evacuations.refresh
         self._followers = operator, endpoints, fleet
         log.on_new_era = self._resync_readers
+        self._relay = RelayServer(
+            self.directory,
+            self._connections,
+            self.peers.is_router,
+            lambda: self.load.is_full(asyncio.get_running_loop().time()),
+        )
         self._callers = CallerServer(
             self.dispatcher.handle,
             ConnectionLimits(),
@@ -361,7 +389,7 @@
         await self._ready.listen(*self._settings.ready_address)
         await self.peers.listen(self._settings.host, self._settings.peer_port)
         await self._configuration_fetcher.listen(
-            self._settings.host, self._settings.peer_port
+            self._settings.host, self._settings.peer_port, self._relay.wrap
         )
         await self._callers.listen(*self._settings.caller_address)
         jobs = [follower.run() for follower in self._followers]
@@ -370,6 +398,7 @@
             self.budgets.sample_rates(),
             self.peers.run(),
             self._configuration_fetcher.run(),
+            self._connections.run(),
             self.versions.run(),
             self._stream_records.run(),
             self._crash_log.run(),
@@ -401,6 +430,7 @@
             self._ready,
             self._metrics_server,
             self._configuration_fetcher,
+            self._relay,
         ):
             server.close()
         self.peers.close()
@@ -424,6 +454,7 @@
         deadline_s = started_s + self._settings.stop_grace_s - _STOP_MARGIN_S
         self._stopping = True
         self._callers.announce_stop()
+        self._relay.announce_stop()
         self.dispatcher.announce_stop(deadline_s)
         self._decisions.event('stopping', active=self._callers.active)
         await asyncio.sleep(min(_STOP_NOTICE_S, deadline_s - started_s))
@@ -457,6 +488,7 @@
         interrupted = self.dispatcher.interrupted + self._callers.active
         # Requests that are still in progress write the log line on their end.
         self._callers.close()
+        self._relay.close()
         await asyncio.sleep(_STOP_POLL_INTERVAL_S)
         self._decisions.event('stopped', cut=interrupted)
         self._decisions.close()
@@ -464,7 +496,7 @@
     async def _wait_inactive(self, until_s: float) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < until_s:
-            if not self._callers.active:
+            if not self._callers.active and not self._relay.active:
                 break
             await asyncio.sleep(_STOP_POLL_INTERVAL_S)
 
@@ -555,6 +587,7 @@
 
     def _sending_connections(self) -> Iterator[SendingConnection]:
         yield from self.dispatcher.sender.connections
+        yield from self._relay.tunnels
         yield from (
             c for c in self._callers.connections if c.busy or c.is_sending
         )
@@ -597,6 +630,12 @@
             ('accurate_forecast_share', self.directory.speeds.accurate_share),
             ('busiest_endpoint_ratio', self.directory.busiest_ratio()),
             ('incoming_link_share', self.load.incoming.used_share(now_s)),
+            ('relayed_requests', self._connections.relayed),
+            ('relay_connections', len(self._relay.tunnels)),
+            (
+                'router_isolated',
+                int(self._connections.state is PathState.ISOLATED),
+            ),
             ('router_out_of_rotation', int(not self._load_readiness.is_ready)),
         ):
             self._metrics.set_gauge(name, value)
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -25,6 +25,7 @@
 from ..routing import FleetClock
 from ..routing import PeerReport
 from ..routing import SendEvidence
+from ..routing.reach import RelayRouter
 from ._budgets import BudgetTask
 from ._cold_records import decode_cold
 from ._cold_records import encode_cold
@@ -69,6 +70,9 @@
 # Crashes are announced when they change, and in this interval for routers that
 # have just started or missed a datagram.
 _CRASH_INTERVAL_S = 1.0
+# Age from which on they are. A router that is cut off knows it by then, and
+# takes back what it counted; other routers keep the largest count reported.
+_CRASH_SETTLE_S = 0.5
 # Interval in which a prompt prefix in use is announced again, a tenth of the
 # time for which it counts as cached.
 _REANNOUNCE_INTERVAL_S = 1.0
@@ -109,6 +113,8 @@
     # Of its reports; only known where links are limited.
     data_centre: str = ''
     is_full: bool = False
+    # Whether it is cut off from the endpoints.
+    is_isolated: bool = False
 
 
 def _parse_address(value: bytes) -> tuple[str, int]:
@@ -196,6 +202,8 @@
         # Returns whether this router is full; None where links are not
         # limited.
         self.states_full: Callable[[], bool] | None = None
+        # Returns whether this router is cut off from the endpoints.
+        self.is_isolated: Callable[[], bool] = lambda: False
         self._decisions = decisions
         self._configuration_version = configuration_version
         self._peers: dict[str, _Peer] = {}
@@ -312,6 +320,21 @@
         """Return the ids of all routers with a known address, but this one."""
         return list(self._peers)
 
+    def relay_routers(self) -> list[RelayRouter]:
+        """Return the live routers that are not cut off from the endpoints."""
+        now_s = asyncio.get_running_loop().time()
+        return [
+            RelayRouter(
+                router_id, peer.address, peer.data_centre, peer.is_full
+            )
+            for router_id, peer in self._peers.items()
+            if not peer.is_isolated and now_s - peer.last_seen_s < _SILENT_S
+        ]
+
+    def is_router(self, host: str) -> bool:
+        """Whether an IP address is that of a known router."""
+        return any(peer.address[0] == host for peer in self._peers.values())
+
     def live_routers(self) -> int:
         """Return the number of live routers, this one included."""
         return 1 + sum(1 for _ in self._live_peers())
@@ -426,17 +449,27 @@
             entry.load.reported = bool(entry.load.in_flight)
         prefixes = self._prefix_announcements.pop_pending(now_s)
         crashes = list(
-            itertools.islice(self._crashes.local_counts(now_s), _MAX_CRASHES)
+            itertools.islice(
+                (
+                    crash
+                    for crash in self._crashes.local_counts(now_s)
+                    if crash[2] >= _CRASH_SETTLE_S
+                ),
+                _MAX_CRASHES,
+            )
         )
         leaving = self._directory.leaving()
         version = self._configuration_version()
         evidence = [
             (entry.number, item)
             for entry in self._directory
-            if (item := entry.load.outlier.evidence(now_s)) is not None
+            if (item := entry.load.outlier.report(now_s)) is not None
         ]
         evacuations = self.evacuations(now_s)
         cold = self.cold_endpoints(now_s)
+        isolated = self.is_isolated()
+        if isolated:
+            evidence = []
         states_load = self.states_full is not None
         router_full = self.states_full is not None and self.states_full()
         announced = (
@@ -446,6 +479,7 @@
             evacuations,
             [incarnation for incarnation, _ in cold],
             router_full,
+            isolated,
         )
         changed = announced != self._last_announced
         self._last_announced = announced
@@ -471,6 +505,7 @@
             evacuations=evacuations,
             cold=encode_cold(cold) if cold else None,
             router_full=router_full or None,
+            isolated=isolated or None,
         )
         unchanged = not (loads or prefixes or crashes or evidence or changed)
         return report, unchanged
@@ -607,6 +642,11 @@
         peer.configuration_version = report.configuration_version or -1
         peer.data_centre = report.data_centre or peer.data_centre
         peer.is_full = bool(report.router_full)
+        isolated = bool(report.isolated)
+        if isolated and not peer.is_isolated:
+            for entry in self._directory:
+                entry.load.outlier.withdraw_report(datagram.router)
+        peer.is_isolated = isolated
         if report.wall_ms:
             self._clock.record(
                 datagram.router,
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -18,6 +18,7 @@
 from ..routing import Reachability
 from ..routing import RouteKind
 from ..routing import SendResult
+from ..routing.reach import PathState
 from ._cold_endpoints import ColdEndpointWatch
 from ._crash_log import CrashLog
 from ._crash_watch import CrashWatch
@@ -35,6 +36,8 @@
 from ._router_overload import RouterOverload
 from ._send_outcome import SendOutcome
 from ._stream_versions import StreamVersions
+from .relay import EndpointConnections
+from .relay import RelayedConnection
 
 # Largest response that is buffered completely before it is forwarded.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -99,6 +102,7 @@
     versions : StreamVersions
     overload : RouterOverload
     cold : ColdEndpointWatch
+    connections : EndpointConnections
     decisions : DecisionLog
     """
 
@@ -116,12 +120,16 @@
         versions: StreamVersions,
         overload: RouterOverload,
         cold: ColdEndpointWatch,
+        connections: EndpointConnections,
         decisions: DecisionLog,
     ) -> None:
+        self._connections = connections
         self._parts = parts
         self._cold = cold
         self._quiet = quiet
-        self._crash_watch = CrashWatch(parts, decisions, peers.announce_news)
+        self._crash_watch = CrashWatch(
+            parts, connections, decisions, peers.announce_news
+        )
         self._codec = codec
         self._directory = directory
         self._peers = peers
@@ -176,7 +184,7 @@
         if entry.endpoint.id not in context.tried_endpoints:
             # A kept connection may deliver an earlier response to the same
             # request again.
-            connection = entry.pool.take_idle(echo=echo)
+            connection = self._connections.take_idle(entry, echo)
         in_flight = load.add_request(choice.prefill_cost, loop.time())
         self._reachability.record_send(entry.endpoint.data_centre, loop.time())
         context.tried_endpoints.append(entry.endpoint.id)
@@ -203,6 +211,9 @@
             if context.part_keys:
                 self._waiting[connection] = context, sent_s
             self._send_request(context, entry, connection, echo)
+            self._connections.record_sent(
+                entry, connection, retriable=context.route.retriable
+            )
             response_timer.start(connection)
             head = await connection.read_head()
             load.record_heard(loop.time())
@@ -213,7 +224,7 @@
                 context, entry, connection, head, in_flight, response_timer
             )
         except ExchangeError as error:
-            outcome = self._classify_error(error)
+            outcome = self._classify_error(error, started=started)
         except _WithdrawnError as error:
             outcome = SendOutcome(
                 SendResult.NOT_SENT, str(error), withdrawn=True
@@ -223,7 +234,7 @@
             if connection is not None:
                 self._waiting.pop(connection, None)
                 self.connections.discard(connection)
-                entry.pool.release(connection)
+                self._connections.release(entry, connection)
             load.remove_request(in_flight)
         if outcome.result is not None and outcome.result.proves_not_run:
             context.possible_runs -= started
@@ -231,6 +242,15 @@
         own_link = False
         if outcome.result is SendResult.NOT_SENT and outcome.timed_out:
             own_link = outcome.withdrawn = self._is_own_timeout(entry)
+        if connection is not None and started:
+            self._connections.record_outcome(
+                entry,
+                connection,
+                broken=outcome.broken,
+                timed_out=outcome.timed_out,
+            )
+        if not self._is_evidence(connection, outcome):
+            outcome.withdrawn = True
         if not outcome.withdrawn:
             self._results.record_outcome(context, entry, outcome)
         if outcome.result is not None:
@@ -249,6 +269,7 @@
             )
         if (
             outcome.broken
+            and not outcome.withdrawn
             and context.part_keys
             and context.events.count == events_before
         ):
@@ -262,11 +283,29 @@
     async def _connect(self, entry: EndpointEntry) -> PeerConnection:
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        connection = await entry.pool.connect()
+        connection = await self._connections.connect(entry)
         now_s = loop.time()
-        self._overload.load.incoming.record_connected(now_s - began_s, now_s)
+        if not isinstance(connection, RelayedConnection):
+            self._overload.load.incoming.record_connected(
+                now_s - began_s, now_s
+            )
         return connection
 
+    def _is_evidence(
+        self, connection: PeerConnection | None, outcome: SendOutcome
+    ) -> bool:
+        # Failures on direct connections of a router that is cut off say
+        # nothing about the endpoints. Until that is proved, connections that
+        # do not open count, but requests that break only without another
+        # router, which would show whether the endpoint is at fault.
+        if outcome.result is None or isinstance(connection, RelayedConnection):
+            return True
+        state = self._connections.state
+        return state is PathState.DIRECT or (
+            state is PathState.SUSPECTED
+            and not (outcome.broken and self._connections.has_relays)
+        )
+
     def _is_own_timeout(self, entry: EndpointEntry) -> bool:
         # Whether a connection timed out because the router's own link is full,
         # which says nothing about the endpoint.
@@ -507,11 +546,20 @@
         context.complete = True
         return SendOutcome(None)
 
-    def _classify_error(self, error: ExchangeError) -> SendOutcome:
+    def _classify_error(
+        self, error: ExchangeError, *, started: bool
+    ) -> SendOutcome:
         if error.failure is ExchangeFailure.CONNECT:
             return SendOutcome(
                 SendResult.NOT_SENT, str(error), timed_out=error.timed_out
             )
+        if error.failure is ExchangeFailure.RELAY:
+            # The other router failed, which says nothing of the endpoint.
+            return SendOutcome(
+                SendResult.UNKNOWN if started else SendResult.NOT_SENT,
+                str(error),
+                withdrawn=True,
+            )
         return SendOutcome(
             SendResult.UNKNOWN,
             str(error),
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -42,7 +42,9 @@
   // Endpoints that the sender knows to be cold; see _cold_records.py.
   12: optional binary cold,
   // Whether the sender refuses requests because of its own load.
-  13: optional bool router_full
+  13: optional bool router_full,
+  // Whether the sender is cut off from the endpoints.
+  14: optional bool isolated
 }
 
 // Request for tokens by a router that cannot get them from the log.
--- a/src/basilpond/node/tests/test_full_incoming_link.py
+++ b/src/basilpond/node/tests/test_full_incoming_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import random
 import types
 
 import pytest
@@ -13,6 +14,8 @@
 from basilpond.node._directory import EndpointEntry
 from basilpond.node._request_context import RefusedError
 from basilpond.node._sending import Sender
+from basilpond.node.relay import EndpointConnections
+from basilpond.node.relay import RelayClient
 from basilpond.node.tests import platform_world
 from basilpond.node.tests.platform_world import world
 from basilpond.node.tests.test_peer_reports import add_peers
@@ -79,6 +82,7 @@
                 suspect=lambda entry, reason: None,
                 suspect_data_centre=lambda data_centre, reason: None,
             ),
+            self.connections(),
             self.decisions,
         )
         self.sender._codec = types.SimpleNamespace(
@@ -86,6 +90,16 @@
         )
         self.watching = asyncio.create_task(self.router.watch.run())
 
+    def connections(self):
+        client = RelayClient(list, 'dc', self.decisions, random.Random(1))
+        connections = EndpointConnections(
+            [], client, self.decisions, random.Random(1)
+        )
+        connections.is_link_full = lambda: self.link.is_busy(
+            asyncio.get_running_loop().time()
+        )
+        return connections
+
     def context(self):
         now_s = asyncio.get_running_loop().time()
         return types.SimpleNamespace(
--- a/src/basilpond/routing/_crash_counter.py
+++ b/src/basilpond/routing/_crash_counter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
 import dataclasses
 import itertools
@@ -9,6 +10,9 @@
 MAX_CRASHES = 2
 _EXPIRY_S = 600.0
 _MAX_ENTRIES = 4096
+# Latest crashes that can be taken back. A router that is cut off loses the
+# requests that it has in progress.
+_MAX_RETRACTABLE = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,7 +43,7 @@
         Number of crashes at which a request is stopped.
     """
 
-    __slots__ = ('_entries', '_max_crashes', '_max_entries')
+    __slots__ = ('_entries', '_max_crashes', '_max_entries', '_recent')
 
     def __init__(
         self,
@@ -51,11 +55,34 @@
         self._max_crashes = max_crashes
         # Ordered by time of the last crash.
         self._entries: dict[str, _Entry] = {}
+        # Key and time of the crashes that this router counted.
+        self._recent: deque[tuple[str, float]] = deque(maxlen=_MAX_RETRACTABLE)
 
     def record(self, body_digest: str, request_id: str, now_s: float) -> None:
         """Count a crash of an endpoint that ran the request."""
         for key in dict.fromkeys((body_digest, request_id)):
             self._touch(key, now_s).local += 1
+            self._recent.append((key, now_s))
+
+    def retract(self, since_s: float) -> list[str]:
+        """Take back the crashes that this router has counted since a time.
+
+        Returns
+        -------
+        list of str
+            Body digests and request ids whose counts are lower now.
+        """
+        retracted: list[str] = []
+        while self._recent and self._recent[-1][1] >= since_s:
+            key, _ = self._recent.pop()
+            entry = self._entries.get(key)
+            if entry is None or not entry.local:
+                continue
+            entry.local -= 1
+            retracted.append(key)
+            if not entry.local and not entry.peers:
+                del self._entries[key]
+        return list(dict.fromkeys(retracted))
 
     def clear(self, body_digest: str) -> bool:
         """Remove the count of a request that was completed.
--- a/src/basilpond/routing/_outlier_detection.py
+++ b/src/basilpond/routing/_outlier_detection.py
@@ -24,6 +24,8 @@
 REPORTERS = 3
 # Age up to which a broken request is reported and counted.
 WINDOW_S = 2.0
+# Time from the first broken request until it is reported.
+REPORT_DELAY_S = 0.25
 # Duration of the first ejection; doubles with each further one.
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
@@ -63,6 +65,7 @@
         '_breaks_in_row',
         '_ejected',
         '_ejection_s',
+        '_first_break_s',
         '_last_break_s',
         '_recovered_s',
         '_reports',
@@ -71,6 +74,7 @@
 
     def __init__(self) -> None:
         self._breaks_in_row = 0
+        self._first_break_s = float('-inf')
         self._last_break_s = float('-inf')
         self._recovered_s = float('-inf')
         # Data centre and time of the last report, by router.
@@ -84,8 +88,22 @@
         """Whether the endpoint is avoided."""
         return now_s < self._until_s
 
+    def report(self, now_s: float) -> SendEvidence | None:
+        """Return what to report to other routers, if anything.
+
+        Breaks are reported with a delay, as a router that is cut off soon
+        finds that its requests break at all endpoints.
+        """
+        evidence = self.evidence(now_s)
+        if (
+            evidence is SendEvidence.BROKEN
+            and now_s - self._first_break_s < REPORT_DELAY_S
+        ):
+            return None
+        return evidence
+
     def evidence(self, now_s: float) -> SendEvidence | None:
-        """Return what to report to other routers, if anything."""
+        """Return what this router's own requests have shown, if anything."""
         if self._breaks_in_row and now_s - self._last_break_s < WINDOW_S:
             return SendEvidence.BROKEN
         if now_s - self._recovered_s < WINDOW_S:
@@ -100,6 +118,8 @@
         bool
             Whether this ejects the endpoint.
         """
+        if not self._breaks_in_row:
+            self._first_break_s = now_s
         self._breaks_in_row += 1
         self._last_break_s = now_s
         self._recovered_s = float('-inf')
@@ -119,6 +139,21 @@
         if self._ejected and now_s >= self._until_s:
             self._until_s = now_s + _PROBE_S
 
+    def forget_own(self) -> None:
+        """Take back what this router's own requests have shown."""
+        self._reset()
+        self._recovered_s = float('-inf')
+
+    def withdraw_report(self, router: str) -> None:
+        """Take back the evidence of a router that is itself cut off.
+
+        An ejection stays unless this was the last evidence for it.
+        """
+        if self._reports.pop(router, None) is None:
+            return
+        if not self._reports and not self._breaks_in_row:
+            self._reset()
+
     def apply_report(
         self,
         router: str,
--- a/src/basilpond/routing/_reachability.py
+++ b/src/basilpond/routing/_reachability.py
@@ -90,6 +90,10 @@
         state = self._data_centres.pop(data_centre, None)
         return state is not None and state.avoided_until_s is not None
 
+    def forget(self) -> None:
+        """Take back all time-outs: the router itself was cut off."""
+        self._data_centres.clear()
+
     def record_send(self, data_centre: str, now_s: float) -> None:
         """Record that a request is sent there, which may be a probe."""
         state = self._data_centres.get(data_centre)
--- a/src/basilpond/routing/placement/_endpoint_load.py
+++ b/src/basilpond/routing/placement/_endpoint_load.py
@@ -472,6 +472,13 @@
             self._ejected_until_s = 0.0
             self.outlier.record_complete(now_s)
 
+    def forget_failures(self) -> None:
+        """Take back failures that were not those of the endpoint."""
+        self._failure_share = 0.0
+        self._ejection_s = _FIRST_EJECTION_S
+        self._ejected_until_s = 0.0
+        self.outlier.forget_own()
+
     def eject(self, now_s: float) -> float:
         """Avoid the endpoint for a while after a connection failed.
 
