Bound the rejections of brittle endpoints over all routers

Cause: servers of a service may say in all their responses that they fail when they have to reject more than N requests in a second (Server-Brittle: N). No code read the field, and routers that overload such servers made them fail again as soon as they were back.

Change: the field is decoded with its value checked. Routers tell each other of bounds and rejections (Datagram field 12), send no more than what is expected to fit, and nothing after N known rejections in a second. A request without room waits for up to half of its objective and is refused with 503 and Retry-After otherwise.

--- a/src/basilpond/node/_dispatcher.py
+++ b/src/basilpond/node/_dispatcher.py
@@ -28,6 +28,7 @@
 from ..routing import sample_loads
 from ..routing import tokens_retry_s
 from ._admission import AdmissionTask
+from ._brittle_endpoints import BrittleEndpointWatch
 from ._budgets import BudgetTask
 from ._budgets import HoldRejection
 from ._cold_endpoints import ColdEndpointWatch
@@ -157,6 +158,8 @@
             codec, directory, self._quiet, decisions, self._returns.wake_up
         )
         signals.on_cold = cold.record_response
+        self.brittle = BrittleEndpointWatch(peers, directory, decisions)
+        signals.on_brittle = self.brittle.record_response
         self.sender = Sender(
             codec,
             directory,
@@ -184,6 +187,7 @@
                 directory,
                 budgets,
                 limits,
+                self.brittle,
                 self._quiet,
                 cold.state,
                 self._returns,
@@ -390,9 +394,19 @@
                 )
                 self._respond_failure(context, outcome)
                 return
-            outcome = await self.sender.send(
-                context, entry, choice, lambda: self._reserve_retry(context)
-            )
+            run_s: float | None = None
+            sent_s = asyncio.get_running_loop().time()
+            try:
+                outcome = await self.sender.send(
+                    context,
+                    entry,
+                    choice,
+                    lambda: self._reserve_retry(context),
+                )
+                if outcome.result is None:
+                    run_s = asyncio.get_running_loop().time() - sent_s
+            finally:
+                self.brittle.record_end(entry, run_s)
             self._metrics.count_send(
                 context.service,
                 outcome.result.value if outcome.result else 'ok',
@@ -471,6 +485,7 @@
         self._limits.record_sent(entry.incarnation_number, now_s)
         self._quiet.record_sent(entry.incarnation_number, now_s)
         self._cold.record_sent(entry.incarnation_number, now_s)
+        self.brittle.record_sent(entry, now_s)
         return entry, choice
 
     def _lone_versions(
@@ -516,7 +531,7 @@
                 for entry in entries
                 if entry.endpoint.id not in context.tried_endpoints
             ]
-            if self._limits.is_empty:
+            if self._limits.is_empty and self.brittle.is_empty:
                 return fresh or entries
             entries = await self._choose_within_limits(context, fresh, entries)
             if entries:
@@ -531,8 +546,14 @@
         entries: list[EndpointEntry],
     ) -> list[EndpointEntry]:
         now_s = asyncio.get_running_loop().time()
+        self.brittle.record_asked(entries, now_s)
         admitting = admitting_entries(
-            fresh, entries, self._limits, self._reachability, now_s
+            fresh,
+            entries,
+            self._limits,
+            self.brittle,
+            self._reachability,
+            now_s,
         )
         return admitting or await self._wait_for_limit(context)
 
@@ -549,22 +570,34 @@
         )
         while entries := self._returns.open_entries(context):
             now_s = loop.time()
+            self.brittle.record_asked(entries, now_s)
             wait_s = min(
-                self._limits.wait_s(entry.incarnation_number, now_s)
+                max(
+                    self._limits.wait_s(entry.incarnation_number, now_s),
+                    self.brittle.wait_s(entry, now_s),
+                )
                 for entry in entries
             )
             if not wait_s:
-                return within_limits(entries, self._limits, now_s)
+                return within_limits(
+                    entries, self._limits, self.brittle, now_s
+                )
             if now_s + wait_s > deadline_s:
+                limited = any(
+                    self._limits.wait_s(entry.incarnation_number, now_s)
+                    for entry in entries
+                )
                 raise RefusedError(
                     503,
-                    'limits of all endpoints reached',
+                    'limits of all endpoints reached'
+                    if limited
+                    else 'all brittle endpoints are full',
                     min(max(wait_s, _BUSY_RETRY_S), _LIMIT_RETRY_S),
                     service=context.service,
                     endpoints=len(entries),
                     routers=self._peers.live_routers(),
                 )
-            await asyncio.sleep(wait_s)
+            await self.brittle.wait(context.service, wait_s)
         return []
 
     def _may_retry(
@@ -650,6 +683,7 @@
                 entry.endpoint.data_centre, now_s
             )
             and not self._limits.wait_s(entry.incarnation_number, now_s)
+            and not self.brittle.wait_s(entry, now_s)
             and self._forecast_s(context, entry, now_s) < patience_s
         ]
 
--- a/src/basilpond/node/_endpoint_choice.py
+++ b/src/basilpond/node/_endpoint_choice.py
@@ -7,6 +7,7 @@
 
 from ..routing import EndpointLimits
 from ..routing import Reachability
+from ._brittle_endpoints import BrittleEndpointWatch
 from ._directory import EndpointEntry
 
 # Longest wait for the limit of an endpoint, as a share of the objective.
@@ -14,13 +15,17 @@
 
 
 def within_limits(
-    entries: Iterable[EndpointEntry], limits: EndpointLimits, now_s: float
+    entries: Iterable[EndpointEntry],
+    limits: EndpointLimits,
+    brittle: BrittleEndpointWatch,
+    now_s: float,
 ) -> list[EndpointEntry]:
-    """Return the endpoints whose limits admit a request now."""
+    """Return the endpoints that admit a request now."""
     return [
         entry
         for entry in entries
         if not limits.wait_s(entry.incarnation_number, now_s)
+        and not brittle.wait_s(entry, now_s)
     ]
 
 
@@ -28,10 +33,11 @@
     fresh: list[EndpointEntry],
     entries: list[EndpointEntry],
     limits: EndpointLimits,
+    brittle: BrittleEndpointWatch,
     reachability: Reachability,
     now_s: float,
 ) -> list[EndpointEntry]:
-    """Return the endpoints whose limits admit a request, or one to probe.
+    """Return the endpoints that admit a request, or one to probe.
 
     Parameters
     ----------
@@ -39,11 +45,12 @@
         Those at which the request was not tried, which are preferred.
     entries : list of EndpointEntry
     limits : EndpointLimits
+    brittle : BrittleEndpointWatch
     reachability : Reachability
     now_s : float
     """
-    admitting = within_limits(fresh, limits, now_s) or within_limits(
-        entries, limits, now_s
+    admitting = within_limits(fresh, limits, brittle, now_s) or within_limits(
+        entries, limits, brittle, now_s
     )
     probed = [
         entry
--- a/src/basilpond/node/_endpoint_signals.py
+++ b/src/basilpond/node/_endpoint_signals.py
@@ -13,10 +13,12 @@
 from ._directory import EndpointDirectory
 from ._directory import EndpointEntry
 from ._interfaces import PlatformCodec
+from ._interfaces import ResponseResult
 
 # Fields with undefined values that are logged once each; beyond it, they are
 # logged again.
 _MAX_LOGGED = 1024
+_UNAVAILABLE = 503
 
 
 class SignalRecorder:
@@ -48,6 +50,11 @@
         self.on_cold: Callable[[EndpointEntry, float | None], None] = (
             lambda entry, cold_s: None
         )
+        # Called with the rejections a second that an endpoint survives,
+        # whether it rejected this request, and when that was sent.
+        self.on_brittle: Callable[
+            [EndpointEntry, int | None, bool, float], None
+        ] = lambda entry, survived, rejected, sent_s: None
         self._decisions = decisions
         self._logged: set[tuple[int, str]] = set()
 
@@ -70,6 +77,13 @@
         if signals.leaving:
             self._directory.mark_told_leaving(entry)
         self.on_cold(entry, signals.cold_s)
+        self.on_brittle(
+            entry,
+            signals.survived_rejections,
+            head.status == _UNAVAILABLE
+            and self._codec.classify_response(head) is ResponseResult.NOT_RUN,
+            sent_s,
+        )
         if signals.quiet_s:
             self._record_refusal(entry, signals.quiet_s)
         elif self._quiet.record_response(
--- a/src/basilpond/node/_interfaces.py
+++ b/src/basilpond/node/_interfaces.py
@@ -308,6 +308,9 @@
         that turns one away. None if it names none.
     cold_s : float or None
         Time for which it still is cold; None if it names none.
+    survived_rejections : int or None
+        Rejections for want of room, of all routers' requests in one second,
+        that it survives; None if it names none.
     problems : tuple of str
         Fields without a defined value, with their values; they say nothing.
     """
@@ -315,6 +318,7 @@
     leaving: bool
     quiet_s: float | None = None
     cold_s: float | None = None
+    survived_rejections: int | None = None
     problems: tuple[str, ...] = ()
 
 
--- a/src/basilpond/node/_metrics.py
+++ b/src/basilpond/node/_metrics.py
@@ -160,6 +160,10 @@
                 ('client_connections', 'Open connections of callers'),
                 ('client_connections_limit', 'Limit on them'),
                 ('limited_endpoints', 'Endpoints that name a request limit'),
+                (
+                    'brittle_endpoints',
+                    'Endpoints that bound the requests they may reject',
+                ),
                 ('log_lines_dropped', 'Log lines that were not written'),
                 (
                     'peer_report_interval_seconds',
--- a/src/basilpond/node/_node.py
+++ b/src/basilpond/node/_node.py
@@ -619,6 +619,7 @@
             ('suspect_prompt_parts', len(self._parts)),
             ('unstored_streams', self._stream_records.waiting),
             ('limited_endpoints', len(self._limits)),
+            ('brittle_endpoints', self.dispatcher.brittle.count()),
             ('log_lines_dropped', self._decisions.dropped_total),
             ('peer_report_interval_seconds', self.peers.report_interval_s),
             ('peer_sent_bytes', self.peers.sent_bytes),
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -16,6 +16,7 @@
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.utils import serialize
 
+from ..routing import BrittleEndpoints
 from ..routing import CrashCounter
 from ..routing import CrashingParts
 from ..routing import Donors
@@ -26,6 +27,8 @@
 from ..routing import PeerReport
 from ..routing import SendEvidence
 from ..routing.reach import RelayRouter
+from ._brittle_records import decode_brittle
+from ._brittle_records import encode_brittle
 from ._budgets import BudgetTask
 from ._cold_records import decode_cold
 from ._cold_records import encode_cold
@@ -199,6 +202,7 @@
         self.on_routers: Callable[[list[str], float], None] = (
             lambda live, now_s: None
         )
+        self.brittle = BrittleEndpoints(router_id)
         # Returns whether this router is full; None where links are not
         # limited.
         self.states_full: Callable[[], bool] | None = None
@@ -407,6 +411,7 @@
         live = self.live_router_ids()
         self._limits.set_routers(live, now_s)
         self.on_routers(live, now_s)
+        self.brittle.set_routers(live, now_s)
         for entry in self._directory:
             entry.load.expire_reports(now_s, self.report_interval_s)
 
@@ -531,7 +536,11 @@
         """
         if self._parts.has_news:
             self.on_crash_evidence()
-        news = self._parts.has_news or self._limits.has_news
+        news = (
+            self._parts.has_news
+            or self._limits.has_news
+            or self.brittle.has_news
+        )
         if news and self._announcement is None:
             loop = asyncio.get_running_loop()
             self._announcement = loop.call_later(
@@ -551,6 +560,7 @@
             endpoint_limits=encode_limits(
                 self._limits.pop_news()[-_MAX_LIMITS:], now_s
             ),
+            brittle_endpoints=encode_brittle(*self.brittle.pop_news(), now_s),
         )
 
     def _synchronise(self, now_s: float) -> None:
@@ -563,6 +573,9 @@
             crash_evidence=encode_crash_evidence(evidence, now_s),
             cleared_parts=encode_cleared(cleared, now_s),
             endpoint_limits=encode_limits(limits, now_s),
+            brittle_endpoints=encode_brittle(
+                self.brittle.reports(now_s), (), now_s
+            ),
         )
 
     def _spread(self, routers: int, **records: bytes) -> None:
@@ -591,6 +604,9 @@
             cleared = decode_cleared(datagram.cleared_parts or b'', now_s)
             limits = decode_limits(datagram.endpoint_limits or b'', now_s)
             speeds = decode_speeds(datagram.endpoint_speeds or b'')
+            brittle, rejections = decode_brittle(
+                datagram.brittle_endpoints or b'', now_s
+            )
         except ValueError as error:
             self._decisions.event(
                 'peer_unreadable', routine=True, reason=str(error)
@@ -623,6 +639,10 @@
             self._parts.clear(key, begun_s)
         for limit in limits:
             self._limits.apply_report(limit, now_s)
+        for bound in brittle:
+            self.brittle.apply_report(bound, now_s)
+        for rejection in rejections:
+            self.brittle.apply_rejection(rejection, now_s)
         for speed in speeds:
             self._speeds.apply_report(datagram.router, speed, now_s)
         self.announce_news()
--- a/src/basilpond/node/_preview_choice.py
+++ b/src/basilpond/node/_preview_choice.py
@@ -17,6 +17,7 @@
 from ..routing import prefill_cost
 from ..routing import prompt_prefixes
 from ..routing import sample_loads
+from ._brittle_endpoints import BrittleEndpointWatch
 from ._budgets import BudgetTask
 from ._configuration_currency import ConfigurationCurrency
 from ._directory import ConfigurationState
@@ -45,6 +46,7 @@
     directory: EndpointDirectory
     budgets: BudgetTask
     limits: EndpointLimits
+    brittle: BrittleEndpointWatch
     quiet: QuietEndpoints
     cold: ColdEndpoints
     returns: EndpointReturns
@@ -127,11 +129,21 @@
         """Return all endpoints, and those compared in order of preference."""
         sources = self._sources
         pool = admitting_entries(
-            self._open, [], sources.limits, sources.reachability, self._now_s
+            self._open,
+            [],
+            sources.limits,
+            sources.brittle,
+            sources.reachability,
+            self._now_s,
         )
         if self._open and not pool:
             wait_s = min(
-                sources.limits.wait_s(entry.incarnation_number, self._now_s)
+                max(
+                    sources.limits.wait_s(
+                        entry.incarnation_number, self._now_s
+                    ),
+                    sources.brittle.wait_s(entry, self._now_s),
+                )
                 for entry in self._open
             )
             longest_s = min(
@@ -207,6 +219,7 @@
         for reason, wait_s in (
             ('cold', self._cold.wait_s(number, now_s)),
             ('limit', sources.limits.wait_s(number, now_s)),
+            ('brittle', sources.brittle.wait_s(entry, now_s)),
         ):
             if wait_s:
                 reasons.append(_reason(reason, wait_s))
--- a/src/basilpond/node/peer.thrift
+++ b/src/basilpond/node/peer.thrift
@@ -96,5 +96,7 @@
   // Number of a statement whose accounts the sender remembers.
   10: optional i64 known_statement,
   // Speeds of endpoints that the sender observed; see _speed_records.py.
-  11: optional binary endpoint_speeds
+  11: optional binary endpoint_speeds,
+  // Endpoints that bound their rejections; see _brittle_records.py.
+  12: optional binary brittle_endpoints
 }
--- a/src/basilpond/node/tests/test_odd_datagrams.py
+++ b/src/basilpond/node/tests/test_odd_datagrams.py
@@ -15,10 +15,14 @@
 from basilpond.http1 import ExchangeError
 from basilpond.http1 import ExchangeFailure
 from basilpond.node import DecisionLog
+from basilpond.node._brittle_records import decode_brittle
+from basilpond.node._brittle_records import encode_brittle
 from basilpond.node._datagrams import DatagramError
 from basilpond.node._datagrams import decode_datagram
 from basilpond.node._datagrams import messages
 from basilpond.node.tests.platform_world import world
+from basilpond.routing import BrittleReport
+from basilpond.routing import RejectionReport
 from basilpond_testkit.platform_stand_in import HOST
 
 MANY = struct.pack('>i', 2**31 - 1)
@@ -184,6 +188,20 @@
         decode_datagram(data)
 
 
+@hypothesis.given(st.binary(max_size=80), st.integers(0, 80))
+def test_odd_news_of_brittle_endpoints_raises_one_error(data, cut):
+    """Guards against error types that reach the event loop."""
+    bounds = [BrittleReport(7, 2, 1.0, 2.0), BrittleReport(8, None, 1.0, 2.5)]
+    rejections = [RejectionReport(7, 1, 2.75)]
+    encoded = encode_brittle(bounds, rejections, 3.0)
+    assert decode_brittle(encoded, 3.0) == (bounds, rejections)
+    for odd in (data, encoded[:cut]):
+        try:
+            decode_brittle(odd, 3.0)
+        except ValueError:
+            continue
+
+
 @pytest.mark.parametrize(
     'address',
     [
--- a/src/basilpond/platform/_endpoint_signals.py
+++ b/src/basilpond/platform/_endpoint_signals.py
@@ -14,12 +14,14 @@
 _LEAVING = b'server-leaving'
 _RETRY_AFTER = b'retry-after'
 _COLD_MS = b'x-cold-ms'
+_BRITTLE = b'server-brittle'
 _UNAVAILABLE = 503
 # Whole seconds in HTTP; on the platform they may include fractions.
 _SECONDS = re.compile(r'[0-9]+(\.[0-9]*)?')
 # Whole or broken milliseconds, up to a day: a start takes seconds to minutes.
 _MILLISECONDS = re.compile(r'[0-9]{1,9}(\.[0-9]{0,9})?')
 _MAX_COLD_MS = 86_400_000
+_COUNT = re.compile(r'[0-9]{1,6}')
 # Bytes of a value without meaning that are logged.
 _MAX_LOGGED_BYTES = 40
 
@@ -28,7 +30,8 @@
     """Return what the server says of itself.
 
     A value that is not defined says nothing. Of different values, the longest
-    time counts, and nothing else. Both are named in `problems`.
+    time and the smallest count apply, and nothing else. Both are named in
+    `problems`.
 
     Parameters
     ----------
@@ -41,6 +44,7 @@
         _leaving(head, problems),
         _quiet_s(head, wall_s, problems),
         _cold_s(head, problems),
+        _survived_rejections(head, problems),
         tuple(problems),
     )
 
@@ -77,6 +81,17 @@
     return max(times_ms) / 1000 if times_ms else None
 
 
+def _survived_rejections(
+    head: ResponseHead, problems: list[str]
+) -> int | None:
+    # Of different values, the smallest is safe.
+    values = _values(head, _BRITTLE)
+    counts = [int(value) for value in values if _COUNT.fullmatch(value)]
+    if len(values) > 1 or len(counts) < len(values):
+        problems.append(_problem(_BRITTLE, values))
+    return min(counts, default=None)
+
+
 def _decode_times(values: set[str], sent_s: float) -> Iterator[float]:
     for value in values:
         if _SECONDS.fullmatch(value):
--- a/src/basilpond/platform/tests/test_endpoint_signals.py
+++ b/src/basilpond/platform/tests/test_endpoint_signals.py
@@ -123,3 +123,22 @@
     result = signals(status=200, **{'x-cold-ms': value})
     assert result.cold_s is None
     assert len(result.problems) == 1
+
+
+@pytest.mark.parametrize(
+    ('value', 'survived'),
+    [('0', 0), (' 3 ', 3), ('999999', 999_999)],
+)
+def test_survived_rejections_are_decoded(value, survived):
+    """Guards against brittle endpoints that count as sturdy."""
+    result = signals(status=200, **{'server-brittle': value})
+    assert result.survived_rejections == survived
+    assert not result.problems
+
+
+@pytest.mark.parametrize('value', ['', '-1', '2.5', '1e3', 'yes', '9' * 40])
+def test_undefined_count_of_rejections_says_nothing(value):
+    """Guards against a bound that no server means."""
+    result = signals(status=200, **{'server-brittle': value})
+    assert result.survived_rejections is None
+    assert result.problems
--- a/src/basilpond/routing/__init__.py
+++ b/src/basilpond/routing/__init__.py
@@ -56,11 +56,15 @@
 from ._version_check import VersionCheck
 from ._version_currency import VersionCurrency
 from ._version_currency import judge_currency
+from .capacity import BrittleEndpoints
+from .capacity import BrittleReport
 from .capacity import ClosedEndpoints
 from .capacity import ColdEndpoints
+from .capacity import EndpointRoom
 from .capacity import EvacuationRecord
 from .capacity import EvacuationReport
 from .capacity import Evacuations
+from .capacity import RejectionReport
 from .capacity import RouterView
 from .placement import Choice
 from .placement import EndpointHistory
@@ -80,6 +84,8 @@
 __all__ = [
     'Allotments',
     'BegunStreams',
+    'BrittleEndpoints',
+    'BrittleReport',
     'CallerLimits',
     'Catalogue',
     'CheckState',
@@ -98,6 +104,7 @@
     'EndpointHistory',
     'EndpointLimits',
     'EndpointLoad',
+    'EndpointRoom',
     'EndpointSpeeds',
     'EntryVerdict',
     'EraRecovery',
@@ -124,6 +131,7 @@
     'Quarantine',
     'QuietEndpoints',
     'Reachability',
+    'RejectionReport',
     'RequestMetadata',
     'Reservation',
     'ReturnQueue',
--- a/src/basilpond/routing/capacity/__init__.py
+++ b/src/basilpond/routing/capacity/__init__.py
@@ -1,5 +1,9 @@
 """Limits on what a router and all routers together send and accept."""
 
+from ._brittle_endpoints import BrittleEndpoints
+from ._brittle_endpoints import BrittleReport
+from ._brittle_endpoints import EndpointRoom
+from ._brittle_endpoints import RejectionReport
 from ._closed_endpoints import ClosedEndpoints
 from ._cold_endpoints import ColdEndpoints
 from ._cold_endpoints import RouterView
@@ -20,8 +24,11 @@
 __all__ = [
     'LINK_AHEAD_S',
     'SAMPLE_INTERVAL_S',
+    'BrittleEndpoints',
+    'BrittleReport',
     'ClosedEndpoints',
     'ColdEndpoints',
+    'EndpointRoom',
     'EvacuationRecord',
     'EvacuationReport',
     'Evacuations',
@@ -29,6 +36,7 @@
     'IncomingLink',
     'LoadVerdict',
     'Readiness',
+    'RejectionReport',
     'RequestDemand',
     'RouterLoad',
     'RouterView',
--- a/src/basilpond_testkit/platform_stand_in.py
+++ b/src/basilpond_testkit/platform_stand_in.py
@@ -27,6 +27,7 @@
 
 HOST = '127.0.0.1'
 SLOW_S = 0.1
+FALL_S = 2.0
 
 
 class _Listener:
@@ -266,6 +267,11 @@
     from all callers. With `leaving`, all of them say that it leaves, and with
     `retry_after`, those of status 503 say for how many seconds, or until when,
     it wants no requests. `extra_fields` are added to all answers.
+
+    With `queue_room`, at most `slots` requests run at a time and as many wait;
+    further ones are rejected unread. With `brittle`, all answers say that it
+    survives as many rejections in a second; at one more it ends, and starts
+    again FALL_S later.
     """
 
     def __init__(self, server_id: str, service: str, *, events: int = 6):
@@ -273,6 +279,20 @@
         self.server_id = server_id
         self.service = service
         self.events = events
+        self.slots = 6
+        # None for an endpoint that runs all requests at once.
+        self.queue_room: int | None = None
+        self.brittle: int | None = None
+        self.falls = 0
+        # Times of the event loop at which requests were rejected.
+        self.rejected_s: list[float] = []
+        self.born = 1_781_071_529_128
+        # Called when it has started again after a fall.
+        self.on_return: Callable[[ServerStandIn], None] = lambda server: None
+        self._present = 0
+        self._down = False
+        self._free_slots = asyncio.Semaphore(self.slots)
+        self._fall_task: asyncio.Task[None] | None = None
         # Of its software; its streams show it.
         self.version = 'v1'
         self.mode = 'ok'
@@ -301,11 +321,11 @@
             'address': f'{HOST}:{self.port}',
             'zone': 'dc',
             'version': self.version,
-            'slots': 6,
+            'slots': self.slots,
             'state': 'ready',
             'cold_left_ms': 0,
             'seq': 1,
-            'born': 1_781_071_529_128,
+            'born': self.born,
             **changes,
         }
 
@@ -320,22 +340,61 @@
             fields += [(b'x-not-executed', b'1'), *self._own_fields(503)]
             responder.respond(503, fields)
             return
+        if (
+            self.queue_room is not None
+            and self._present >= self.slots + self.queue_room
+        ):
+            fields += [(b'x-not-executed', b'1'), *self._own_fields(503)]
+            responder.respond(503, fields)
+            self._count_rejection()
+            return
         if self.mode == 'moved':
             fields += [(b'x-instance-id', b'other'), *self._own_fields(421)]
             responder.respond(421, fields)
             return
         self.requests.append(request)
+        self._present += 1
         try:
-            await self._run(request, responder)
+            if self.queue_room is None:
+                await self._run(request, responder)
+            else:
+                async with self._free_slots:
+                    await self._run(request, responder)
             self.ended.append('whole')
         except asyncio.CancelledError:
             self.ended.append('cancelled')
             raise
+        finally:
+            self._present -= 1
+
+    def _count_rejection(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.rejected_s.append(now_s)
+        recent = sum(now_s - at_s < 1.0 for at_s in self.rejected_s)
+        if (
+            self.brittle is not None
+            and recent > self.brittle
+            and not self._down
+        ):
+            self._down = True
+            self.falls += 1
+            self.stop()
+            self._fall_task = asyncio.create_task(self._return())
+
+    async def _return(self) -> None:
+        await asyncio.sleep(FALL_S)
+        await self.start()
+        self._down = False
+        self.rejected_s.clear()
+        self.born += 1
+        self.on_return(self)
 
     def _own_fields(self, status: int) -> list[tuple[bytes, bytes]]:
         fields = list(self.extra_fields)
         if self.limit_per_s is not None:
             fields.append((b'server-limit', b'%.1f' % self.limit_per_s))
+        if self.brittle is not None:
+            fields.append((b'server-brittle', b'%d' % self.brittle))
         if self.leaving:
             fields.append((b'server-leaving', b'1'))
         if status == 503 and self.retry_after is not None:
