Test that a sound endpoint may be silent for a second

Cause: servers may fall silent for a second or so and go on. Tests covered a silence within streams that may be taken up elsewhere, not one before the first event, streams without a second attempt, unsafe requests, and whether the router avoids the endpoint afterwards.

Change: tests with a silence of 1.2 s in these places, at one and two endpoints and two routers.

--- a/src/basilpond/node/tests/test_silent_streams.py
+++ b/src/basilpond/node/tests/test_silent_streams.py
@@ -266,3 +266,81 @@
         responses = await asyncio.gather(*streams)
         assert [r.complete for r in responses] == [True] * 2
         assert not other.requests
+
+
+# A sound endpoint may say nothing for a second or so.
+SOUND_SILENCE_S = 1.2
+
+
+def assert_none_avoided(system):
+    now_s = asyncio.get_running_loop().time()
+    for node in system.nodes:
+        for entry in node.directory:
+            assert not entry.load.is_avoided(now_s), entry.endpoint.id
+            assert not node.dispatcher._reachability.is_avoided(
+                entry.endpoint.data_centre, now_s
+            )
+
+
+@pytest.mark.parametrize('path', ['/chat/x', '/digest/x'])
+@pytest.mark.parametrize('servers', [1, 2])
+@on_loopback_clock
+async def test_silence_before_the_first_event_cuts_no_stream(path, servers):
+    """Guards against prompts of a sound endpoint that are cut or run twice."""
+    async with world(models=servers, nodes=2) as system:
+        for server in models(system):
+            server.prefill_s = SOUND_SILENCE_S
+        replies = await asyncio.gather(
+            *(
+                system.prompt(path, node=i % 2, headers=separate_prompt(i))
+                for i in range(8)
+            )
+        )
+        assert [(r.status, r.complete) for r in replies] == [(200, True)] * 8
+        assert system.runs('llm') == 8
+        assert_none_avoided(system)
+
+
+@pytest.mark.parametrize('path', ['/chat/x', '/digest/x'])
+@on_loopback_clock
+async def test_silence_within_streams_ejects_no_endpoint(path):
+    """Guards against a sound endpoint that is avoided after a silence."""
+    async with world(nodes=2) as system:
+        for server in models(system):
+            server.event_gap_s = 0.1
+        streams = [
+            asyncio.create_task(
+                system.prompt(path, node=i % 2, headers=separate_prompt(i))
+            )
+            for i in range(8)
+        ]
+        await system.until(lambda: system.runs('llm') == 8)
+        silent = max(models(system), key=lambda server: len(server.requests))
+        silent.event_gap_s = SOUND_SILENCE_S
+        await asyncio.sleep(SOUND_SILENCE_S)
+        silent.event_gap_s = 0.1
+        replies = await asyncio.gather(*streams)
+        assert [(r.status, r.complete) for r in replies] == [(200, True)] * 8
+        assert system.runs('llm') == 8
+        assert_none_avoided(system)
+
+
+@pytest.mark.parametrize('servers', [1, 2])
+@on_loopback_clock
+async def test_unsafe_request_at_a_silent_endpoint_runs_once(servers):
+    """Guards against a second run while a sound endpoint says nothing."""
+    config = configuration(
+        routes=[route('claim', 'unsafe', 'app', max_attempts=3)]
+    )
+    async with world(config, apps=servers, models=0, nodes=2) as system:
+        for server in system.servers.values():
+            server.work_s = SOUND_SILENCE_S
+        replies = await asyncio.gather(
+            *(
+                system.call(f'/claim/{i}', method='POST', node=i % 2)
+                for i in range(6)
+            )
+        )
+        assert [(r.status, r.complete) for r in replies] == [(200, True)] * 6
+        assert system.runs('app') == 6
+        assert_none_avoided(system)
