Close what the review of ways through other routers found

- the cut of a relaying router counted as crashes at the one that asked it;
- a relaying router that stopped ended streams after 2.5 s of its 8 s of grace;
- a reset by the asking router was not seen while the endpoint did not read;
- a single endpoint that was down kept a router from its own connections.

Change: broken requests count until it is proved that the router is cut off, and are taken back then. A router that relays tells of a break before a response only if it reaches another endpoint, and ends without a word otherwise. Its stop waits for all relayed connections. An endpoint that is not listed is a failure of that endpoint; answers of HTTP servers at the port are told from those of relays. Connections that are not read are checked every 0.1 s. A failed trial affects the endpoint that was tried. What other routers report of an endpoint is evidence in a cut, too.

--- a/src/basilpond/http1/__init__.py
+++ b/src/basilpond/http1/__init__.py
@@ -5,6 +5,7 @@
 from ._client import ExchangeError
 from ._client import ExchangeFailure
 from ._client import PeerConnection
+from ._early_end import LARGE_REQUEST_BYTES
 from ._early_end import EarlyEnd
 from ._early_end import may_be_early
 from ._events import EventSplitter
@@ -50,6 +51,7 @@
     'Handler',
     'Header',
     'KEEPALIVE_OPTIONS',
+    'LARGE_REQUEST_BYTES',
     'MemoryBudget',
     'PeerConnection',
     'ProtocolFactory',
--- a/src/basilpond/http1/_client.py
+++ b/src/basilpond/http1/_client.py
@@ -91,6 +91,8 @@
     detail : str
     timed_out : bool
         Whether the peer's network did not respond in time.
+    relayed : bool
+        Whether another router told of the failure.
     """
 
     def __init__(
@@ -99,11 +101,13 @@
         detail: str = '',
         *,
         timed_out: bool = False,
+        relayed: bool = False,
     ) -> None:
         super().__init__(f'{failure.value}: {detail}')
         self.failure = failure
         self.detail = detail
         self.timed_out = timed_out
+        self.relayed = relayed
 
 
 class PeerConnection(asyncio.BufferedProtocol):
--- a/src/basilpond/node/_crash_watch.py
+++ b/src/basilpond/node/_crash_watch.py
@@ -14,8 +14,9 @@
 from .relay import EndpointConnections
 
 # Longest time for which the retry of a broken request waits for the
-# confirmation: a refused connection takes one round trip.
-_MAX_WAIT_S = 0.05
+# confirmation: a refused connection takes one round trip, and the connection
+# to another endpoint has to stay open for 0.05 s.
+_MAX_WAIT_S = 0.1
 
 
 class CrashWatch:
--- a/src/basilpond/node/_peers.py
+++ b/src/basilpond/node/_peers.py
@@ -475,6 +475,7 @@
         isolated = self.is_isolated()
         if isolated:
             evidence = []
+            crashes = []
         states_load = self.states_full is not None
         router_full = self.states_full is not None and self.states_full()
         announced = (
--- a/src/basilpond/node/_send_outcome.py
+++ b/src/basilpond/node/_send_outcome.py
@@ -27,6 +27,8 @@
     withdrawn : bool
         Whether the router did not send the request because of what it
         learned while it connected; says nothing about the endpoint's health.
+    relayed : bool
+        Whether another router told that it could not connect.
     """
 
     result: SendResult | None
@@ -36,3 +38,4 @@
     broken: bool = False
     timed_out: bool = False
     withdrawn: bool = False
+    relayed: bool = False
--- a/src/basilpond/node/_sending.py
+++ b/src/basilpond/node/_sending.py
@@ -295,15 +295,12 @@
         self, connection: PeerConnection | None, outcome: SendOutcome
     ) -> bool:
         # Failures on direct connections of a router that is cut off say
-        # nothing about the endpoints. Until that is proved, connections that
-        # do not open count, but requests that break only without another
-        # router, which would show whether the endpoint is at fault.
-        if outcome.result is None or isinstance(connection, RelayedConnection):
-            return True
-        state = self._connections.state
-        return state is PathState.DIRECT or (
-            state is PathState.SUSPECTED
-            and not (outcome.broken and self._connections.has_relays)
+        # nothing about the endpoints.
+        return (
+            outcome.result is None
+            or outcome.relayed
+            or isinstance(connection, RelayedConnection)
+            or self._connections.state is not PathState.ISOLATED
         )
 
     def _is_own_timeout(self, entry: EndpointEntry) -> bool:
@@ -551,7 +548,10 @@
     ) -> SendOutcome:
         if error.failure is ExchangeFailure.CONNECT:
             return SendOutcome(
-                SendResult.NOT_SENT, str(error), timed_out=error.timed_out
+                SendResult.NOT_SENT,
+                str(error),
+                timed_out=error.timed_out,
+                relayed=error.relayed,
             )
         if error.failure is ExchangeFailure.RELAY:
             # The other router failed, which says nothing of the endpoint.
--- a/src/basilpond/node/relay/_endpoint_connections.py
+++ b/src/basilpond/node/relay/_endpoint_connections.py
@@ -93,11 +93,6 @@
         """How connections to endpoints are opened."""
         return self._paths.state
 
-    @property
-    def has_relays(self) -> bool:
-        """Whether there are other routers that may reach the endpoints."""
-        return self._client.has_routers
-
     @property
     def relayed(self) -> int:
         """Number of requests in progress that another router relays."""
@@ -128,7 +123,8 @@
         ExchangeError
             No request was sent; `RELAY` says nothing about the endpoint.
         """
-        if self._may_relay(entry):
+        was_relayed = self._may_relay(entry)
+        if was_relayed:
             try:
                 return await self._connect_relayed(entry)
             except ExchangeError as error:
@@ -145,7 +141,7 @@
             connection = await entry.pool.connect()
         except ExchangeError as error:
             self.record_failed(entry, timed_out=error.timed_out)
-            if not self._may_relay(entry):
+            if was_relayed or not self._may_relay(entry):
                 raise
         else:
             return connection
@@ -189,10 +185,10 @@
         """Record how a request ended that was sent on a connection."""
         if isinstance(connection, RelayedConnection):
             return
-        if connection.has_head:
-            self._paths.record_response()
-        elif broken:
+        if broken and not connection.has_head:
             self.record_failed(entry, timed_out=timed_out, connected=True)
+        elif not broken and connection.has_head:
+            self._paths.record_response()
 
     def _record_idle_failure(self, entry: EndpointEntry) -> None:
         # Of one endpoint: it may have ended. A cut that resets connections
@@ -297,9 +293,15 @@
                 await self._try_next()
 
     async def reaches_another(self, entry: EndpointEntry) -> bool:
-        """Connect to another endpoint, to see whether this one alone fails."""
+        """Connect to other endpoints, to see whether this one alone fails."""
         others = self._others(entry)
-        return not others or await self._try(self._rng.choice(others))
+        if not others:
+            return True
+        count = min(len(others), _TRIED_ENDPOINTS - 1)
+        results = await asyncio.gather(
+            *(self._try(other) for other in self._rng.sample(others, count))
+        )
+        return any(results)
 
     def _check_stalled(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/src/basilpond/node/relay/_relay_client.py
+++ b/src/basilpond/node/relay/_relay_client.py
@@ -25,8 +25,9 @@
 # Time in which all of them have to answer.
 _TOTAL_TIMEOUT_S = 2 * _OPEN_TIMEOUT_S
 _OPENED = 101
-# The endpoint refused the connection, or did not respond.
-_ENDPOINT_STATUSES = (502, 504)
+# The endpoint is not listed or leaves, refused the connection, or did not
+# respond.
+_ENDPOINT_STATUSES = (404, 502, 504)
 _TIMED_OUT = 504
 
 
@@ -131,11 +132,12 @@
         if status == _OPENED:
             return connection
         connection.abort()
-        by_endpoint = status in _ENDPOINT_STATUSES
+        by_endpoint = connection.is_relay and status in _ENDPOINT_STATUSES
         raise ExchangeError(
             ExchangeFailure.CONNECT if by_endpoint else ExchangeFailure.RELAY,
             f'status {status} of {router.router_id}',
             timed_out=status == _TIMED_OUT,
+            relayed=True,
         )
 
 
--- a/src/basilpond/node/relay/_relay_server.py
+++ b/src/basilpond/node/relay/_relay_server.py
@@ -10,6 +10,7 @@
 from ...http1 import ProtocolFactory
 from .._directory import CONNECT_TIMEOUT_S
 from .._directory import EndpointDirectory
+from .._directory import EndpointEntry
 from ._endpoint_connections import EndpointConnections
 from ._frames import PATH_PREFIX
 from ._frames import PROTOCOL
@@ -57,12 +58,16 @@
         self._is_router = is_router
         self._is_full = is_full
         self.tunnels: set[Tunnel] = set()
+        self._checks: set[asyncio.Task[None]] = set()
         self._stopping = False
 
     @property
     def active(self) -> int:
-        """Number of relayed connections that wait for a response."""
-        return sum(not tunnel.is_idle for tunnel in self.tunnels)
+        """Number of relayed connections while the router stops.
+
+        The routers that use them end them after their responses.
+        """
+        return len(self.tunnels) if self._stopping else 0
 
     def announce_stop(self) -> None:
         """Open no further connections, and have the others end soon."""
@@ -83,6 +88,18 @@
         """
         return lambda: RouterSide(self, http_factory)
 
+    def _check_broken(self, entry: EndpointEntry, tunnel: Tunnel) -> None:
+        # This router may be cut off by now, which is no fault of the endpoint.
+        self._connections.record_failed(entry, timed_out=False, connected=True)
+        task = asyncio.create_task(self._end_broken(entry, tunnel))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    async def _end_broken(self, entry: EndpointEntry, tunnel: Tunnel) -> None:
+        tunnel.end_broken(
+            by_endpoint=await self._connections.reaches_another(entry)
+        )
+
     async def open(
         self, address: str, target: bytes, router: asyncio.Transport
     ) -> tuple[http.HTTPStatus, Tunnel | None]:
@@ -116,7 +133,11 @@
             or not self._connections.reaches(entry)
         ):
             return http.HTTPStatus.SERVICE_UNAVAILABLE, None
-        tunnel = Tunnel(router, self.tunnels.discard)
+        tunnel = Tunnel(
+            router,
+            self.tunnels.discard,
+            lambda: self._check_broken(entry, tunnel),
+        )
         self.tunnels.add(tunnel)
         endpoint = entry.endpoint
         try:
@@ -228,8 +249,9 @@
             return
         if tunnel is None:
             transport.write(
-                b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n'
-                b'Connection: close\r\n\r\n' % (status, status.phrase.encode())
+                b'HTTP/1.1 %d %s\r\nUpgrade: %s\r\nContent-Length: 0\r\n'
+                b'Connection: close\r\n\r\n'
+                % (status, status.phrase.encode(), PROTOCOL)
             )
             transport.close()
             return
--- a/src/basilpond/node/relay/_relayed_connection.py
+++ b/src/basilpond/node/relay/_relayed_connection.py
@@ -4,17 +4,16 @@
 
 import asyncio
 
+from ...http1 import LARGE_REQUEST_BYTES
 from ...http1 import ExchangeFailure
 from ...http1 import PeerConnection
+from ._frames import PROTOCOL
 from ._frames import FrameError
 from ._frames import FrameKind
 from ._frames import FrameReader
 
 _HEAD_END = b'\r\n\r\n'
 _MAX_HEAD_BYTES = 4_096
-# Size from which on a request may be on its way while its endpoint ends the
-# response, so that the end does not tell whether the response is whole.
-_LARGE_REQUEST_BYTES = 65_536
 
 
 class RelayedConnection(PeerConnection):
@@ -28,6 +27,8 @@
         super().__init__()
         # Status of the relaying router's answer, once it has come.
         self.opened: asyncio.Future[int] = self._loop.create_future()
+        # Whether a relay has answered, not the HTTP server of an old router.
+        self.is_relay = False
         self._opening = b''
         self._frames = FrameReader()
 
@@ -50,6 +51,7 @@
             if len(fields) < 2 or not fields[1].isdigit():
                 self._fail_opening('malformed answer')
                 return
+            self.is_relay = PROTOCOL in head
             self.opened.set_result(int(fields[1][:3]))
             data = rest
         try:
@@ -77,8 +79,11 @@
         if not self._until_close or self._head is None or self._skipping:
             self._fail(ExchangeFailure.BROKEN, 'closed, told by a router')
         elif not self._ended():
+            # The endpoint may have ended the response to a request of which
+            # a part is on its way.
             self._end_with_connection(
-                is_whole=self._request_bytes < _LARGE_REQUEST_BYTES
+                is_whole=self._request_bytes < LARGE_REQUEST_BYTES
+                and not self.unsent_bytes
             )
 
     def eof_received(self) -> bool:
--- a/src/basilpond/node/relay/_tunnel.py
+++ b/src/basilpond/node/relay/_tunnel.py
@@ -15,6 +15,9 @@
 from ._frames import FrameKind
 from ._frames import encode_frame
 
+# Interval in which a router's connection that is not read is checked; its
+# caller may have left, which the endpoint learns within 0.5 s.
+_PAUSE_CHECK_S = 0.1
 # Value of SO_LINGER, on and 0 s, with which closing resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -62,6 +65,9 @@
         Connection to the router that asked for it.
     on_close : callable
         Called once with the tunnel when it has ended.
+    on_broken : callable
+        Called when the endpoint's connection breaks before a response has
+        begun; `end_broken` is to be called then.
     """
 
     __slots__ = (
@@ -69,7 +75,9 @@
         '_early_end',
         '_ended',
         '_endpoint',
+        '_on_broken',
         '_on_close',
+        '_pause_timer',
         '_request_bytes',
         '_router',
         'sent_bytes',
@@ -79,7 +87,10 @@
         self,
         router: asyncio.Transport,
         on_close: Callable[[Tunnel], None],
+        on_broken: Callable[[], None],
     ) -> None:
+        self._on_broken = on_broken
+        self._pause_timer: asyncio.TimerHandle | None = None
         self._router = router
         self._on_close = on_close
         self._endpoint = EndpointSide(self)
@@ -100,11 +111,6 @@
             0 if endpoint is None else unsent_bytes(endpoint)
         )
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no response is awaited."""
-        return self._answered or not self._request_bytes
-
     async def connect(self, host: str, port: int, timeout_s: float) -> None:
         """Connect to the endpoint.
 
@@ -146,6 +152,7 @@
         """End the endpoint's connection by a reset, so that it stops work."""
         if self._early_end is not None:
             self._early_end.cancel()
+        self._stop_pause_check()
         self._ended = True
         if self._endpoint.transport is not None:
             reset(self._endpoint.transport)
@@ -161,9 +168,25 @@
     def pause_router(self) -> None:
         """Leave what the router sends in the kernel."""
         self._router.pause_reading()
+        self._check_paused()
+
+    def _check_paused(self) -> None:
+        # The event loop does not read, and so does not see that the router
+        # has reset the connection.
+        if has_failed(self._router):
+            self._router.abort()
+            return
+        loop = asyncio.get_running_loop()
+        self._pause_timer = loop.call_later(_PAUSE_CHECK_S, self._check_paused)
+
+    def _stop_pause_check(self) -> None:
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
+            self._pause_timer = None
 
     def resume_router(self) -> None:
         """Read from the router again."""
+        self._stop_pause_check()
         if not self._router.is_closing():
             self._router.resume_reading()
 
@@ -183,6 +206,8 @@
         if not may_be_early(endpoint, self._request_bytes):
             self._finish(FrameKind.END)
             return False
+        # No further request fits on this connection.
+        self._write(FrameKind.LEAVING)
         self._early_end = EarlyEnd(
             endpoint,
             lambda is_whole: self._finish(
@@ -193,7 +218,24 @@
 
     def break_response(self) -> None:
         """Tell the router that the endpoint's connection broke."""
-        self._finish(FrameKind.BROKEN)
+        if self._ended or self._answered or not self._request_bytes:
+            self._finish(FrameKind.BROKEN)
+        else:
+            self._on_broken()
+
+    def end_broken(self, *, by_endpoint: bool) -> None:
+        """End after a break before the response.
+
+        Parameters
+        ----------
+        by_endpoint : bool
+            Whether it was the endpoint's fault. The router gets no frame
+            otherwise, as if this process had ended.
+        """
+        if by_endpoint:
+            self._finish(FrameKind.BROKEN)
+        elif not self._ended:
+            self._router.abort()
 
     def announce_stop(self) -> None:
         """Tell the router to send no further request."""
--- a/src/basilpond/node/tests/test_cut_off_routers.py
+++ b/src/basilpond/node/tests/test_cut_off_routers.py
@@ -159,7 +159,7 @@
 @cuts
 @who_is_cut
 async def test_router_uses_its_own_connections_after_a_cut(kind, who):
-    """Guards against routers that stay on a detour."""
+    """Guards against routers that go on using other routers."""
     seen = await observe_cut(kind, who)
     assert None not in seen.returned_s
 
@@ -215,7 +215,7 @@
     assert all(share >= RECOVER_SHARE for share in shares.values()), shares
 
 
-async def wait_for_detour(system, router, path):
+async def wait_for_relay(system, router, path):
     """Wait until the cut router serves requests on a route."""
     async with asyncio.timeout(STABLE_WINDOW_S):
         while not (await system.attempt(router, path)).is_served:  # noqa: ASYNC110
@@ -231,7 +231,7 @@
         tokens = system.used_tokens() - before
         assert tokens > 0
         await system.cut([0], 'refuse')
-        await wait_for_detour(system, 0, path)
+        await wait_for_relay(system, 0, path)
         before = system.used_tokens()
         runs = system.runs('llm')
         for _ in range(5):
@@ -317,7 +317,7 @@
     """
     async with cut_off_world() as system:
         await system.cut([0], 'refuse')
-        await wait_for_detour(system, 0, path)
+        await wait_for_relay(system, 0, path)
         for server in system.servers.values():
             server.mode = 'unframed'
             server.event_gap_s = 0.1
@@ -355,7 +355,7 @@
             server.mode = 'unframed'
         direct = await system.attempt(0, path)
         await system.cut([0], 'refuse')
-        await wait_for_detour(system, 0, path)
+        await wait_for_relay(system, 0, path)
         relayed = await system.attempt(0, path)
     assert relayed.reply.events == direct.reply.events == 6
     assert relayed.reply.complete == direct.reply.complete
@@ -368,7 +368,7 @@
     async with cut_off_world() as system:
         if is_cut:
             await system.cut([0], 'refuse')
-            await wait_for_detour(system, 0, path)
+            await wait_for_relay(system, 0, path)
         for server in system.servers.values():
             server.requests.clear()
             server.ended.clear()
@@ -384,3 +384,76 @@
         await system.until(lambda: any(s.ended for s in servers), GONE_S)
         ended = [end for server in servers for end in server.ended]
     assert ended == ['cancelled']
+
+
+async def test_stop_of_the_relaying_router_leaves_responses_whole():
+    """Guards against streams that end with the router between (LOST)."""
+    path = '/digest/'
+    async with cut_off_world() as system:
+        await system.cut([0], 'refuse')
+        await wait_for_relay(system, 0, path)
+        for server in system.servers.values():
+            server.event_gap_s = 0.7
+        passed = [system.log_of(r).count_requests() for r in ROUTERS]
+        running = asyncio.create_task(system.attempt(0, path, 12_000))
+        await system.until(
+            lambda: any(
+                system.log_of(r).count_requests() > passed[r] for r in ROUTERS
+            )
+        )
+        (relay,) = (
+            r for r in ROUTERS if system.log_of(r).count_requests() > passed[r]
+        )
+        stop = asyncio.Event()
+        stopping = asyncio.create_task(system.nodes[relay].run_until(stop))
+        stop.set()
+        assert (await running).is_served
+        await asyncio.wait_for(stopping, 9.0)
+
+
+async def test_endpoint_that_no_router_lists_leaves_the_others_in_use():
+    """Guards against one endpoint that closes the way to all."""
+    async with cut_off_world() as system:
+        await system.cut([0], 'refuse')
+        await wait_for_relay(system, 0, '/look/')
+        for node in system.nodes[1:]:
+            endpoint = node.directory.find('app-0').endpoint
+            node.directory.mark_leaving(
+                f'{endpoint.id}@{endpoint.boot_ms}', 'node-9'
+            )
+        attempts = await system.attempts((0,), 1.0, INTERVAL_S, DEADLINE_MS)
+    assert served_share(attempts) >= AIM_SHARE
+
+
+async def test_request_that_crashes_endpoints_is_stopped_by_several_routers():
+    """Guards against crashes that pass for a cut of the routers."""
+    async with cut_off_world(apps=6) as system:
+        crashed = []
+
+        async def come_back(server):
+            await asyncio.sleep(1.0)
+            await server.start()
+
+        def crash(server):
+            crashed.append(server.server_id)
+            server.stop()
+            tasks.append(asyncio.create_task(come_back(server)))
+
+        tasks = []
+        for server in system.servers.values():
+            handle = server.handle
+
+            async def run(request, responder, server=server, handle=handle):
+                if request.target.endswith(b'deadly'):
+                    crash(server)
+                else:
+                    await handle(request, responder)
+
+            server._server.handler = run
+        for number in range(24):
+            await system.attempt(number % 4, '/look/', 400, leaf='deadly')
+            await asyncio.sleep(0.1)
+        for task in tasks:
+            await task
+    # Three stop the request; routers learn of those of others within 0.5 s.
+    assert len(crashed) <= 6
--- a/src/basilpond/routing/_outlier_detection.py
+++ b/src/basilpond/routing/_outlier_detection.py
@@ -141,7 +141,9 @@
 
     def forget_own(self) -> None:
         """Take back what this router's own requests have shown."""
+        reports = dict(self._reports)
         self._reset()
+        self._reports.update(reports)
         self._recovered_s = float('-inf')
 
     def withdraw_report(self, router: str) -> None:
--- a/src/basilpond/routing/placement/_endpoint_load.py
+++ b/src/basilpond/routing/placement/_endpoint_load.py
@@ -474,7 +474,6 @@
 
     def forget_failures(self) -> None:
         """Take back failures that were not those of the endpoint."""
-        self._failure_share = 0.0
         self._ejection_s = _FIRST_EJECTION_S
         self._ejected_until_s = 0.0
         self.outlier.forget_own()
--- a/src/basilpond/routing/reach/_endpoint_paths.py
+++ b/src/basilpond/routing/reach/_endpoint_paths.py
@@ -18,8 +18,8 @@
 SUSPECT_ENDPOINTS = 2
 # Age up to which failures count; a connection time-out takes 0.4 s.
 WINDOW_S = 1.5
-# Endpoints connected in a row, without a failure in between, at which the
-# router counts as connected again. A single one may be all that it reaches.
+# Endpoints connected at which the router counts as connected again. A single
+# one may be all that it reaches.
 RETURNED_ENDPOINTS = 2
 
 
@@ -72,7 +72,7 @@
         self._failed_s: dict[str, float] = {}
         # Those whose failure was that no connection opened, or stayed open.
         self._unconnected: set[str] = set()
-        # Endpoints connected since the last failure.
+        # Endpoints connected since their last failure.
         self._returned: set[str] = set()
         self._threshold = RETURNED_ENDPOINTS
 
@@ -116,7 +116,7 @@
         self._failed_s[endpoint_id] = now_s
         if not connected:
             self._unconnected.add(endpoint_id)
-        self._returned.clear()
+        self._returned.discard(endpoint_id)
         self._threshold = min(RETURNED_ENDPOINTS, listed or RETURNED_ENDPOINTS)
         if self._state is not PathState.DIRECT:
             return False
--- a/src/basilpond/routing/reach/tests/test_endpoint_paths.py
+++ b/src/basilpond/routing/reach/tests/test_endpoint_paths.py
@@ -74,12 +74,15 @@
     assert paths.needs_relay('e1')
 
 
-def test_router_returns_after_two_connections_in_a_row():
+def test_router_returns_after_connections_to_two_endpoints():
     paths = isolated()
     assert not paths.record_connected('e1')
     assert not paths.needs_relay('e1')
     assert paths.needs_relay('e2')
+    # One that is down does not keep the router from returning.
     paths.record_failed('e3', 1.0, listed=6)
+    assert not paths.needs_relay('e1')
+    paths.record_failed('e1', 1.1, listed=6)
     assert paths.needs_relay('e1')
     assert not paths.record_connected('e1')
     assert paths.record_connected('e4')
