--- a/src/basilpond/node/tests/configuration_model.py
+++ b/src/basilpond/node/tests/configuration_model.py
@@ -209,7 +209,7 @@
         if answer in REFUSALS:
             bound = allowed
             if answer == 402 and not is_in_touch:
-                # The router vouches for the balance that it knows.
+                # The router answers by the balance that it knows.
                 bound = [
                     s.outcome(question)
                     for s in self.in_force(router.in_touch_until_s, end_s)
